--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin/python
+READY := $(VENV)/.ready
+
+.PHONY: demo test check format bench capacity golden matrix soak clean
+
+$(READY): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/pip install -q --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: $(READY)
+	$(RUN) -m standin.demo $(if $(KEEP),--keep)
+
+test: $(READY)
+	$(RUN) -m test.runner
+
+check: $(READY)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(READY)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/radishstile/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the operators' client."""
--- /dev/null
+++ b/radishstile/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration document and its patches."""
--- /dev/null
+++ b/radishstile/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: wiring of the parts into one process."""
--- /dev/null
+++ b/radishstile/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet of hosts: membership, freshness and rights."""
--- /dev/null
+++ b/radishstile/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, upstreams and operators."""
--- /dev/null
+++ b/radishstile/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Look-ups: which entry hosts a caller should use."""
--- /dev/null
+++ b/radishstile/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object store."""
--- /dev/null
+++ b/radishstile/region/__init__.py
@@ -0,0 +1,1 @@
+"""Regions: capacity and the links between them."""
--- /dev/null
+++ b/radishstile/route/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: matching a request and choosing where it may run."""
--- /dev/null
+++ b/radishstile/run/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of requests: idempotency records, retries and outcomes."""
--- /dev/null
+++ b/radishstile/shift/__init__.py
@@ -0,0 +1,1 @@
+"""Planned moves of traffic under a cap."""
--- /dev/null
+++ b/radishstile/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: slots, health, slow start and drain."""
--- /dev/null
+++ b/radishstile/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Peer streams between hosts: frames, messages and codec."""
--- /dev/null
+++ b/radishstile/workspace/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: keys, request rate and fair queues."""
--- /dev/null
+++ b/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and upstreams, for tests and demos."""
