--- a/radishstile/configuration/document.py
+++ b/radishstile/configuration/document.py
@@ -252,9 +252,8 @@
     for workspace in configuration.workspaces.values():
         for key_id in workspace.keys:
             if key_id in seen:
-                raise ConfigurationError(
-                    f"workspaces/{workspace.name}: key {key_id!r} is not unique"
-                )
+                place = f"workspaces/{workspace.name}"
+                raise ConfigurationError(f"{place}: key {key_id!r} repeats")
             seen.add(key_id)
     count = sum(
         len(group["upstreams"])
