--- /dev/null
+++ b/radishstile/cli/client.py
@@ -0,0 +1,49 @@
+"""The operators' client of a daemon."""
+
+import json
+from pathlib import Path
+
+import aiohttp
+
+from radishstile.errors import OperatorError
+
+_TIMEOUT_S = 20
+
+
+class OperatorClient:
+    """Sends commands to one daemon as a named operator."""
+
+    __slots__ = ("_url", "_name", "_token")
+
+    def __init__(self, url: str, name: str, token: str):
+        self._url = url.rstrip("/")
+        self._name = name
+        self._token = token
+
+    async def execute(self, command: str, **fields) -> object:
+        """Return a command's result; raises `OperatorError`."""
+        headers = {"Authorization": f"Bearer {self._name}:{self._token}"}
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        url = f"{self._url}/v1/{command}"
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.post(url, json=fields, headers=headers) as response,
+            ):
+                body = await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            detail = str(error) or "no answer in time"
+            raise OperatorError(f"{self._url}: {detail}") from error
+        if response.status != 200:
+            raise OperatorError(body.get("error", f"status {response.status}"))
+        return body
+
+
+def read_json_file(path: str) -> object:
+    """Return the JSON value in the file at `path`."""
+    try:
+        return json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise OperatorError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise OperatorError(f"{path}: not JSON: {error}") from error
--- /dev/null
+++ b/radishstile/configuration/ledger.py
@@ -0,0 +1,132 @@
+"""The configuration's versions in the platform's store.
+
+The object `configuration` holds the newest revision. Each older revision
+is in `history/N`, written before its successor, so that no entry is lost.
+"""
+
+from datetime import UTC, datetime
+from typing import Protocol
+
+from radishstile.configuration.document import Configuration
+from radishstile.configuration.entry import HistoryEntry, Revision
+from radishstile.configuration.patch import apply_patch, parse_patch
+from radishstile.errors import (
+    ConfigurationError,
+    StaleVersionError,
+    VersionConflictError,
+)
+
+OBJECT = "configuration"
+FIRST_VERSION = 0
+
+
+class Store(Protocol):
+    """The part of the store client that the ledger uses."""
+
+    async def read(self, name: str):
+        """Return the stored object of that name, or None."""
+
+    async def update(self, name: str, value, expected_version: int) -> int:
+        """Write conditionally and return the new version."""
+
+
+class PatchCheck(Protocol):
+    """A further rule that a new configuration must meet."""
+
+    def __call__(self, old: Configuration, new: Configuration) -> None:
+        """Raise `ConfigurationError` where `new` is not acceptable."""
+
+
+class Ledger:
+    """Reads revisions and adds new ones by conditional update."""
+
+    __slots__ = ("_store",)
+
+    def __init__(self, store: Store):
+        self._store = store
+
+    async def read_current(self) -> Revision:
+        """Return the newest revision; version 0 is the empty document."""
+        revision, _ = await self._read()
+        return revision
+
+    async def read_version(self, version: int) -> Revision:
+        """Return one revision by its number."""
+        current, _ = await self._read()
+        if version == current.version:
+            return current
+        stored = await self._store.read(f"history/{version}")
+        if stored is None:
+            raise ConfigurationError(f"no version {version} in the history")
+        return Revision.from_record(stored.value)
+
+    async def list_entries(self, since: int, limit: int) -> list[HistoryEntry]:
+        """Return up to `limit` newest entries above `since`, newest first."""
+        current, _ = await self._read()
+        entries = [current.entry] if current.version > since else []
+        version = current.version - 1
+        while version > since and len(entries) < limit:
+            entries.append((await self.read_version(version)).entry)
+            version -= 1
+        return entries
+
+    async def submit(
+        self,
+        stated_version: int,
+        body: object,
+        operator: str,
+        check: PatchCheck,
+    ) -> Revision:
+        """Add the revision that `body` makes from `stated_version`.
+
+        Raises `StaleVersionError` where another version is current,
+        `ConfigurationError` where the result is not acceptable, and
+        `PlatformError` where the store did not take it.
+        """
+        patch = parse_patch(body)
+        current, stored_version = await self._read()
+        if stated_version != current.version:
+            raise StaleVersionError(stated_version, current.version)
+        document = apply_patch(patch, current.document)
+        old = Configuration(current.version, current.document)
+        new = Configuration(current.version + 1, document)
+        check(old, new)
+        revision = _make_revision(new, operator, current.version, body)
+        await self._archive(current)
+        await self._write(revision, stored_version)
+        return revision
+
+    async def _read(self) -> tuple[Revision, int]:
+        stored = await self._store.read(OBJECT)
+        if stored is None:
+            entry = HistoryEntry(FIRST_VERSION, "", "", FIRST_VERSION, {})
+            return Revision(entry, {}), 0
+        return Revision.from_record(stored.value), stored.version
+
+    async def _archive(self, revision: Revision) -> None:
+        if revision.version == FIRST_VERSION:
+            return
+        name = f"history/{revision.version}"
+        try:
+            await self._store.update(name, revision.to_record(), 0)
+        except VersionConflictError:
+            # Another operator's patch has archived this revision already.
+            return
+
+    async def _write(self, revision: Revision, stored_version: int) -> None:
+        try:
+            await self._store.update(
+                OBJECT, revision.to_record(), stored_version
+            )
+        except VersionConflictError as error:
+            current, _ = await self._read()
+            stated = revision.entry.from_version
+            raise StaleVersionError(stated, current.version) from error
+
+
+def _make_revision(
+    new: Configuration, operator: str, from_version: int, body: object
+) -> Revision:
+    made_at = datetime.now(UTC).isoformat(timespec="milliseconds")
+    entry = HistoryEntry(new.version, operator, made_at, from_version, body)
+    return Revision(entry, new.document)
--- /dev/null
+++ b/radishstile/configuration/patch.py
@@ -0,0 +1,81 @@
+"""Patches of the configuration document, made from a stated version."""
+
+from functools import singledispatch
+
+import jsonpatch
+import jsonpointer
+
+from radishstile.errors import ConfigurationError
+
+
+class MergePatch:
+    """A JSON Merge Patch (RFC 7396): an object laid over the document."""
+
+    __slots__ = ("body",)
+
+    def __init__(self, body: dict):
+        self.body = body
+
+
+class OperationPatch:
+    """A JSON Patch (RFC 6902): a list of operations."""
+
+    __slots__ = ("body",)
+
+    def __init__(self, body: list):
+        self.body = body
+
+
+def parse_patch(body: object) -> MergePatch | OperationPatch:
+    """Return the typed patch for a decoded JSON body.
+
+    Raises `ConfigurationError` for anything but an object or a list.
+    """
+    kind = {dict: MergePatch, list: OperationPatch}.get(type(body))
+    if kind is None:
+        raise ConfigurationError(
+            "patch: expected an object (merge patch) or a list of operations"
+        )
+    return kind(body)
+
+
+@singledispatch
+def apply_patch(patch, document: dict) -> dict:
+    """Return a patched copy of `document`."""
+    raise TypeError(f"no such patch: {type(patch).__name__}")
+
+
+@apply_patch.register
+def _(patch: MergePatch, document: dict) -> dict:
+    return _merge(document, patch.body)
+
+
+@apply_patch.register
+def _(patch: OperationPatch, document: dict) -> dict:
+    try:
+        return jsonpatch.apply_patch(document, patch.body)
+    except (
+        jsonpatch.JsonPatchException,
+        jsonpointer.JsonPointerException,
+        KeyError,
+        TypeError,
+    ) as error:
+        raise ConfigurationError(f"patch: {error}") from error
+
+
+def _merge(target: object, patch: object) -> object:
+    # RFC 7396, section 2; the registry's merge library adds nothing to it.
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(target) if isinstance(target, dict) else {}
+    for key, value in patch.items():
+        if value is None:
+            merged.pop(key, None)
+            continue
+        merged[key] = _merge(merged.get(key), value)
+    return merged
+
+
+def diff_documents(old: dict, new: dict) -> list[dict]:
+    """Return the JSON Patch operations that lead from `old` to `new`."""
+    return jsonpatch.make_patch(old, new).patch
--- /dev/null
+++ b/radishstile/daemon/logs.py
@@ -0,0 +1,68 @@
+"""Log lines: human text or JSON, a fixed prefix for each part."""
+
+import json
+import logging
+import sys
+
+from radishstile.daemon.settings import LogSettings
+
+ROOT_LOGGER = "radishstile"
+
+
+class PrefixFormatter(logging.Formatter):
+    """Formats `TIME LEVEL HOST PART: sentence`."""
+
+    def __init__(self, host: str):
+        super().__init__()
+        self._host = host
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return one line of text."""
+        time = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
+        part = _name_part(record)
+        line = f"{time} {record.levelname} {self._host} {part}: "
+        line += record.getMessage()
+        if record.exc_info:
+            line += "\n" + self.formatException(record.exc_info)
+        return line
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats one JSON object a line."""
+
+    def __init__(self, host: str):
+        super().__init__()
+        self._host = host
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return one line of JSON."""
+        fields = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "level": record.levelname,
+            "host": self._host,
+            "part": _name_part(record),
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            fields["error"] = self.formatException(record.exc_info)
+        return json.dumps(fields)
+
+
+def _name_part(record: logging.LogRecord) -> str:
+    return record.name.removeprefix(ROOT_LOGGER + ".")
+
+
+def set_up_logs(settings: LogSettings, host: str) -> None:
+    """Send the package's log lines to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = JsonFormatter if settings.format == "json" else PrefixFormatter
+    handler.setFormatter(formatter(host))
+    logger = logging.getLogger(ROOT_LOGGER)
+    logger.handlers = [handler]
+    logger.setLevel(settings.level)
+    logger.propagate = False
+
+
+def get_logger(part: str) -> logging.Logger:
+    """Return the logger of one part of the daemon."""
+    return logging.getLogger(f"{ROOT_LOGGER}.{part}")
--- /dev/null
+++ b/radishstile/http/caller.py
@@ -0,0 +1,204 @@
+"""HTTP towards callers: look-ups and requests."""
+
+import asyncio
+import ipaddress
+from typing import Protocol
+
+from aiohttp import web
+
+from radishstile.call import Answer, Call
+from radishstile.daemon.settings import HttpSettings
+from radishstile.errors import RefusalError
+from radishstile.http import headers as names
+from radishstile.http.refusal import make_refusal
+from radishstile.outcome import Reason
+
+LOOKUP_PATH = "/lookup"
+_READ_BYTES = 65_536
+
+
+class Session(Protocol):
+    """One call being served, as the front end sees it."""
+
+    trace_id: str
+
+    async def serve(self, call: Call) -> Answer:
+        """Return the answer, or raise `RefusalError`."""
+
+    def end(self, error: BaseException | None) -> None:
+        """Note that the answer has been sent, or why it has not."""
+
+
+class Service(Protocol):
+    """What the front end needs of the daemon."""
+
+    def look_up(self, route: str, client: str) -> dict:
+        """Return the answer to a look-up as a JSON object."""
+
+    def open_session(self, traceparent: str | None) -> Session:
+        """Start to serve one call."""
+
+
+class CallerFront:
+    """Translates between HTTP and typed calls; decides nothing."""
+
+    __slots__ = ("_service", "_settings", "_runner")
+
+    def __init__(self, service: Service, settings: HttpSettings):
+        self._service = service
+        self._settings = settings
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen for callers."""
+        app = web.Application()
+        app.router.add_get(LOOKUP_PATH, self._look_up)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        limit = self._settings.header_limit_bytes * 4
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            auto_decompress=False,
+            max_line_size=limit,
+            max_field_size=limit,
+            keepalive_timeout=self._settings.idle_timeout_s,
+            shutdown_timeout=self._settings.stop_timeout_s,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, address, port).start()
+
+    async def stop(self) -> None:
+        """Stop to listen, and let open requests finish."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _look_up(self, request: web.Request) -> web.Response:
+        client = request.query.get("client") or request.remote or ""
+        try:
+            ipaddress.ip_address(client)
+            found = self._service.look_up(
+                request.query.get("route", ""), client
+            )
+        except ValueError:
+            refusal = RefusalError(Reason.BAD_REQUEST, detail="client: not IP")
+            return make_refusal(refusal, "")
+        except RefusalError as refusal:
+            return make_refusal(refusal, "")
+        return web.json_response(found)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        session = self._service.open_session(
+            request.headers.get(names.TRACEPARENT)
+        )
+        error: BaseException | None = None
+        try:
+            call = self._read_call(request)
+            answer = await session.serve(call)
+            return await self._send(request, answer, session.trace_id)
+        except RefusalError as refusal:
+            error = refusal
+            return self._refuse(request, refusal, session.trace_id)
+        except BaseException as other:
+            error = other
+            raise
+        finally:
+            session.end(error)
+
+    def _refuse(
+        self, request: web.Request, refusal: RefusalError, trace_id: str
+    ) -> web.Response:
+        response = make_refusal(refusal, trace_id)
+        if not request.content.is_eof():
+            # The rest of a body that is not wanted must not be read as the
+            # next request.
+            response.force_close()
+        return response
+
+    def _read_call(self, request: web.Request) -> Call:
+        raw = [
+            (n.decode(), v.decode("latin-1")) for n, v in request.raw_headers
+        ]
+        size = sum(len(name) + len(value) for name, value in raw)
+        size += len(request.raw_path)
+        if size > self._settings.header_limit_bytes:
+            raise RefusalError(Reason.HEADERS_TOO_LARGE)
+        path, _, query = request.raw_path.partition("?")
+        return Call(
+            method=request.method,
+            path=path,
+            query=query,
+            headers=names.select_request_headers(raw),
+            key=_read_key(request),
+            idempotency_key=request.headers.get(names.IDEMPOTENCY_KEY),
+            client_address=request.remote or "",
+            deadline_s=_read_deadline(request),
+            traceparent=request.headers.get(names.TRACEPARENT),
+            read_body=lambda limit: self._read_body(request, limit),
+        )
+
+    async def _read_body(self, request: web.Request, limit: int) -> bytes:
+        too_large = RefusalError(
+            Reason.BODY_TOO_LARGE, detail=f"the body exceeds {limit} bytes"
+        )
+        if (request.content_length or 0) > limit:
+            raise too_large
+        body = bytearray()
+        try:
+            async with asyncio.timeout(self._settings.body_timeout_s):
+                async for part in request.content.iter_chunked(_READ_BYTES):
+                    body += part
+                    if len(body) > limit:
+                        raise too_large
+        except TimeoutError as error:
+            raise RefusalError(Reason.SLOW_CALLER) from error
+        return bytes(body)
+
+    async def _send(
+        self, request: web.Request, answer: Answer, trace_id: str
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=answer.status)
+        for name, value in names.select_answer_headers(answer.headers):
+            response.headers.add(name, value)
+        response.headers[names.TRACE_ID] = trace_id
+        response.headers[names.OUTCOME] = "ran"
+        await response.prepare(request)
+        try:
+            async for part in answer.parts:
+                await response.write(part)
+            await response.write_eof()
+        except RefusalError:
+            # Part of the answer is out: only a broken connection tells the
+            # caller that it is not whole.
+            _abort(request)
+            raise
+        except asyncio.CancelledError:
+            _abort(request)
+            raise
+        return response
+
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _read_key(request: web.Request) -> str | None:
+    values = request.headers.getall(names.KEY, [])
+    if not values:
+        return None
+    if len(values) > 1 or not values[0].startswith(names.KEY_SCHEME):
+        raise RefusalError(
+            Reason.BAD_KEY, detail="expected one Authorization: Bearer KEY"
+        )
+    return values[0].removeprefix(names.KEY_SCHEME).strip()
+
+
+def _read_deadline(request: web.Request) -> float | None:
+    text = request.headers.get(names.DEADLINE)
+    if text is None:
+        return None
+    if not text.isdigit() or int(text) == 0:
+        detail = f"{names.DEADLINE}: expected milliseconds"
+        raise RefusalError(Reason.BAD_REQUEST, detail=detail)
+    return int(text) / 1000
--- /dev/null
+++ b/radishstile/operation/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of operators and how they are carried out."""
--- /dev/null
+++ b/test/configuration/test_ledger.py
@@ -0,0 +1,73 @@
+"""Tests of `radishstile.configuration.ledger` and the documents in it."""
+
+import unittest
+
+from radishstile.configuration.document import Configuration
+from radishstile.configuration.ledger import Ledger
+from radishstile.configuration.patch import diff_documents
+from radishstile.errors import ConfigurationError, StaleVersionError
+from test._common import MemoryStore
+
+WORKSPACE = {"workspaces": {"bureau": {"rate_per_s": 10, "burst": 5}}}
+
+
+def accept_all(_old: Configuration, _new: Configuration) -> None:
+    """Accept every patch."""
+
+
+class LedgerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.ledger = Ledger(self.store)
+
+    async def submit(self, version, body, operator="ana"):
+        return await self.ledger.submit(version, body, operator, accept_all)
+
+    async def test_history_names_who_made_what_from_which_version(self):
+        await self.submit(0, WORKSPACE)
+        path = "/workspaces/bureau/burst"
+        patch = [{"op": "replace", "path": path, "value": 9}]
+        await self.submit(1, patch, "ben")
+        entries = await self.ledger.list_entries(0, 10)
+        seen = [(e.version, e.operator, e.from_version) for e in entries]
+        self.assertEqual(seen, [(2, "ben", 1), (1, "ana", 0)])
+        old = (await self.ledger.read_version(1)).document
+        new = (await self.ledger.read_version(2)).document
+        self.assertEqual(diff_documents(old, new), patch)
+
+    async def test_stale_patch_is_refused_and_changes_nothing(self):
+        await self.submit(0, WORKSPACE)
+        with self.assertRaisesRegex(StaleVersionError, "current is 1"):
+            await self.submit(0, {"regions": {"akl": {}}})
+        current = await self.ledger.read_current()
+        self.assertEqual(current.document, WORKSPACE)
+
+    async def test_racing_operators_one_succeeds_the_other_is_stale(self):
+        await self.submit(0, WORKSPACE)
+        self.store.before_update = self.win_race
+        with self.assertRaises(StaleVersionError):
+            await self.submit(1, {"regions": {"akl": {}}})
+        current = await self.ledger.read_current()
+        self.assertEqual(current.entry.operator, "rival")
+        self.assertEqual((await self.ledger.read_version(1)).version, 1)
+
+    async def win_race(self, name):
+        if name != "configuration":
+            return
+        self.store.before_update = None
+        await self.submit(1, {"regions": {"wlg": {}}}, "rival")
+
+    async def test_bad_patches_name_the_place(self):
+        cases = {
+            "expected an object": "text",
+            "unknown region 'x'": {"zones": {"a": {"region": "x"}}},
+            "'-1' is not|-1 is less": {
+                "workspaces": {"w": {"rate_per_s": 1, "burst": -1}}
+            },
+            "Additional properties": {"surprise": 1},
+            "patch: ": [{"op": "remove", "path": "/absent"}],
+        }
+        for message, body in cases.items():
+            with self.assertRaisesRegex(ConfigurationError, message):
+                await self.submit(0, body)
+        self.assertEqual((await self.ledger.read_current()).version, 0)
