Add peer streams between hosts

Hosts need to ask, tell and relay bodies over one stream for each pair, with proof of the fleet's secret before anything is heard.

Frames, messages, codec, credit and reassembly are apart from the connection's task. Each dialled peer has one task, each accepted connection one task with a task for each exchange below it.

--- /dev/null
+++ b/radishstile/wire/client.py
@@ -0,0 +1,180 @@
+"""The dialling side of a peer stream."""
+
+import asyncio
+import logging
+import random
+
+from radishstile.errors import FrameError, HandshakeError, PeerLostError
+from radishstile.member import Member
+from radishstile.wire.backoff import Backoff
+from radishstile.wire.connection import Connection, drop_late
+from radishstile.wire.counters import WireCounters
+from radishstile.wire.exchange import Exchange, deliver
+from radishstile.wire.handshake import greet_listener
+from radishstile.wire.messages.base import Message
+from radishstile.wire.settings import WireSettings
+
+logger = logging.getLogger(__name__)
+
+
+class PeerClient:
+    """Keeps one connection to `peer` and opens exchanges on it.
+
+    `peer_member` is the member that last proved itself at the peer's
+    address, and `last_refused_at` the loop's time when the peer's kernel
+    last refused a connection, or None since the last connect.
+    """
+
+    __slots__ = (
+        "peer",
+        "peer_member",
+        "last_refused_at",
+        "_me",
+        "_settings",
+        "_counters",
+        "_backoff",
+        "_connection",
+        "_connected",
+        "_last_problem",
+    )
+
+    def __init__(
+        self,
+        me: Member,
+        peer: Member,
+        settings: WireSettings,
+        counters: WireCounters,
+        rng: random.Random | None = None,
+    ):
+        self.peer = peer
+        self.peer_member: Member | None = None
+        self.last_refused_at: float | None = None
+        self._me = me
+        self._settings = settings
+        self._counters = counters
+        self._backoff = Backoff(
+            settings.backoff_min_s,
+            settings.backoff_max_s,
+            rng or random.Random(),
+        )
+        self._connection: Connection | None = None
+        self._connected = asyncio.Event()
+        self._last_problem = ""
+
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the peer has proved itself and is connected."""
+        return self._connection is not None
+
+    @property
+    def peer_incarnation(self) -> int | None:
+        """Return the incarnation that last proved itself, if any did."""
+        return self.peer_member.incarnation if self.peer_member else None
+
+    async def run(self) -> None:
+        """Connect, read until the connection ends, wait, and again."""
+        while True:
+            try:
+                await self._hold_connection()
+            except HandshakeError as error:
+                self._counters.refused_handshakes += 1
+                self._log_problem(f"handshake with {self.peer}: {error}")
+            except TimeoutError:
+                self._log_problem(f"connect to {self.peer} timed out")
+            except OSError as error:
+                self._log_problem(f"can't connect to {self.peer}: {error}")
+            except FrameError as error:
+                self._counters.refused_frames += 1
+                self._log_problem(f"{self.peer}: {error}")
+            except PeerLostError as error:
+                self._log_problem(f"{self.peer}: {error}")
+            await asyncio.sleep(self._backoff.next_wait())
+            self._counters.reconnects += 1
+
+    async def wait_connected(self, timeout_s: float) -> None:
+        """Wait until the peer is connected; raises `TimeoutError`."""
+        async with asyncio.timeout(timeout_s):
+            await self._connected.wait()
+
+    async def ask(self, message: Message, timeout_s: float) -> Message:
+        """Send a message and return the one reply.
+
+        Raises `PeerLostError` and `TimeoutError`.
+        """
+        async with asyncio.timeout(timeout_s):
+            async with await self.open(message) as exchange:
+                reply = await exchange.receive()
+                exchange.end()
+                return reply
+
+    async def tell(self, message: Message) -> None:
+        """Send a message that has no reply; raises `PeerLostError`."""
+        connection = self._get_connection()
+        await connection.drain()
+        connection.write(0, message)
+
+    async def open(self, message: Message) -> Exchange:
+        """Open an exchange with its first message.
+
+        Raises `PeerLostError`.
+        """
+        exchange = Exchange(self._get_connection())
+        await exchange.send(message)
+        return exchange
+
+    def drop(self) -> None:
+        """Cut the connection, as when the peer's heartbeats stay away."""
+        if self._connection is not None:
+            self._connection.lose()
+
+    def _get_connection(self) -> Connection:
+        if self._connection is None:
+            raise PeerLostError(f"{self.peer} is not connected")
+        return self._connection
+
+    async def _connect(self) -> Connection:
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_s):
+                streams = await asyncio.open_connection(
+                    self.peer.address, self.peer.peer_port
+                )
+        except ConnectionRefusedError:
+            self.last_refused_at = asyncio.get_running_loop().time()
+            raise
+        return Connection(self._me, self._settings, self._counters, *streams)
+
+    async def _hold_connection(self) -> None:
+        connection = await self._connect()
+        try:
+            await greet_listener(connection, self.peer.host)
+            self._accept(connection)
+            await self._read_frames(connection)
+        finally:
+            self._connection = None
+            self._connected.clear()
+            connection.lose()
+
+    def _accept(self, connection: Connection) -> None:
+        self.peer_member = connection.peer
+        self.last_refused_at = None
+        self._last_problem = ""
+        self._backoff.reset()
+        self._connection = connection
+        self._connected.set()
+        logger.info("wire: connected to %s", connection.peer)
+
+    async def _read_frames(self, connection: Connection) -> None:
+        while True:
+            envelope = await connection.read()
+            exchange = connection.exchanges.get(envelope.exchange)
+            if exchange is None:
+                drop_late(envelope.message, self._counters)
+                continue
+            deliver(envelope.message, exchange)
+
+    def _log_problem(self, problem: str) -> None:
+        # A peer that stays away gives one line, not one for each attempt.
+        if problem == self._last_problem:
+            return
+        self._last_problem = problem
+        logger.warning("wire: %s", problem)
--- /dev/null
+++ b/radishstile/wire/codec.py
@@ -0,0 +1,125 @@
+"""Encodes envelopes as msgpack and checks the types of what it decodes."""
+
+from typing import get_type_hints
+
+import msgpack
+
+from radishstile.errors import FrameError
+from radishstile.wire.messages.base import Headers, Message, PartData
+from radishstile.wire.registry import MESSAGE_TYPES
+from radishstile.wire.settings import PART_LIMIT_BYTES
+
+# Header values from HTTP may hold bytes that are not UTF-8.
+_UNICODE_ERRORS = "surrogateescape"
+_MALFORMED = (ValueError, TypeError, RecursionError, msgpack.UnpackException)
+
+
+class Envelope:
+    """One message with its sender's incarnation and exchange number."""
+
+    __slots__ = ("incarnation", "exchange", "message")
+
+    def __init__(self, incarnation: int, exchange: int, message: Message):
+        self.incarnation = incarnation
+        self.exchange = exchange
+        self.message = message
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the envelope as msgpack.
+
+    Raises `FrameError` for a field of a wrong type.
+    """
+    message = envelope.message
+    number = _NUMBERS[type(message)]
+    values = message.values()
+    _check_fields(type(message), values)
+    record = [envelope.incarnation, envelope.exchange, number, values]
+    try:
+        return msgpack.packb(record, unicode_errors=_UNICODE_ERRORS)
+    except (ValueError, TypeError, OverflowError) as error:
+        name = type(message).__name__
+        raise FrameError(f"{name} can't be encoded: {error}") from error
+
+
+def decode(content: bytes) -> Envelope:
+    """Return the envelope that `content` holds.
+
+    Raises `FrameError` that names the field which is not acceptable.
+    """
+    record = _unpack(content)
+    if type(record) is not list or len(record) != 4:
+        raise FrameError("envelope is not a list of four")
+    incarnation, exchange, number, values = record
+    _check_count("incarnation", incarnation)
+    _check_count("exchange", exchange)
+    _check_count("type", number)
+    kind = MESSAGE_TYPES.get(number)
+    if kind is None:
+        raise FrameError(f"type {number} is unknown")
+    _check_fields(kind, values)
+    message = kind(**dict(zip(kind.fields, values, strict=True)))
+    return Envelope(incarnation, exchange, message)
+
+
+def _unpack(content: bytes):
+    try:
+        return msgpack.unpackb(content, unicode_errors=_UNICODE_ERRORS)
+    except _MALFORMED as error:
+        raise FrameError(f"frame is not valid msgpack: {error}") from error
+
+
+def _check_count(name: str, value) -> None:
+    if type(value) is not int or value < 0:
+        raise FrameError(f"{name} is not a count")
+
+
+def _check_fields(kind: type[Message], values) -> None:
+    layout = _LAYOUTS[kind]
+    if type(values) is not list or len(values) != len(layout):
+        raise FrameError(f"{kind.__name__} needs {len(layout)} fields")
+    for (name, is_valid), value in zip(layout, values, strict=True):
+        if not is_valid(value):
+            raise FrameError(f"{kind.__name__}.{name} has a wrong value")
+
+
+def _is_float(value) -> bool:
+    return type(value) in (float, int)
+
+
+def _is_list(value) -> bool:
+    return type(value) in (list, tuple)
+
+
+def _is_names(value) -> bool:
+    return _is_list(value) and all(type(item) is str for item in value)
+
+
+def _is_pair(value) -> bool:
+    return _is_names(value) and len(value) == 2
+
+
+_CHECKS = {
+    int: lambda value: type(value) is int,
+    str: lambda value: type(value) is str,
+    bool: lambda value: type(value) is bool,
+    bytes: lambda value: type(value) is bytes,
+    dict: lambda value: type(value) is dict,
+    float: _is_float,
+    float | None: lambda value: value is None or _is_float(value),
+    list | dict: lambda value: type(value) is dict or _is_list(value),
+    list[str]: _is_names,
+    Headers: lambda value: _is_list(value) and all(map(_is_pair, value)),
+    PartData: lambda value: (
+        type(value) is bytes and len(value) <= PART_LIMIT_BYTES
+    ),
+}
+
+
+def _build_layout(kind: type[Message]) -> list[tuple]:
+    hints = get_type_hints(kind)
+    return [(name, _CHECKS[hints[name]]) for name in kind.fields]
+
+
+_NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
+_LAYOUTS = {kind: _build_layout(kind) for kind in _NUMBERS}
--- /dev/null
+++ b/radishstile/wire/connection.py
@@ -0,0 +1,141 @@
+"""One connection to a peer: envelopes in and out, and its exchanges."""
+
+import asyncio
+from functools import singledispatch
+
+from radishstile.errors import FrameError, PeerLostError
+from radishstile.member import Member
+from radishstile.wire.codec import Envelope, decode, encode
+from radishstile.wire.counters import WireCounters
+from radishstile.wire.exchange import Exchange
+from radishstile.wire.frames import (
+    FRAME_LIMIT_BYTES,
+    PREFIX_BYTES,
+    read_frame,
+    write_frame,
+)
+from radishstile.wire.messages.base import Message, Part
+from radishstile.wire.settings import WireSettings
+
+
+class Connection:
+    """A stream to one peer, and the exchanges that are open on it.
+
+    `peer` and `peer_credit_parts` are set by the handshake.
+    """
+
+    __slots__ = (
+        "me",
+        "peer",
+        "peer_credit_parts",
+        "settings",
+        "counters",
+        "exchanges",
+        "last_number",
+        "_reader",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        me: Member,
+        settings: WireSettings,
+        counters: WireCounters,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ):
+        self.me = me
+        self.peer: Member | None = None
+        self.peer_credit_parts = 0
+        self.settings = settings
+        self.counters = counters
+        self.exchanges: dict[int, Exchange] = {}
+        self.last_number = 0
+        self._reader = reader
+        self._writer = writer
+
+    @property
+    def address(self) -> str:
+        """Return the address of the other end, for log lines."""
+        name = self._writer.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if name else "unknown address"
+
+    async def read(self, limit_bytes: int = FRAME_LIMIT_BYTES) -> Envelope:
+        """Return the next envelope.
+
+        Raises `FrameError` for one that is not acceptable and
+        `PeerLostError` at the end of the stream.
+        """
+        try:
+            content = await read_frame(self._reader, limit_bytes)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            raise PeerLostError(f"{self.address} ended") from error
+        self.counters.frames_in += 1
+        self.counters.bytes_in += len(content) + PREFIX_BYTES
+        envelope = decode(content)
+        if self.peer and envelope.incarnation != self.peer.incarnation:
+            raise FrameError("incarnation is not the peer's")
+        return envelope
+
+    async def drain(self) -> None:
+        """Wait until the stream takes more; raise `PeerLostError` at its end.
+
+        Senders wait before they write, so that a peer that reads nothing
+        holds back what it would be sent.
+        """
+        if self._writer.is_closing():
+            raise PeerLostError(f"{self.address} ended")
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise PeerLostError(f"{self.address} ended") from error
+
+    def write(self, number: int, message: Message) -> None:
+        """Write one message of exchange `number` without a wait.
+
+        Raises `FrameError` for a message that can't be encoded, and
+        `PeerLostError` when the stream is closed.
+        """
+        content = encode(Envelope(self.me.incarnation, number, message))
+        if self._writer.is_closing():
+            raise PeerLostError(f"{self.address} ended")
+        self.counters.bytes_out += write_frame(self._writer, content)
+        self.counters.frames_out += 1
+
+    def try_write(self, number: int, message: Message) -> None:
+        """Write a message that is of no use once the stream is closed."""
+        if not self._writer.is_closing():
+            self.write(number, message)
+
+    def open(self, exchange: Exchange, message: Message) -> int:
+        """Write the first message of an exchange and return its number."""
+        number = self.last_number + 1
+        self.write(number, message)
+        self.last_number = number
+        self.exchanges[number] = exchange
+        return number
+
+    def forget(self, exchange: Exchange) -> None:
+        """Drop an exchange; later messages for it are dropped."""
+        self.exchanges.pop(exchange.number, None)
+
+    def lose(self) -> None:
+        """Cut the stream and fail all exchanges at once."""
+        self._writer.transport.abort()
+        for exchange in self.exchanges.values():
+            exchange.lose()
+        self.exchanges.clear()
+
+    def close(self) -> None:
+        """Close the stream after what has been written is sent."""
+        self._writer.close()
+
+
+@singledispatch
+def drop_late(message: Message, counters: WireCounters) -> None:
+    """Drop a message whose exchange is over, and count it if it is a part."""
+
+
+@drop_late.register
+def _(message: Part, counters: WireCounters) -> None:
+    counters.dropped_parts += 1
--- /dev/null
+++ b/radishstile/wire/counters.py
@@ -0,0 +1,21 @@
+"""Counters of the peer streams, exported by the daemon."""
+
+
+class WireCounters:
+    """Plain totals since the process started."""
+
+    __slots__ = (
+        "frames_in",
+        "frames_out",
+        "bytes_in",
+        "bytes_out",
+        "refused_frames",
+        "refused_handshakes",
+        "dropped_parts",
+        "dropped_tells",
+        "reconnects",
+    )
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
--- /dev/null
+++ b/radishstile/wire/handshake.py
@@ -0,0 +1,133 @@
+"""Mutual proof of the fleet's secret at the start of a connection.
+
+Each side sends a `Hello` with a nonce; the dialler shows its proof first, so
+that a stranger gets no proof from a listener.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import secrets
+from contextlib import asynccontextmanager
+
+import msgpack
+
+from radishstile.errors import FrameError, HandshakeError, PeerLostError
+from radishstile.member import Member
+from radishstile.wire.connection import Connection
+from radishstile.wire.messages.base import Message
+from radishstile.wire.messages.control import Hello, Proof
+
+PROTOCOL = 1
+NONCE_BYTES = 32
+HELLO_LIMIT_BYTES = 4096
+
+_DIALLER = "dialler"
+_LISTENER = "listener"
+_MEMBER_TYPES = {
+    "host": str,
+    "incarnation": int,
+    "zone": str,
+    "region": str,
+    "address": str,
+    "peer_port": int,
+    "http_port": int,
+}
+
+
+async def greet_listener(connection: Connection, host: str) -> None:
+    """Carry out the dialler's side with the peer named `host`.
+
+    Raises `HandshakeError`.
+    """
+    mine = _build_hello(connection)
+    async with _limit_handshake(connection):
+        connection.write(0, mine)
+        theirs = await _read(connection, Hello)
+        _check_hello(theirs)
+        peer = _read_member(theirs)
+        if peer.host != host:
+            raise HandshakeError(f"answered as {peer.host}, not {host}")
+        secret = connection.settings.fleet_secret
+        digest = sign(secret, _DIALLER, mine, theirs)
+        connection.write(0, Proof(digest=digest))
+        proof = await _read(connection, Proof)
+        _check_proof(proof, sign(secret, _LISTENER, mine, theirs))
+    _accept(connection, peer, theirs)
+
+
+async def greet_dialler(connection: Connection) -> None:
+    """Carry out the listener's side; raises `HandshakeError`."""
+    mine = _build_hello(connection)
+    async with _limit_handshake(connection):
+        theirs = await _read(connection, Hello)
+        # Sent before the check, so that both sides see the other's version.
+        connection.write(0, mine)
+        _check_hello(theirs)
+        peer = _read_member(theirs)
+        secret = connection.settings.fleet_secret
+        proof = await _read(connection, Proof)
+        _check_proof(proof, sign(secret, _DIALLER, theirs, mine))
+        digest = sign(secret, _LISTENER, theirs, mine)
+        connection.write(0, Proof(digest=digest))
+    _accept(connection, peer, theirs)
+
+
+def sign(secret: bytes, role: str, dialler: Hello, listener: Hello) -> bytes:
+    """Return the proof of `role` over both sides' hellos."""
+    content = msgpack.packb([role, dialler.values(), listener.values()])
+    return hmac.digest(secret, content, hashlib.sha256)
+
+
+@asynccontextmanager
+async def _limit_handshake(connection: Connection):
+    """Bound a handshake in time and turn its failures into one error."""
+    try:
+        async with asyncio.timeout(connection.settings.handshake_timeout_s):
+            yield
+    except TimeoutError as error:
+        raise HandshakeError("took too long") from error
+    except (FrameError, PeerLostError) as error:
+        raise HandshakeError(str(error)) from error
+
+
+def _build_hello(connection: Connection) -> Hello:
+    return Hello(
+        protocol=PROTOCOL,
+        member=connection.me.to_record(),
+        nonce=secrets.token_bytes(NONCE_BYTES),
+        credit_parts=connection.settings.credit_parts,
+    )
+
+
+async def _read(connection: Connection, kind: type[Message]) -> Message:
+    envelope = await connection.read(HELLO_LIMIT_BYTES)
+    if type(envelope.message) is not kind:
+        raise HandshakeError(f"expected {kind.__name__}")
+    return envelope.message
+
+
+def _check_hello(hello: Hello) -> None:
+    if hello.protocol != PROTOCOL:
+        raise HandshakeError(f"speaks protocol {hello.protocol}")
+    if len(hello.nonce) != NONCE_BYTES:
+        raise HandshakeError("sent a short nonce")
+    if hello.credit_parts < 1:
+        raise HandshakeError("grants no credit")
+
+
+def _read_member(hello: Hello) -> Member:
+    kinds = {name: type(value) for name, value in hello.member.items()}
+    if kinds != _MEMBER_TYPES:
+        raise HandshakeError("sent a malformed member record")
+    return Member.from_record(hello.member)
+
+
+def _check_proof(proof: Proof, expected: bytes) -> None:
+    if not hmac.compare_digest(proof.digest, expected):
+        raise HandshakeError("does not know the fleet's secret")
+
+
+def _accept(connection: Connection, peer: Member, hello: Hello) -> None:
+    connection.peer = peer
+    connection.peer_credit_parts = hello.credit_parts
--- /dev/null
+++ b/radishstile/wire/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between hosts, by theme."""
--- /dev/null
+++ b/radishstile/wire/parts.py
@@ -0,0 +1,97 @@
+"""Rules for cutting bodies into numbered parts and joining them again."""
+
+from collections.abc import Iterator
+
+from radishstile.errors import FrameError
+from radishstile.wire.counters import WireCounters
+from radishstile.wire.messages.base import Part, PartsEnd
+
+
+class PartSequence:
+    """Numbers the parts of one body and states its end."""
+
+    __slots__ = ("request_id", "part_bytes", "_parts", "_length")
+
+    def __init__(self, request_id: str, part_bytes: int):
+        self.request_id = request_id
+        self.part_bytes = part_bytes
+        self._parts = 0
+        self._length = 0
+
+    def cut(self, data: bytes, kind: type[Part]) -> Iterator[Part]:
+        """Yield the next parts, of type `kind`, that carry `data`."""
+        for start in range(0, len(data), self.part_bytes):
+            piece = bytes(data[start : start + self.part_bytes])
+            number = self._parts
+            self._parts += 1
+            self._length += len(piece)
+            yield kind(request_id=self.request_id, number=number, data=piece)
+
+    def end(self, kind: type[PartsEnd]) -> PartsEnd:
+        """Return the end mark, of type `kind`, for the parts so far."""
+        return kind(
+            request_id=self.request_id,
+            parts=self._parts,
+            length=self._length,
+        )
+
+
+class PartAssembly:
+    """Accepts the parts of one body in order, until its end mark.
+
+    `is_whole` becomes true only by an end mark whose count and length agree
+    with the accepted parts. A gap or a wrong end mark is final.
+    """
+
+    __slots__ = (
+        "request_id",
+        "is_whole",
+        "_is_broken",
+        "_parts",
+        "_length",
+        "_counters",
+    )
+
+    def __init__(self, request_id: str, counters: WireCounters):
+        self.request_id = request_id
+        self.is_whole = False
+        self._is_broken = False
+        self._parts = 0
+        self._length = 0
+        self._counters = counters
+
+    def accept(self, part: Part) -> bytes | None:
+        """Return the part's data, or None where the part is dropped.
+
+        Raises `FrameError` where an earlier part is missing.
+        """
+        if self._must_drop(part) or part.number < self._parts:
+            self._counters.dropped_parts += 1
+            return None
+        if part.number > self._parts:
+            self._is_broken = True
+            raise FrameError(f"part {self._parts} is missing")
+        self._parts += 1
+        self._length += len(part.data)
+        return part.data
+
+    def finish(self, end: PartsEnd) -> None:
+        """Mark the body as whole.
+
+        Raises `FrameError` where parts are missing. An end mark of another
+        request is dropped.
+        """
+        if self._must_drop(end):
+            self._counters.dropped_parts += 1
+            return
+        if (end.parts, end.length) != (self._parts, self._length):
+            self._is_broken = True
+            raise FrameError(
+                f"body has {self._parts} parts and {self._length} bytes, "
+                f"not {end.parts} and {end.length}"
+            )
+        self.is_whole = True
+
+    def _must_drop(self, message: Part | PartsEnd) -> bool:
+        is_over = self.is_whole or self._is_broken
+        return is_over or message.request_id != self.request_id
--- /dev/null
+++ b/radishstile/wire/refusals.py
@@ -0,0 +1,53 @@
+"""Turns errors of handlers into messages, and such messages into errors."""
+
+from functools import singledispatch
+
+from radishstile.errors import RefusalError, WireError
+from radishstile.outcome import Outcome, Reason
+from radishstile.wire.messages.base import Message
+from radishstile.wire.messages.control import Failed, Refused
+
+
+@singledispatch
+def describe_error(error: Exception, request_id: str = "") -> Message:
+    """Return the message that answers for a handler's error.
+
+    The text of an unexpected error stays here, since it may quote a request.
+    """
+    return Failed(error=f"internal error: {type(error).__name__}")
+
+
+@describe_error.register
+def _(error: WireError, request_id: str = "") -> Message:
+    return Failed(error=str(error))
+
+
+@describe_error.register
+def _(error: RefusalError, request_id: str = "") -> Message:
+    return Refused(
+        request_id=request_id,
+        reason=error.reason.value,
+        outcome=error.outcome.value,
+        retry_after=error.retry_after,
+        detail=str(error),
+    )
+
+
+@singledispatch
+def raise_refusal(message: Message) -> None:
+    """Raise the error that `message` stands for, if it stands for one."""
+
+
+@raise_refusal.register
+def _(message: Failed) -> None:
+    raise WireError(message.error)
+
+
+@raise_refusal.register
+def _(message: Refused) -> None:
+    try:
+        reason = Reason(message.reason)
+        outcome = Outcome(message.outcome)
+    except ValueError as error:
+        raise WireError(f"refusal is not known: {error}") from error
+    raise RefusalError(reason, outcome, message.retry_after, message.detail)
--- /dev/null
+++ b/radishstile/wire/registry.py
@@ -0,0 +1,35 @@
+"""Numbers of the message types on the wire; a number is never reused."""
+
+from radishstile.wire.messages import control, fleet, run
+
+MESSAGE_TYPES = {
+    1: control.Hello,
+    2: control.Proof,
+    3: control.Credit,
+    4: control.CloseExchange,
+    5: control.Acknowledged,
+    6: control.Failed,
+    7: control.Refused,
+    20: fleet.Heartbeat,
+    21: fleet.HeartbeatReply,
+    22: fleet.ClaimRight,
+    23: fleet.GrantRight,
+    24: fleet.ConfigurationPush,
+    25: fleet.RosterPush,
+    26: fleet.PushAccepted,
+    27: fleet.StateQuery,
+    28: fleet.StateReply,
+    29: fleet.ReportHarm,
+    30: fleet.TraceQuery,
+    31: fleet.TraceReply,
+    50: run.RunRequest,
+    51: run.BodyPart,
+    52: run.BodyEnd,
+    53: run.AnswerHead,
+    54: run.AnswerPart,
+    55: run.AnswerEnd,
+    56: run.CancelRun,
+    57: run.RecordRun,
+    58: run.RunRecorded,
+    59: run.FinishRun,
+}
--- /dev/null
+++ b/radishstile/wire/server.py
@@ -0,0 +1,127 @@
+"""The listening side of the peer streams."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from radishstile.errors import FrameError, HandshakeError, WireError
+from radishstile.member import Member
+from radishstile.wire.connection import Connection
+from radishstile.wire.counters import WireCounters
+from radishstile.wire.exchange import Exchange
+from radishstile.wire.handshake import greet_dialler
+from radishstile.wire.messages.base import Message
+from radishstile.wire.session import Session
+from radishstile.wire.settings import WireSettings
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[Message, Exchange], Awaitable[None]]
+
+
+class PeerServer:
+    """Accepts peers and runs a handler for each exchange they open.
+
+    `handle` is cancelled when the peer closes the exchange or is lost.
+    """
+
+    __slots__ = (
+        "_me",
+        "_settings",
+        "_handle",
+        "_counters",
+        "_server",
+        "_sessions",
+        "_tasks",
+        "_is_stopping",
+    )
+
+    def __init__(
+        self,
+        me: Member,
+        settings: WireSettings,
+        handle: Handler,
+        counters: WireCounters,
+    ):
+        self._me = me
+        self._settings = settings
+        self._handle = handle
+        self._counters = counters
+        self._server: asyncio.Server | None = None
+        self._sessions: set[Session] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._is_stopping = False
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> None:
+        """Listen at this member's address and peer port."""
+        self._server = await asyncio.start_server(
+            self._serve, self._me.address, self._me.peer_port
+        )
+
+    async def stop(self) -> None:
+        """Accept nothing new, let handlers finish, and close.
+
+        Handlers that outlast `stop_timeout_s` are cancelled.
+        """
+        self._is_stopping = True
+        self._server.close()
+        for session in self._sessions:
+            session.refuse_new()
+        try:
+            async with asyncio.timeout(self._settings.stop_timeout_s):
+                await self._finish_sessions()
+        except TimeoutError:
+            logger.warning("wire: stopped with handlers still running")
+        await self._cancel_tasks()
+
+    async def _finish_sessions(self) -> None:
+        for session in list(self._sessions):
+            await session.finish()
+        tasks = [session.task for session in self._sessions]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _cancel_tasks(self) -> None:
+        tasks = set(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        connection = Connection(
+            self._me, self._settings, self._counters, reader, writer
+        )
+        try:
+            await greet_dialler(connection)
+            await self._run_session(connection)
+        except HandshakeError as error:
+            self._counters.refused_handshakes += 1
+            logger.warning(
+                "wire: handshake with %s: %s", connection.address, error
+            )
+        except WireError as error:
+            logger.info("wire: %s: %s", connection.peer, error)
+        finally:
+            self._tasks.discard(task)
+            connection.lose()
+
+    async def _run_session(self, connection: Connection) -> None:
+        if self._is_stopping:
+            return
+        session = Session(connection, self._handle)
+        self._sessions.add(session)
+        try:
+            await session.run()
+        except FrameError:
+            self._counters.refused_frames += 1
+            raise
+        finally:
+            self._sessions.discard(session)
--- /dev/null
+++ b/test/wire/test_codec.py
@@ -0,0 +1,135 @@
+"""Tests of the codec and the frames."""
+
+import asyncio
+import unittest
+from typing import get_type_hints
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from radishstile.errors import FrameError
+from radishstile.wire.codec import Envelope, decode, encode
+from radishstile.wire.frames import FRAME_LIMIT_BYTES, build_frame, read_frame
+from radishstile.wire.messages.base import Headers, PartData
+from radishstile.wire.messages.run import AnswerPart, CancelRun
+from radishstile.wire.registry import MESSAGE_TYPES
+
+SAMPLES = {
+    int: 7,
+    str: "caf\u00e9\udcff",
+    bool: True,
+    bytes: b"\x00\xff",
+    dict: {"rate": [1, 2.5, None]},
+    float: 1.5,
+    float | None: None,
+    list | dict: [{"a": 1}],
+    list[str]: ["one", "two"],
+    Headers: [["name", "value"], ["name", "other"]],
+    PartData: b"part",
+}
+PLAIN = st.recursive(
+    st.none() | st.booleans() | st.integers(-1, 60) | st.text() | st.binary(),
+    lambda inner: (
+        st.lists(inner, max_size=5)
+        | st.dictionaries(st.text(), inner, max_size=3)
+    ),
+    max_leaves=12,
+)
+
+
+def make_sample(kind):
+    hints = get_type_hints(kind)
+    return kind(**{name: SAMPLES[hints[name]] for name in kind.fields})
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip_of_every_message(self):
+        for kind in MESSAGE_TYPES.values():
+            with self.subTest(kind.__name__):
+                message = make_sample(kind)
+                envelope = decode(encode(Envelope(12, 34, message)))
+                self.assertEqual(envelope.message, message)
+                self.assertEqual(envelope.incarnation, 12)
+                self.assertEqual(envelope.exchange, 34)
+
+    def test_type_numbers_are_stable(self):
+        numbers = {kind.__name__: n for n, kind in MESSAGE_TYPES.items()}
+        self.assertEqual(numbers["Hello"], 1)
+        self.assertEqual(numbers["Heartbeat"], 20)
+        self.assertEqual(numbers["RunRequest"], 50)
+        self.assertEqual(numbers["FinishRun"], 59)
+
+    def test_wrong_type_of_each_field_is_named(self):
+        for number, kind in MESSAGE_TYPES.items():
+            for place, name in enumerate(kind.fields):
+                values = make_sample(kind).values()
+                values[place] = msgpack.ExtType(1, b"")
+                content = msgpack.packb(
+                    [1, 1, number, values], unicode_errors="surrogateescape"
+                )
+                with self.assertRaisesRegex(FrameError, f"\\.{name} "):
+                    decode(content)
+
+    def test_malformed_envelopes_are_refused(self):
+        good = encode(Envelope(1, 1, CancelRun(request_id="r")))
+        cases = {
+            "not valid msgpack": [good + b"\x00", good[:-1], b"\xc1"],
+            "list of four": [msgpack.packb(v) for v in (1, [], [1, 2, 3])],
+            "type 999 is unknown": [msgpack.packb([1, 1, 999, []])],
+            "incarnation": [msgpack.packb([True, 1, 56, ["r"]])],
+            "exchange": [msgpack.packb([1, -1, 56, ["r"]])],
+            "needs 1 fields": [
+                msgpack.packb([1, 1, 56, v]) for v in ([], ["r", 1], {}, None)
+            ],
+        }
+        for text, contents in cases.items():
+            for content in contents:
+                with self.assertRaisesRegex(FrameError, text):
+                    decode(content)
+
+    def test_part_over_its_limit_is_refused_before_it_is_sent(self):
+        part = AnswerPart(request_id="r", number=0, data=bytes(65_537))
+        with self.assertRaisesRegex(FrameError, r"AnswerPart\.data"):
+            encode(Envelope(1, 1, part))
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.binary(max_size=64))
+    def test_random_bytes_raise_frame_errors_only(self, content):
+        self.decode_or_refuse(content)
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.sampled_from(list(MESSAGE_TYPES)), st.lists(PLAIN, max_size=13))
+    def test_random_fields_raise_frame_errors_only(self, number, values):
+        content = msgpack.packb([1, 1, number, values])
+        self.decode_or_refuse(content)
+        self.decode_or_refuse(content[:-1])
+
+    def decode_or_refuse(self, content):
+        try:
+            decode(content)
+        except FrameError as error:
+            self.assertTrue(str(error))
+
+
+class FramesTest(unittest.IsolatedAsyncioTestCase):
+    async def read(self, stream: bytes) -> bytes:
+        reader = asyncio.StreamReader()
+        reader.feed_data(stream)
+        reader.feed_eof()
+        return await read_frame(reader)
+
+    async def test_largest_frame_passes(self):
+        content = bytes(FRAME_LIMIT_BYTES)
+        self.assertEqual(await self.read(build_frame(content)), content)
+
+    async def test_empty_and_too_large_frames_are_refused(self):
+        for length in (0, FRAME_LIMIT_BYTES + 1, 2**32 - 1):
+            with self.assertRaises(FrameError):
+                await self.read(length.to_bytes(4, "big"))
+        with self.assertRaises(FrameError):
+            build_frame(bytes(FRAME_LIMIT_BYTES + 1))
+
+    async def test_cut_frame_is_not_returned(self):
+        with self.assertRaises(asyncio.IncompleteReadError):
+            await self.read(build_frame(b"content")[:-1])
--- /dev/null
+++ b/test/wire/test_peer.py
@@ -0,0 +1,343 @@
+"""Tests of peers that talk over loopback."""
+
+import asyncio
+
+from radishstile.errors import (
+    PeerLostError,
+    RefusalError,
+    WireError,
+)
+from radishstile.outcome import Outcome, Reason
+from radishstile.wire.messages.control import Acknowledged, Failed, Refused
+from radishstile.wire.messages.fleet import Heartbeat, HeartbeatReply
+from radishstile.wire.messages.run import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    BodyPart,
+)
+from radishstile.wire.parts import PartAssembly, PartSequence
+from test.wire._common import PeerTestCase, make_request
+
+BLOCK = bytes(1000)
+
+
+async def echo(message, exchange):
+    await exchange.send(HeartbeatReply(statement=message.statement))
+
+
+async def sleep_long(message, exchange):
+    await asyncio.sleep(1000)
+
+
+def beat(*statement) -> Heartbeat:
+    return Heartbeat(statement=list(statement))
+
+
+def make_part(number: int) -> AnswerPart:
+    return AnswerPart(request_id="r", number=number, data=BLOCK)
+
+
+class AskTest(PeerTestCase):
+    async def test_replies_go_to_their_askers(self):
+        async def answer_backwards(message, exchange):
+            await asyncio.sleep(10 - message.statement[0])
+            await echo(message, exchange)
+
+        client, _ = await self.connect(answer_backwards)
+        asks = [client.ask(beat(n), 20) for n in range(10)]
+        replies = await asyncio.gather(*asks)
+        numbers = [reply.statement for reply in replies]
+        self.assertEqual(numbers, [[n] for n in range(10)])
+
+    async def test_peer_that_answered_is_shown(self):
+        client, _ = await self.connect(echo)
+        self.assertTrue(client.is_connected)
+        self.assertEqual(client.peer_member.host, "b")
+        self.assertEqual(client.peer_incarnation, 1)
+
+    async def test_timeout_cancels_the_handler_and_leaks_nothing(self):
+        ended = []
+
+        async def note_end(message, exchange):
+            try:
+                await asyncio.sleep(1000)
+            finally:
+                ended.append(self.now)
+
+        client, server = await self.connect(note_end)
+        start = self.now
+        with self.assertRaises(TimeoutError):
+            await client.ask(beat(1), 2.0)
+        await self.wait_until(lambda: ended)
+        self.assertAlmostEqual(ended[0], start + 2.0, delta=0.1)
+        self.assertEqual(client._connection.exchanges, {})
+        (session,) = server._sessions
+        self.assertEqual(session._connection.exchanges, {})
+
+    async def test_errors_of_handlers_become_messages(self):
+        errors = {
+            1: RefusalError(Reason.OVERLOADED, retry_after=2.0),
+            2: WireError("bad claim"),
+            3: KeyError("secret text"),
+        }
+
+        async def fail(message, exchange):
+            raise errors[message.statement[0]]
+
+        client, _ = await self.connect(fail)
+        replies = [await client.ask(beat(n), 5) for n in errors]
+        refusal, failure, internal = replies
+        self.assertIsInstance(refusal, Refused)
+        self.assertEqual(refusal.reason, Reason.OVERLOADED.value)
+        self.assertEqual(refusal.outcome, Outcome.NOT_RUN.value)
+        self.assertEqual(refusal.retry_after, 2.0)
+        self.assertEqual(failure, Failed(error="bad claim"))
+        self.assertEqual(internal, Failed(error="internal error: KeyError"))
+
+    async def test_message_that_cant_be_sent_disturbs_nothing(self):
+        client, _ = await self.connect(echo)
+        with self.assertRaises(WireError):
+            await client.ask(Heartbeat(statement=7), 5)
+        reply = await client.ask(beat(8), 5)
+        self.assertEqual(reply.statement, [8])
+        self.assertEqual(client._connection.exchanges, {})
+
+    async def test_exchanges_over_the_limit_are_refused_as_not_run(self):
+        client, _ = await self.connect(sleep_long, exchange_limit=2)
+        async with await client.open(beat(1)), await client.open(beat(2)):
+            reply = await client.ask(beat(3), 5)
+        self.assertEqual(reply.reason, Reason.OVERLOADED.value)
+        self.assertEqual(reply.outcome, Outcome.NOT_RUN.value)
+
+
+class TellTest(PeerTestCase):
+    async def test_tells_are_handled_in_order_beside_asks(self):
+        heard = []
+
+        async def hear(message, exchange):
+            if message.statement[0] == "ask":
+                await echo(message, exchange)
+            else:
+                await asyncio.sleep(1.0)
+                heard.append(message.statement[0])
+
+        client, _ = await self.connect(hear)
+        for number in range(5):
+            await client.tell(beat(number))
+        await client.ask(beat("ask"), 0.5)
+        self.assertEqual(heard, [])
+        await self.wait_until(lambda: len(heard) == 5, 10)
+        self.assertEqual(heard, list(range(5)))
+
+    async def test_tell_that_fails_does_not_stop_the_next(self):
+        heard = []
+
+        async def hear(message, exchange):
+            heard.append(message.statement[0])
+            raise ValueError
+
+        client, _ = await self.connect(hear)
+        await client.tell(beat(1))
+        await client.tell(beat(2))
+        await self.wait_until(lambda: heard == [1, 2])
+
+    async def test_flood_of_tells_is_bounded_and_counted(self):
+        client, server = await self.connect(sleep_long)
+        for number in range(400):
+            await client.tell(beat(number))
+        await self.wait_until(lambda: server._counters.dropped_tells >= 143)
+        self.assertLessEqual(server._counters.dropped_tells, 144)
+
+
+class ExchangeTest(PeerTestCase):
+    async def test_request_and_answer_in_parts(self):
+        async def run(message, exchange):
+            body = await exchange.receive()
+            head = AnswerHead(
+                request_id="r", status=200, headers=[], upstream="u1"
+            )
+            await exchange.send(head)
+            sequence = PartSequence("r", 10)
+            for part in sequence.cut(body.data * 50, AnswerPart):
+                await exchange.send(part)
+            await exchange.send(sequence.end(AnswerEnd))
+
+        client, _ = await self.connect(run)
+        async with await client.open(make_request("r")) as exchange:
+            part = BodyPart(request_id="r", number=0, data=b"0123456789")
+            await exchange.send(part)
+            head = await exchange.receive(5)
+            self.assertEqual(head.status, 200)
+            self.assertEqual(await self.read_answer(client, exchange), 500)
+            with self.assertRaisesRegex(WireError, "closed"):
+                await exchange.receive(5)
+
+    async def read_answer(self, client, exchange) -> int:
+        assembly = PartAssembly("r", client._counters)
+        length = 0
+        while True:
+            message = await exchange.receive(5)
+            if isinstance(message, AnswerEnd):
+                assembly.finish(message)
+                return length
+            length += len(assembly.accept(message))
+
+    async def test_closing_early_cancels_the_handler(self):
+        states = []
+
+        async def run(message, exchange):
+            states.append("started")
+            try:
+                await asyncio.sleep(1000)
+            except asyncio.CancelledError:
+                states.append("cancelled")
+                raise
+
+        client, _ = await self.connect(run)
+        async with await client.open(make_request("r")):
+            await self.wait_until(lambda: states)
+        await self.wait_until(lambda: "cancelled" in states)
+        # An exchange that is closed before its handler starts ends as well.
+        (await client.open(make_request("s"))).close()
+        (await client.open(make_request("t"))).close()
+        await self.wait_until(lambda: not client._connection.exchanges)
+
+    async def test_slow_receiver_holds_back_its_own_exchange_only(self):
+        sent = []
+
+        async def send_parts(message, exchange):
+            if isinstance(message, Heartbeat):
+                await echo(message, exchange)
+                return
+            for number in range(40):
+                await exchange.send(make_part(number))
+                sent.append(number)
+
+        client, _ = await self.connect(send_parts)
+        async with await client.open(make_request("r")) as exchange:
+            for number in range(50):
+                reply = await client.ask(beat(number), 1)
+                self.assertEqual(reply.statement, [number])
+            self.assertEqual(len(sent), 16)
+            for number in range(40):
+                part = await exchange.receive(5)
+                self.assertEqual(part.number, number)
+        self.assertEqual(len(sent), 40)
+
+    async def test_parts_without_credit_end_the_connection(self):
+        client, server = await self.connect(sleep_long)
+        exchange = await client.open(make_request("r"))
+        for number in range(17):
+            part = BodyPart(request_id="r", number=number, data=b"x")
+            client._connection.write(exchange.number, part)
+        with self.assertRaises(PeerLostError):
+            await exchange.receive(5)
+        self.assertEqual(server._counters.refused_frames, 1)
+
+    async def test_late_parts_of_a_closed_exchange_are_counted(self):
+        async def answer_at_once(message, exchange):
+            await exchange.send(Acknowledged())
+
+        client, server = await self.connect(answer_at_once)
+        exchange = await client.open(make_request("r"))
+        await exchange.receive(5)
+        with self.assertRaises(WireError):
+            await exchange.receive(5)
+        part = BodyPart(request_id="r", number=0, data=b"x")
+        client._connection.write(exchange.number, part)
+        await self.wait_until(lambda: server._counters.dropped_parts == 1)
+        self.assertTrue(client.is_connected)
+
+
+class LossTest(PeerTestCase):
+    async def test_cut_fails_all_that_wait_at_once(self):
+        client, server = await self.connect(sleep_long)
+        asks = [
+            asyncio.create_task(client.ask(beat(n), 500)) for n in range(5)
+        ]
+        await self.wait_until(lambda: len(client._connection.exchanges) == 5)
+        start = self.now
+        client.drop()
+        results = await asyncio.gather(*asks, return_exceptions=True)
+        self.assertEqual([type(r) for r in results], [PeerLostError] * 5)
+        self.assertLess(self.now - start, 0.1)
+        await self.wait_until(lambda: not server._sessions)
+
+    async def test_cut_in_the_middle_of_an_answer_is_never_whole(self):
+        async def cut_answer(message, exchange):
+            for part in (make_part(0), make_part(1)):
+                await exchange.send(part)
+            exchange._connection.close()
+
+        client, _ = await self.connect(cut_answer)
+        exchange = await client.open(make_request("r"))
+        numbers = []
+        with self.assertRaises(PeerLostError):
+            while True:
+                numbers.append((await exchange.receive(5)).number)
+        self.assertEqual(numbers, [0, 1])
+
+    async def test_sender_that_waits_for_credit_learns_of_the_loss(self):
+        client, _ = await self.connect(sleep_long)
+        exchange = await client.open(make_request("r"))
+        sending = asyncio.create_task(self.send_many(exchange))
+        await asyncio.sleep(1)
+        self.assertFalse(sending.done())
+        client.drop()
+        with self.assertRaises(PeerLostError):
+            await sending
+
+    async def send_many(self, exchange):
+        for number in range(100):
+            await exchange.send(
+                BodyPart(request_id="r", number=number, data=b"x")
+            )
+
+    async def test_reconnects_after_a_cut(self):
+        client, _ = await self.connect(echo)
+        client.drop()
+        await self.wait_until(lambda: not client.is_connected)
+        with self.assertRaises(PeerLostError):
+            await client.ask(beat(1), 5)
+        await client.wait_connected(5)
+        await client.ask(beat(1), 5)
+        self.assertEqual(client._counters.reconnects, 1)
+
+    async def test_refused_connections_back_off(self):
+        server = await self.start_server(echo)
+        port = server.port
+        await server.stop()
+        client = self.start_client(port)
+        self.assertIsNone(client.last_refused_at)
+        await asyncio.sleep(60)
+        # 0.1 s doubled up to 5 s, of which half to all is waited.
+        self.assertGreaterEqual(client._counters.reconnects, 6 + 54 / 5)
+        self.assertLessEqual(client._counters.reconnects, 7 + 60 / 2.5)
+        self.assertGreater(client.last_refused_at, 50)
+
+    async def test_stop_lets_handlers_finish_and_refuses_new_ones(self):
+        async def answer_slowly(message, exchange):
+            await asyncio.sleep(3)
+            await echo(message, exchange)
+
+        client, server = await self.connect(answer_slowly)
+        running = asyncio.create_task(client.ask(beat(1), 20))
+        await asyncio.sleep(1)
+        stopping = asyncio.create_task(server.stop())
+        await asyncio.sleep(1)
+        refusal = await client.ask(beat(2), 5)
+        self.assertEqual(refusal.reason, Reason.STOPPING.value)
+        self.assertEqual(refusal.outcome, Outcome.NOT_RUN.value)
+        self.assertEqual((await running).statement, [1])
+        await stopping
+        self.assertLess(self.now, 5)
+
+    async def test_stop_is_bounded(self):
+        client, server = await self.connect(sleep_long, stop_timeout_s=7.0)
+        asking = asyncio.create_task(client.ask(beat(1), 500))
+        await asyncio.sleep(1)
+        await server.stop()
+        with self.assertRaises(PeerLostError):
+            await asking
+        self.assertAlmostEqual(self.now, 8.0, delta=0.5)
