Add the store's client and a stand-in for the platform

Cause: every part that agrees on or keeps something goes through the platform's service, and its answers can be lost, late or stale.

A write keeps one write id and one expected version over all its tries. A lost answer is cleared up by reading, and the same write is sent again where it was not applied. Deletions take a version of their own in the stand-in, so that a creation that arrives late can't match a name deleted since.

Ruled out: leaving resends to aiohttp, which sends GET, PUT and DELETE again by itself on a lost connection; a first try that was applied and overwritten would then look like a plain conflict. A middleware turns this off.

--- /dev/null
+++ b/radishstile/platform/calls.py
@@ -0,0 +1,56 @@
+"""Counts the calls to the store and notes when it was last reached."""
+
+from enum import Enum
+
+
+class CallKind(Enum):
+    """What a call asks of the store."""
+
+    READ = "read"
+    WRITE = "write"
+    WATCH = "watch"
+    LIST = "list"
+
+
+class StoreCalls:
+    """Calls by kind, those without an answer, and the last answered one.
+
+    `last_reached_at` is the loop time, in seconds, at which the last call
+    that got an answer began; it is minus infinity before the first one.
+    """
+
+    __slots__ = ("reads", "writes", "watches", "lists", "failed", "_reached")
+
+    def __init__(self):
+        self.reads = 0
+        self.writes = 0
+        self.watches = 0
+        self.lists = 0
+        self.failed = 0
+        self._reached = float("-inf")
+
+    @property
+    def last_reached_at(self) -> float:
+        """Return when the last answered call began."""
+        return self._reached
+
+    def begin(self, kind: CallKind) -> None:
+        """Count a call of `kind` that is about to be sent."""
+        counter = _COUNTERS[kind]
+        setattr(self, counter, getattr(self, counter) + 1)
+
+    def end(self, began_at: float) -> None:
+        """Note that the call begun at `began_at` got its answer."""
+        self._reached = max(self._reached, began_at)
+
+    def fail(self) -> None:
+        """Count a call that got no answer from the store's objects."""
+        self.failed += 1
+
+
+_COUNTERS = {
+    CallKind.READ: "reads",
+    CallKind.WRITE: "writes",
+    CallKind.WATCH: "watches",
+    CallKind.LIST: "lists",
+}
--- /dev/null
+++ b/radishstile/platform/settings.py
@@ -0,0 +1,34 @@
+"""Settings of the store's client."""
+
+
+class PlatformSettings:
+    """Where the store is, and how long and how often it is tried.
+
+    Times are in seconds; `attempts` bounds the tries of one operation. An
+    operation ends within `attempts * (2 * timeout_s + retry_max_s)`.
+    """
+
+    __slots__ = (
+        "url",
+        "timeout_s",
+        "watch_wait_s",
+        "retry_min_s",
+        "retry_max_s",
+        "attempts",
+    )
+
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float = 2.0,
+        watch_wait_s: float = 30.0,
+        retry_min_s: float = 0.05,
+        retry_max_s: float = 1.0,
+        attempts: int = 4,
+    ):
+        self.url = url
+        self.timeout_s = timeout_s
+        self.watch_wait_s = watch_wait_s
+        self.retry_min_s = retry_min_s
+        self.retry_max_s = retry_max_s
+        self.attempts = attempts
--- /dev/null
+++ b/radishstile/platform/store.py
@@ -0,0 +1,212 @@
+"""The store's client: typed operations that never go back in versions."""
+
+import asyncio
+import random
+import uuid
+from collections.abc import Awaitable, Callable, Iterator
+from functools import singledispatch
+from typing import Any
+
+from radishstile.errors import StoreUnavailableError, VersionConflictError
+from radishstile.platform.answer import (
+    Absent,
+    Lost,
+    MachineState,
+    Refused,
+    StoredObject,
+)
+from radishstile.platform.calls import StoreCalls
+from radishstile.platform.settings import PlatformSettings
+from radishstile.platform.transport import StoreTransport
+from radishstile.platform.write import PendingWrite, settle
+
+
+class StoreClient:
+    """Reads, writes and watches named objects in the platform's store."""
+
+    __slots__ = ("_settings", "_random", "_transport", "_seen")
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        random_source: random.Random | None = None,
+    ):
+        self._settings = settings
+        self._random = random_source or random.Random()
+        self._transport = StoreTransport(settings)
+        # Highest version of each name that this client has read or written.
+        self._seen: dict[str, int] = {}
+
+    @property
+    def calls(self) -> StoreCalls:
+        """Return the counts of calls."""
+        return self._transport.calls
+
+    @property
+    def last_reached_at(self) -> float:
+        """Return the loop time at which the last answered call began."""
+        return self.calls.last_reached_at
+
+    async def open(self) -> None:
+        """Open the connections; must be awaited before other calls."""
+        await self._transport.open()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._transport.close()
+
+    async def read(self, name: str) -> StoredObject | None:
+        """Return the object, or None if there is none.
+
+        Raises `StoreUnavailableError` if no answer came that is at least as
+        new as what this client has seen.
+        """
+        for delay_s in self._list_delays():
+            await asyncio.sleep(delay_s)
+            answer = await self._transport.read(name)
+            if _is_newer(answer, self._seen.get(name, 0)):
+                self._note(name, answer.version)
+                return answer.found
+        raise StoreUnavailableError(f"{name}: no current answer")
+
+    async def update(
+        self,
+        name: str,
+        value: Any,
+        expected_version: int,
+        contains: Callable[[Any], bool] | None = None,
+    ) -> int:
+        """Write `value` over `expected_version` and return the new version.
+
+        An expected version of 0 creates the object. `contains` tells from a
+        later value whether this write is part of it. Raises
+        `VersionConflictError` or `StoreUnavailableError` where the write had
+        no effect, `WriteDoubtError` where it may have had one.
+        """
+        write_id = uuid.uuid4().hex
+        write = PendingWrite(
+            name, value, expected_version, write_id, contains=contains
+        )
+        return await self._carry_out(write)
+
+    async def delete(self, name: str, expected_version: int) -> None:
+        """Delete the object at `expected_version`; raises as `update`."""
+        write_id = uuid.uuid4().hex
+        await self._carry_out(
+            PendingWrite(
+                name, None, expected_version, write_id, is_deletion=True
+            )
+        )
+
+    async def watch(self, name: str, after: int) -> StoredObject | None:
+        """Return the object once its version is above `after`.
+
+        Returns None at the end of one long poll, and raises
+        `StoreUnavailableError` at once if the store does not answer.
+        """
+        answer = await self._transport.watch(name, after)
+        _check_answered(answer)
+        found = answer.found
+        if found is None:
+            return None
+        if found.version < self._seen.get(name, 0):
+            return await self.read(name)
+        self._note(name, found.version)
+        return found
+
+    async def list_objects(self, prefix: str) -> list[StoredObject]:
+        """Return the objects whose names begin with `prefix`.
+
+        The platform's list lags, so a new object may be missing; one older
+        than what this client has seen is read again.
+        """
+        listed = await self._retry(
+            lambda: self._transport.list_objects(prefix)
+        )
+        objects = []
+        for item in listed:
+            if item.version < self._seen.get(item.name, 0):
+                item = await self.read(item.name)
+            if item is not None:
+                self._note(item.name, item.version)
+                objects.append(item)
+        return objects
+
+    async def list_machines(self) -> dict[str, MachineState]:
+        """Return the platform's lagging list of machines."""
+        return await self._retry(self._transport.list_machines)
+
+    async def _carry_out(self, write: PendingWrite) -> int:
+        for delay_s in self._list_delays():
+            await asyncio.sleep(delay_s)
+            version = await self._try_once(write)
+            if version is not None:
+                self._note(write.name, version)
+                return version
+        raise write.fail()
+
+    async def _try_once(self, write: PendingWrite) -> int | None:
+        try:
+            if write.is_in_doubt:
+                answer = await self._transport.read(write.name)
+                version = settle(answer, write)
+                if version is not None:
+                    return version
+            return settle(await self._transport.write(write), write)
+        except VersionConflictError as error:
+            self._note(error.name, error.current)
+            raise
+
+    async def _retry(self, call: Callable[[], Awaitable[Any]]) -> Any:
+        for delay_s in self._list_delays():
+            await asyncio.sleep(delay_s)
+            answer = await call()
+            if _is_answered(answer):
+                return answer
+        _check_answered(answer)
+        return answer
+
+    def _list_delays(self) -> Iterator[float]:
+        yield 0.0
+        limit_s = self._settings.retry_min_s
+        for _ in range(self._settings.attempts - 1):
+            yield self._random.uniform(limit_s / 2, limit_s)
+            limit_s = min(2 * limit_s, self._settings.retry_max_s)
+
+    def _note(self, name: str, version: int) -> None:
+        self._seen[name] = max(version, self._seen.get(name, 0))
+
+
+@singledispatch
+def _is_newer(answer: Refused | Lost, seen: int) -> bool:
+    return False
+
+
+@_is_newer.register
+def _is_object_newer(answer: StoredObject, seen: int) -> bool:
+    return answer.version >= seen
+
+
+@_is_newer.register
+def _is_absence_newer(answer: Absent, seen: int) -> bool:
+    return answer.version >= seen
+
+
+@singledispatch
+def _is_answered(answer: Any) -> bool:
+    return True
+
+
+@_is_answered.register
+def _is_refusal_answered(answer: Refused) -> bool:
+    return False
+
+
+@_is_answered.register
+def _is_loss_answered(answer: Lost) -> bool:
+    return False
+
+
+def _check_answered(answer: Any) -> None:
+    if not _is_answered(answer):
+        raise StoreUnavailableError(answer.detail)
--- /dev/null
+++ b/radishstile/platform/transport.py
@@ -0,0 +1,228 @@
+"""Carries calls to the store over HTTP and JSON, one try each."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+
+from radishstile.errors import PlatformError, StoreUnavailableError
+from radishstile.platform.answer import (
+    Absent,
+    Conflict,
+    Lost,
+    MachineState,
+    Refused,
+    StoredObject,
+    Written,
+)
+from radishstile.platform.calls import CallKind, StoreCalls
+from radishstile.platform.settings import PlatformSettings
+from radishstile.platform.write import PendingWrite
+
+_STATE_STATUSES = (200, 204, 404, 409)
+_NO_EFFECT_STATUSES = (429, 503)
+_SERVER_ERROR = 500
+
+
+class _LostAnswerError(Exception):
+    """The connection ended before the answer was complete."""
+
+
+class _Reply:
+    """Status and decoded body of one HTTP answer."""
+
+    __slots__ = ("status", "record")
+
+    def __init__(self, status: int, record: Any):
+        self.status = status
+        self.record = record
+
+
+class StoreTransport:
+    """Sends each call once and returns the store's answer as a type."""
+
+    __slots__ = ("calls", "_settings", "_session")
+
+    def __init__(self, settings: PlatformSettings):
+        self.calls = StoreCalls()
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Open the pool of connections."""
+        self._session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(_forbid_resending,),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def read(self, name: str) -> StoredObject | Absent | Refused | Lost:
+        """Read one object."""
+        return await self._ask(
+            _decode_read, CallKind.READ, "GET", f"objects/{quote(name)}"
+        )
+
+    async def write(
+        self, write: PendingWrite
+    ) -> Written | Conflict | Refused | Lost:
+        """Send one try of a write or deletion."""
+        path = f"objects/{quote(write.name)}"
+        condition = {
+            "expected_version": write.expected,
+            "write_id": write.write_id,
+        }
+        if write.is_deletion:
+            return await self._ask(
+                _decode_write,
+                CallKind.WRITE,
+                "DELETE",
+                path,
+                params=condition,
+            )
+        return await self._ask(
+            _decode_write,
+            CallKind.WRITE,
+            "PUT",
+            path,
+            json={"value": write.value, **condition},
+        )
+
+    async def watch(
+        self, name: str, after: int
+    ) -> StoredObject | Absent | Refused | Lost:
+        """Wait for a version above `after`, for one long poll."""
+        wait_s = self._settings.watch_wait_s
+        return await self._ask(
+            _decode_read,
+            CallKind.WATCH,
+            "GET",
+            f"watch/{quote(name)}",
+            timeout_s=wait_s + self._settings.timeout_s,
+            params={"after": after, "wait_s": wait_s},
+        )
+
+    async def list_objects(
+        self, prefix: str
+    ) -> list[StoredObject] | Refused | Lost:
+        """List the objects below a prefix."""
+        return await self._ask(
+            _decode_list, CallKind.LIST, "GET", f"list/{quote(prefix)}"
+        )
+
+    async def list_machines(
+        self,
+    ) -> dict[str, MachineState] | Refused | Lost:
+        """List the platform's machines."""
+        return await self._ask(
+            _decode_machines, CallKind.LIST, "GET", "machines"
+        )
+
+    async def _ask(
+        self,
+        decode: Callable[[_Reply], Any],
+        kind: CallKind,
+        method: str,
+        path: str,
+        timeout_s: float | None = None,
+        **arguments,
+    ) -> Any:
+        began_at = asyncio.get_running_loop().time()
+        self.calls.begin(kind)
+        try:
+            reply = await self._send(
+                method, path, timeout_s or self._settings.timeout_s, arguments
+            )
+            answer = decode(reply)
+        except StoreUnavailableError as error:
+            self.calls.fail()
+            return Refused(str(error))
+        except (_LostAnswerError, KeyError, TypeError, ValueError) as error:
+            self.calls.fail()
+            return Lost(f"lost answer: {error}")
+        self.calls.end(began_at)
+        return answer
+
+    async def _send(
+        self, method: str, path: str, timeout_s: float, arguments: dict
+    ) -> _Reply:
+        url = f"{self._settings.url}/v1/{path}"
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.request(
+                method, url, timeout=timeout, **arguments
+            ) as response:
+                _check_status(response.status)
+                if response.status == 204:
+                    return _Reply(204, None)
+                return _Reply(response.status, await response.json())
+        except aiohttp.ClientConnectorError as error:
+            raise StoreUnavailableError("can't connect") from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise _LostAnswerError(type(error).__name__) from error
+
+
+async def _forbid_resending(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # aiohttp sends GET, PUT and DELETE again by itself on a lost connection,
+    # which would hide from a write that its first try may have been applied.
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _LostAnswerError(type(error).__name__) from error
+
+
+def _check_status(status: int) -> None:
+    if status in _STATE_STATUSES:
+        return
+    if status in _NO_EFFECT_STATUSES:
+        raise StoreUnavailableError(f"store answered {status}")
+    if status >= _SERVER_ERROR:
+        raise _LostAnswerError(f"store answered {status}")
+    raise PlatformError(f"store answered {status}")
+
+
+def _decode_read(reply: _Reply) -> StoredObject | Absent:
+    if reply.status == 204:
+        return Absent("", 0, "")
+    if reply.status == 404:
+        return Absent(
+            reply.record.get("name", ""),
+            reply.record.get("version", 0),
+            reply.record.get("write_id", ""),
+        )
+    return _decode_object(reply.record)
+
+
+def _decode_write(reply: _Reply) -> Written | Conflict:
+    if reply.status == 409:
+        return Conflict(
+            reply.record["version"],
+            reply.record["write_id"],
+            reply.record.get("deleted", False),
+        )
+    return Written(reply.record["version"])
+
+
+def _decode_list(reply: _Reply) -> list[StoredObject]:
+    return [_decode_object(record) for record in reply.record]
+
+
+def _decode_machines(reply: _Reply) -> dict[str, MachineState]:
+    return {name: MachineState(state) for name, state in reply.record.items()}
+
+
+def _decode_object(record: dict) -> StoredObject:
+    return StoredObject(
+        record["name"],
+        record["version"],
+        record["value"],
+        record.get("write_id", ""),
+    )
--- /dev/null
+++ b/radishstile/platform/write.py
@@ -0,0 +1,140 @@
+"""Decides what each answer of the store means for a write under way.
+
+A write has one write id and one expected version for all its tries. The
+store applies it at most once, since its effect ends the expected version.
+"""
+
+from collections.abc import Callable
+from functools import singledispatch
+from typing import Any
+
+from radishstile.errors import (
+    PlatformError,
+    StoreUnavailableError,
+    VersionConflictError,
+    WriteDoubtError,
+)
+from radishstile.platform.answer import (
+    Absent,
+    Conflict,
+    Lost,
+    Refused,
+    StoredObject,
+    Written,
+)
+
+
+class PendingWrite:
+    """A conditional write or deletion whose outcome is not known yet.
+
+    `contains` tells from a later value whether this write is part of it.
+    """
+
+    __slots__ = (
+        "name",
+        "value",
+        "expected",
+        "write_id",
+        "is_deletion",
+        "is_in_doubt",
+        "contains",
+        "detail",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        value: Any,
+        expected: int,
+        write_id: str,
+        is_deletion: bool = False,
+        contains: Callable[[Any], bool] | None = None,
+    ):
+        self.name = name
+        self.value = value
+        self.expected = expected
+        self.write_id = write_id
+        self.is_deletion = is_deletion
+        self.is_in_doubt = False
+        self.contains = contains
+        self.detail = ""
+
+    def fail(self) -> PlatformError:
+        """Return the error for a write that has no tries left."""
+        if self.is_in_doubt:
+            return WriteDoubtError(f"{self.name}: {self.detail}")
+        return StoreUnavailableError(f"{self.name}: {self.detail}")
+
+
+@singledispatch
+def settle(answer: Any, write: PendingWrite) -> int | None:
+    """Return the version that `write` made, or None if it needs a retry.
+
+    Raises `VersionConflictError` where the write surely had no effect and
+    never will, and `WriteDoubtError` where that can't be known any more.
+    """
+    raise TypeError(f"not an answer to a write: {answer!r}")
+
+
+@settle.register
+def _settle_written(answer: Written, write: PendingWrite) -> int | None:
+    return answer.version
+
+
+@settle.register
+def _settle_refused(answer: Refused, write: PendingWrite) -> int | None:
+    write.detail = answer.detail
+    return None
+
+
+@settle.register
+def _settle_lost(answer: Lost, write: PendingWrite) -> int | None:
+    write.detail = answer.detail
+    write.is_in_doubt = True
+    return None
+
+
+@settle.register
+def _settle_conflict(answer: Conflict, write: PendingWrite) -> int | None:
+    if answer.write_id == write.write_id:
+        return answer.version
+    if write.is_in_doubt and answer.version > write.expected + 1:
+        # A try may have been applied and overwritten; reading may tell.
+        write.detail = "overwritten since"
+        return None
+    if answer.is_deleted and write.expected == 0 and not write.is_deletion:
+        # A deleted name is created again over the version of its deletion.
+        write.expected = answer.version
+        return None
+    raise VersionConflictError(write.name, write.expected, answer.version)
+
+
+@settle.register
+def _settle_read(answer: StoredObject, write: PendingWrite) -> int | None:
+    if answer.version <= write.expected + 1:
+        return _settle_next(answer, write)
+    if answer.write_id == write.write_id:
+        return answer.version
+    if write.contains is None:
+        raise WriteDoubtError(f"{write.name}: overwritten since")
+    if write.contains(answer.value):
+        return write.expected + 1
+    raise VersionConflictError(write.name, write.expected, answer.version)
+
+
+@settle.register
+def _settle_absent(answer: Absent, write: PendingWrite) -> int | None:
+    if answer.version <= write.expected + 1:
+        return _settle_next(answer, write)
+    raise WriteDoubtError(f"{write.name}: deleted since")
+
+
+def _settle_next(
+    answer: StoredObject | Absent, write: PendingWrite
+) -> int | None:
+    if answer.write_id == write.write_id:
+        return answer.version
+    if answer.version <= write.expected:
+        # Not applied yet, or the read lags: the same write is sent again.
+        return None
+    raise VersionConflictError(write.name, write.expected, answer.version)
--- /dev/null
+++ b/standin/calls.py
@@ -0,0 +1,54 @@
+"""Counts calls to the stand-in store and caps their rate."""
+
+from enum import Enum
+
+
+class Kind(Enum):
+    """What a call to the store asks for."""
+
+    READ = "reads"
+    WRITE = "writes"
+    WATCH = "watches"
+    LIST = "lists"
+
+
+class CallCounts:
+    """Calls by kind and by object name; a refused call counts as refused."""
+
+    __slots__ = ("kinds", "refused", "by_name")
+
+    def __init__(self):
+        self.kinds = dict.fromkeys(Kind, 0)
+        self.refused = 0
+        self.by_name: dict[str, int] = {}
+
+    def add(self, kind: Kind, name: str) -> None:
+        """Count one accepted call."""
+        self.kinds[kind] += 1
+        self.by_name[name] = self.by_name.get(name, 0) + 1
+
+    def to_record(self) -> dict:
+        """Return the counts as a JSON object."""
+        kinds = {kind.value: count for kind, count in self.kinds.items()}
+        return {**kinds, "refused": self.refused, "by_name": self.by_name}
+
+
+class RateCap:
+    """Allows a number of calls in each whole second of the clock."""
+
+    __slots__ = ("_limit_per_s", "_second", "_used")
+
+    def __init__(self, limit_per_s: int):
+        self._limit_per_s = limit_per_s
+        self._second = -1
+        self._used = 0
+
+    def take(self, now: float) -> bool:
+        """Return whether one more call fits in the second of `now`."""
+        if int(now) != self._second:
+            self._second = int(now)
+            self._used = 0
+        if self._used >= self._limit_per_s:
+            return False
+        self._used += 1
+        return True
--- /dev/null
+++ b/standin/faults.py
@@ -0,0 +1,60 @@
+"""Switches that make the stand-ins misbehave."""
+
+
+def apply_switches(faults, record: dict) -> None:
+    """Set the switches that `record` names; raise `KeyError` for others."""
+    unknown = set(record) - set(faults.__slots__)
+    if unknown:
+        raise KeyError(sorted(unknown)[0])
+    for name, value in record.items():
+        setattr(faults, name, type(getattr(faults, name))(value))
+
+
+def list_switches(faults) -> dict:
+    """Return all switches as a JSON object."""
+    return {name: getattr(faults, name) for name in faults.__slots__}
+
+
+class StoreFaults:
+    """Switches of the store; `lose_answers` counts down with each write."""
+
+    __slots__ = (
+        "outage",
+        "delay_s",
+        "lose_answers",
+        "read_lag_s",
+        "list_lag_s",
+    )
+
+    def __init__(
+        self,
+        delay_s: float = 0.0,
+        read_lag_s: float = 0.0,
+        list_lag_s: float = 0.0,
+    ):
+        self.outage = False
+        self.delay_s = delay_s
+        self.lose_answers = 0
+        self.read_lag_s = read_lag_s
+        self.list_lag_s = list_lag_s
+
+
+class UpstreamFaults:
+    """Switches of an upstream; `lag_s` delays its health and load reports."""
+
+    __slots__ = (
+        "draining",
+        "down",
+        "health_lie",
+        "load_lie",
+        "lag_s",
+        "shed",
+    )
+
+    def __init__(self):
+        self.draining = False
+        self.down = False
+        self.health_lie = False
+        self.load_lie = False
+        self.lag_s = 0.0
+        self.shed = False
--- /dev/null
+++ b/standin/history.py
@@ -0,0 +1,36 @@
+"""Past values of one thing, so that a stand-in can answer with a lag."""
+
+from bisect import bisect_right
+
+KEPT_S = 120.0
+
+
+class History:
+    """Values with the time at which each one began to hold, in seconds."""
+
+    __slots__ = ("_times", "_values")
+
+    def __init__(self, now: float, value):
+        self._times = [now]
+        self._values = [value]
+
+    @property
+    def current(self):
+        """Return the newest value."""
+        return self._values[-1]
+
+    def record(self, now: float, value) -> None:
+        """Add the value that holds from `now` on."""
+        self._times.append(now)
+        self._values.append(value)
+        self._forget(now - KEPT_S)
+
+    def get(self, moment: float):
+        """Return the value that held at `moment`, or the oldest one kept."""
+        index = bisect_right(self._times, moment) - 1
+        return self._values[max(index, 0)]
+
+    def _forget(self, moment: float) -> None:
+        first = max(bisect_right(self._times, moment) - 1, 0)
+        del self._times[:first]
+        del self._values[:first]
--- /dev/null
+++ b/test/platform/test_store.py
@@ -0,0 +1,201 @@
+"""Tests of the store's client against the stand-in store."""
+
+import asyncio
+import random
+
+from radishstile.errors import (
+    StoreUnavailableError,
+    VersionConflictError,
+    WriteDoubtError,
+)
+from radishstile.platform.answer import MachineState
+from radishstile.platform.settings import PlatformSettings
+from radishstile.platform.store import StoreClient
+from standin.settings import StoreSettings
+from standin.store import StoreServer
+from test._common import PausedTestCase
+
+
+class StoreClientTest(PausedTestCase):
+    async def asyncSetUp(self):
+        self.server = StoreServer(StoreSettings())
+        await self.server.start()
+        self.settings = PlatformSettings(
+            f"http://127.0.0.1:{self.server.port}"
+        )
+        self.client = await self.open_client()
+        self.other = await self.open_client()
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.other.close()
+        await self.server.stop()
+
+    async def open_client(self) -> StoreClient:
+        client = StoreClient(self.settings, random.Random(1))
+        await client.open()
+        return client
+
+    async def read_value(self, name: str = "a"):
+        found = await (await self.open_and_keep()).read(name)
+        return found.value if found else None
+
+    async def open_and_keep(self) -> StoreClient:
+        client = await self.open_client()
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def test_writes_and_reads(self):
+        self.assertIsNone(await self.client.read("a/b"))
+        self.assertEqual(await self.client.update("a/b", {"x": 1}, 0), 1)
+        found = await self.other.read("a/b")
+        self.assertEqual((found.version, found.value), (1, {"x": 1}))
+
+    async def test_reports_conflict(self):
+        await self.client.update("a", 1, 0)
+        with self.assertRaises(VersionConflictError) as caught:
+            await self.other.update("a", 2, 0)
+        self.assertEqual(caught.exception.current, 1)
+        self.assertEqual(await self.read_value(), 1)
+
+    async def test_finds_lost_answer_again(self):
+        await self.client.update("a", 1, 0)
+        self.server.faults.lose_answers = 1
+        self.assertEqual(await self.client.update("a", 2, 1), 2)
+        self.assertEqual(self.server.calls.by_name["a"], 3)
+
+    async def test_lost_answer_of_overwritten_write_is_in_doubt(self):
+        await self.client.update("a", [1], 0)
+        for contains, expected in (
+            (None, WriteDoubtError),
+            (lambda value: "mine" in value, 3),
+            (lambda value: "absent" in value, VersionConflictError),
+        ):
+            base = (await self.other.read("a")).version
+            with self.subTest(expected=expected):
+                result = await self.lose_and_overwrite(base, contains)
+                if isinstance(expected, int):
+                    self.assertEqual(result, base + 1)
+                else:
+                    self.assertIsInstance(result, expected)
+
+    async def lose_and_overwrite(self, base: int, contains):
+        self.server.faults.lose_answers = 1
+        update = asyncio.create_task(
+            self.client.update("a", ["mine"], base, contains)
+        )
+        await self.other.watch("a", base)
+        await self.other.update("a", ["mine", "theirs"], base + 1)
+        return (await asyncio.gather(update, return_exceptions=True))[0]
+
+    async def test_late_first_try_is_harmless(self):
+        await self.client.update("a", 1, 0)
+        self.server.faults.delay_s = 2.5
+        update = asyncio.create_task(self.client.update("a", 2, 1))
+        await asyncio.sleep(2.1)
+        self.server.faults.delay_s = 0
+        self.assertEqual(await update, 2)
+        await self.client.update("a", 3, 2)
+        await asyncio.sleep(5)
+        found = await self.other.read("a")
+        self.assertEqual((found.version, found.value), (3, 3))
+
+    async def test_late_creation_does_not_undo_deletion(self):
+        self.server.faults.delay_s = 2.5
+        update = asyncio.create_task(self.client.update("a", 1, 0))
+        await asyncio.sleep(2.1)
+        self.server.faults.delay_s = 0
+        await update
+        await self.other.delete("a", 1)
+        await asyncio.sleep(5)
+        self.assertIsNone(await self.read_value())
+
+    async def test_versions_grow_across_deletion(self):
+        await self.client.update("a", 1, 0)
+        self.server.faults.lose_answers = 1
+        await self.client.delete("a", 1)
+        self.assertIsNone(await self.client.read("a"))
+        self.assertEqual(await self.client.update("a", 2, 0), 3)
+
+    async def test_lagging_read_never_goes_back(self):
+        await self.client.update("a", 1, 0)
+        await self.client.update("a", 2, 1)
+        self.server.faults.read_lag_s = 0.05
+        self.assertEqual((await self.client.read("a")).version, 2)
+        await self.client.update("a", 3, 2)
+        self.server.faults.read_lag_s = 60
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.read("a")
+
+    async def test_lagging_read_after_conflict_is_dropped(self):
+        await self.client.update("a", 1, 0)
+        await asyncio.sleep(1)
+        await self.client.update("a", 2, 1)
+        self.server.faults.read_lag_s = 0.05
+        with self.assertRaises(VersionConflictError):
+            await self.other.update("a", 3, 1)
+        self.assertEqual((await self.other.read("a")).version, 2)
+
+    async def test_outage_ends_within_bound(self):
+        await self.client.update("a", 1, 0)
+        reached_at = self.client.last_reached_at
+        for delay_s in (0, 60):
+            self.server.faults.outage = delay_s == 0
+            self.server.faults.delay_s = delay_s
+            begun = self.now
+            with self.assertRaises(StoreUnavailableError):
+                await self.client.read("a")
+            settings = self.settings
+            bound_s = 2 * settings.timeout_s + settings.retry_max_s
+            self.assertLess(self.now - begun, settings.attempts * bound_s)
+        self.assertEqual(self.client.last_reached_at, reached_at)
+
+    async def test_refused_write_had_no_effect(self):
+        self.server.faults.outage = True
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.update("a", 1, 0)
+        self.server.faults.outage = False
+        self.assertIsNone(await self.read_value())
+
+    async def test_write_without_any_answer_is_in_doubt(self):
+        self.server.faults.delay_s = 60
+        with self.assertRaises(WriteDoubtError):
+            await self.client.update("a", 1, 0)
+
+    async def test_watch_wakes_at_once(self):
+        watch = asyncio.create_task(self.client.watch("a", 0))
+        await asyncio.sleep(10)
+        await self.other.update("a", 1, 0)
+        self.assertEqual((await watch).version, 1)
+        self.assertLess(self.now, 10.1)
+        self.assertIsNone(await self.client.watch("a", 1))
+        self.assertGreaterEqual(self.now, 40)
+        self.assertEqual(self.client.calls.watches, 2)
+
+    async def test_lists_lag(self):
+        self.server.faults.list_lag_s = 5
+        await self.client.update("h/a", 1, 0)
+        self.server.set_machine("m", "leaving")
+        self.assertEqual(await self.client.list_objects("h/"), [])
+        self.assertEqual(await self.client.list_machines(), {})
+        await asyncio.sleep(5.1)
+        await self.client.update("h/a", 2, 1)
+        listed = await self.client.list_objects("h/")
+        self.assertEqual([item.version for item in listed], [2])
+        machines = await self.client.list_machines()
+        self.assertEqual(machines, {"m": MachineState.LEAVING})
+
+    async def test_refused_by_rate_cap(self):
+        settings = PlatformSettings(self.settings.url, attempts=1)
+        client = StoreClient(settings)
+        await client.open()
+        self.addAsyncCleanup(client.close)
+        results = await asyncio.gather(
+            *(client.update(f"n/{number}", 1, 0) for number in range(500)),
+            return_exceptions=True,
+        )
+        refused = [item for item in results if item != 1]
+        self.assertEqual(len(refused), 100)
+        self.assertIsInstance(refused[0], StoreUnavailableError)
+        await asyncio.sleep(1)
+        self.assertEqual(await client.update("n/x", 1, 0), 1)
--- /dev/null
+++ b/test/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
