Add a stand-in for an upstream

Cause: tests and the demo need an upstream that sheds, drains, crashes, cuts answers, is slow while cold, and records what ran and for whom.

What a request asks for is a plan, read from query or headers; the answer varies by the plan's type.

Ruled out: one process for each upstream; one settings file lists names and ports, so that a demo starts one process for all.

--- /dev/null
+++ b/standin/plan.py
@@ -0,0 +1,69 @@
+"""What a request asks the stand-in upstream to do, from query or headers."""
+
+from collections.abc import Mapping
+
+HEADER_PREFIX = "x-test-"
+
+
+class Plan:
+    """Works for `work_s` seconds (None: the service time) and answers."""
+
+    __slots__ = ("work_s", "status")
+
+    def __init__(self, work_s: float | None = None, status: int = 200):
+        self.work_s = work_s
+        self.status = status
+
+
+class StreamPlan(Plan):
+    """Answers with `size` bytes, in chunks."""
+
+    __slots__ = ("size",)
+
+    def __init__(self, work_s: float | None, status: int, size: int):
+        super().__init__(work_s, status)
+        self.size = size
+
+
+class CutPlan(StreamPlan):
+    """Closes the connection after `cut` of the `size` bytes."""
+
+    __slots__ = ("cut",)
+
+    def __init__(self, work_s: float | None, status: int, size: int, cut: int):
+        super().__init__(work_s, status, size)
+        self.cut = cut
+
+
+class SilentPlan(Plan):
+    """Holds its slot and answers nothing."""
+
+    __slots__ = ()
+
+
+class CrashPlan(Plan):
+    """Closes the listening socket and all connections after its work."""
+
+    __slots__ = ()
+
+
+def read_plan(query: Mapping[str, str], headers: Mapping[str, str]) -> Plan:
+    """Return the plan that a query or `x-test-` headers ask for."""
+
+    def get(name: str) -> str | None:
+        return query.get(name) or headers.get(HEADER_PREFIX + name)
+
+    work_text = get("work_s")
+    work_s = float(work_text) if work_text else None
+    status = int(get("status") or 200)
+    if get("crash"):
+        return CrashPlan(work_s)
+    if get("silent"):
+        return SilentPlan(work_s)
+    cut = int(get("cut") or 0)
+    size = int(get("size") or 2 * cut)
+    if cut:
+        return CutPlan(work_s, status, size, cut)
+    if size:
+        return StreamPlan(work_s, status, size)
+    return Plan(work_s, status)
--- /dev/null
+++ b/standin/slots.py
@@ -0,0 +1,64 @@
+"""The slots of an upstream: who waits, who works and how fast."""
+
+import asyncio
+
+from standin.history import History
+from standin.settings import UpstreamSettings
+
+
+class SlotPool:
+    """A bounded number of slots with a bounded queue before them."""
+
+    __slots__ = (
+        "_settings",
+        "_semaphore",
+        "_waiting",
+        "_served",
+        "_started_at",
+        "_busy",
+    )
+
+    def __init__(self, settings: UpstreamSettings, now: float):
+        self._settings = settings
+        self._semaphore = asyncio.Semaphore(settings.slots)
+        self._waiting = 0
+        self._served = 0
+        self._started_at = now
+        self._busy = History(now, 0)
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether one more request may wait or work."""
+        if not self._semaphore.locked():
+            return True
+        return self._waiting < self._settings.max_queue
+
+    async def take(self) -> None:
+        """Wait for a free slot and take it."""
+        self._waiting += 1
+        try:
+            await self._semaphore.acquire()
+        finally:
+            self._waiting -= 1
+        self._served += 1
+        self._count(1)
+
+    def release(self) -> None:
+        """Free a slot."""
+        self._semaphore.release()
+        self._count(-1)
+
+    def get_busy(self, moment: float) -> int:
+        """Return the number of busy slots at `moment`."""
+        return self._busy.get(moment)
+
+    def get_service_s(self, now: float) -> float:
+        """Return the service time, longer while the upstream is cold."""
+        is_new = now - self._started_at < self._settings.cold_s
+        if is_new or self._served <= self._settings.cold_requests:
+            return self._settings.service_s * self._settings.cold_factor
+        return self._settings.service_s
+
+    def _count(self, change: int) -> None:
+        now = asyncio.get_running_loop().time()
+        self._busy.record(now, self._busy.current + change)
