Add the fleet: members, freshness, roster and topology

Hosts must know each other, tell an outage of the store for everybody from being cut off, and agree on the home of each resource, without a service of the project's own. The aggregate takes the time as an argument and opens no socket. Silence only suspects; typed evidence ends an incarnation for good. Confirmations are dated from the moment a heartbeat was asked and add up over hops, so that a paused host can't be fooled by old replies.

--- /dev/null
+++ b/radishstile/fleet/directory.py
@@ -0,0 +1,205 @@
+"""All members that this host knows, one incarnation for each host."""
+
+from radishstile.fleet.event import (
+    MemberEnded,
+    MemberLeaving,
+    MemberLive,
+    MemberSuspected,
+)
+from radishstile.fleet.membership import EndRecord, Membership
+from radishstile.fleet.settings import FleetSettings
+from radishstile.fleet.state import Evidence, State, build_machine
+from radishstile.fleet.statement import EndNotice, Remark, to_age_ms
+from radishstile.member import Member
+
+EVIDENCE_SPREAD_S = 60.0
+
+_EVENTS = {
+    State.LIVE: MemberLive,
+    State.SUSPECTED: MemberSuspected,
+    State.LEAVING: MemberLeaving,
+}
+
+
+class Directory:
+    """Keeps the newest incarnation of each host and the evidence of ends.
+
+    Evidence is final: an identity with evidence never becomes live again.
+    """
+
+    __slots__ = ("me", "_machine", "_known", "_ends", "_told", "_ended")
+
+    def __init__(self, me: Member):
+        self.me = me
+        self._machine = build_machine()
+        self._known: dict[str, Membership] = {}
+        self._ends: dict[tuple[str, int], EndRecord] = {}
+        self._told: dict[tuple[str, int], State] = {}
+        self._ended: list[MemberEnded] = []
+
+    def learn(self, member: Member, now: float) -> Membership | None:
+        """Return the membership of `member`, or None if it has ended.
+
+        A newer incarnation is evidence of the end of older ones.
+        """
+        known = self._known.get(member.host)
+        newest = self.me if member.host == self.me.host else None
+        newest = known.member if known else newest
+        if newest and member.incarnation < newest.incarnation:
+            self.end(member.identity, Evidence.REPLACED, now)
+        if newest and member.incarnation > newest.incarnation:
+            self.end(newest.identity, Evidence.REPLACED, now)
+        if member.identity in self._ends or member.host == self.me.host:
+            return None
+        if known and known.member == member:
+            return known
+        if known:
+            self._machine.remove_model(known)
+        self._known[member.host] = Membership(member, self._machine)
+        return self._known[member.host]
+
+    def end(
+        self, identity: tuple[str, int], evidence: Evidence, now: float
+    ) -> None:
+        """Record final evidence of an incarnation's end."""
+        if identity in self._ends:
+            return
+        self._ends[identity] = EndRecord(*identity, evidence, now)
+        self._ended.append(MemberEnded(*identity, evidence))
+        known = self.find(identity)
+        if known is not None:
+            known.end()
+
+    def find(self, identity: tuple[str, int]) -> Membership | None:
+        """Return the membership of exactly this incarnation, if known."""
+        known = self._known.get(identity[0])
+        if known is None or known.member.identity != identity:
+            return None
+        return known
+
+    def find_evidence(self, identity: tuple[str, int]) -> Evidence | None:
+        """Return the evidence of an incarnation's end, if there is any."""
+        record = self._ends.get(identity)
+        if record is not None:
+            return record.evidence
+        known = self._known.get(identity[0])
+        if known is not None and known.member.incarnation > identity[1]:
+            return Evidence.REPLACED
+        return None
+
+    def list_present(self) -> list[Membership]:
+        """Return the other hosts' memberships without evidence of an end."""
+        return [known for known in self._known.values() if not known.is_gone]
+
+    def find_regions(self) -> dict[str, str]:
+        """Return the region of each zone that a known member was in."""
+        members = [known.member for known in self._known.values()]
+        return {m.zone: m.region for m in [*members, self.me]}
+
+    def list_ends(self) -> list[EndRecord]:
+        """Return the evidence of ends, oldest first."""
+        return list(self._ends.values())
+
+    def forget_ends(self, before: float, kept: set[tuple[str, int]]) -> None:
+        """Drop evidence older than `before` of incarnations not in `kept`."""
+        for identity, record in list(self._ends.items()):
+            is_mine = identity == self.me.identity
+            if record.at >= before or identity in kept or is_mine:
+                continue
+            del self._ends[identity]
+            known = self.find(identity)
+            if known is not None:
+                self._machine.remove_model(known)
+                del self._known[identity[0]]
+
+    def note_remark(
+        self, remark: Remark, moment: float, settings: FleetSettings
+    ) -> None:
+        """Take in another host's remark, which was true at `moment`."""
+        known = self.find((remark.host, remark.incarnation))
+        if known is None:
+            return
+        if remark.state is State.LEAVING:
+            known.tell_leaving()
+        if remark.state is State.SUSPECTED:
+            known.note_remark(moment, settings.suspect_after_s)
+
+    def judge_silence(
+        self, now: float, since: float, settings: FleetSettings
+    ) -> None:
+        """Suspect members that were silent while this host listened.
+
+        This host has listened without a pause from `since` to `now`.
+        """
+        for known in self.list_present():
+            if known.is_leaving:
+                continue
+            if known.is_silent(now, since, settings.suspect_after_s):
+                known.doubt(now)
+            elif known.state is State.SUSPECTED:
+                _lift_doubt(known, now, settings)
+
+    def hears_neighbours(self, oldest: float) -> bool:
+        """Return whether half of the watched members answered since `oldest`.
+
+        Those of this host's own zone count, where it watches any.
+        """
+        watched = [k for k in self.list_present() if k.is_watched]
+        near = [k for k in watched if k.member.zone == self.me.zone]
+        neighbours = near or watched
+        heard = sum(known.is_heard_since(oldest) for known in neighbours)
+        return 2 * heard >= len(neighbours)
+
+    def list_unregistered(
+        self, registered: set[tuple[str, int]]
+    ) -> list[Member]:
+        """Return the members that are heard but not in the roster."""
+        return [
+            known.member
+            for known in self.list_present()
+            if known.member.identity not in registered
+        ]
+
+    def list_remarks(self, now: float) -> list[Remark]:
+        """Return what others should know of members' states."""
+        remarks = []
+        for known in self.list_present():
+            if known.state not in (State.LEAVING, State.SUSPECTED):
+                continue
+            moment = now if known.is_leaving else known.doubted_at
+            age_ms = to_age_ms(moment, now)
+            identity = known.member.identity
+            remarks.append(Remark(*identity, known.state, age_ms))
+        return remarks
+
+    def list_notices(
+        self, now: float, registered: set[tuple[str, int]]
+    ) -> list[EndNotice]:
+        """Return recent evidence, and what the roster has yet to follow."""
+        return [
+            EndNotice(*end.identity, end.evidence, to_age_ms(end.at, now))
+            for end in self.list_ends()
+            if now - end.at <= EVIDENCE_SPREAD_S or end.identity in registered
+        ]
+
+    def take_events(self) -> list:
+        """Return what has changed since the last call."""
+        events = [*self._ended]
+        self._ended = []
+        told = {}
+        for known in self.list_present():
+            identity = known.member.identity
+            told[identity] = known.state
+            kind = _EVENTS.get(known.state)
+            if kind and self._told.get(identity) is not known.state:
+                events.append(kind(known.member))
+        self._told = told
+        return events
+
+
+def _lift_doubt(
+    known: Membership, now: float, settings: FleetSettings
+) -> None:
+    # Those who expect to hear the member repeat their doubts, or it is back.
+    if now - known.doubted_at > settings.isolated_after_s:
+        known.vouch()
--- /dev/null
+++ b/radishstile/fleet/freshness.py
@@ -0,0 +1,208 @@
+"""Evidence by which a host decides whether its configuration is current.
+
+All times are of this host's own clock. What others say is dated back from
+the moment that the heartbeat was asked, so that ages add up over hops and a
+paused host is not fooled by replies that waited in its buffers.
+"""
+
+from radishstile.fleet.settings import FleetSettings
+from radishstile.fleet.statement import MS_PER_S, ZoneReport, to_age_ms
+
+
+def _newest(first: float | None, second: float | None) -> float | None:
+    if first is None:
+        return second
+    return first if second is None else max(first, second)
+
+
+def _date(base: float, age_ms: int | None) -> float | None:
+    return None if age_ms is None else base - age_ms / MS_PER_S
+
+
+class ZoneEvidence:
+    """The newest moments at which a zone reached or missed the store.
+
+    `confirmed_at` is no later than the moment at which `version` was the
+    store's newest; `reached_at` is no earlier than the answer.
+    """
+
+    __slots__ = ("version", "confirmed_at", "reached_at", "failed_at")
+
+    def __init__(self):
+        self.version = 0
+        self.confirmed_at: float | None = None
+        self.reached_at: float | None = None
+        self.failed_at: float | None = None
+
+    def to_report(self, zone: str, now: float) -> ZoneReport:
+        """Return the evidence as ages at `now`."""
+        return ZoneReport(
+            zone,
+            self.version,
+            to_age_ms(self.confirmed_at, now),
+            to_age_ms(self.reached_at, now),
+            to_age_ms(self.failed_at, now),
+        )
+
+
+class Freshness:
+    """Decides whether this host may honour keys.
+
+    `zone` is this host's own zone.
+    """
+
+    __slots__ = (
+        "_zone",
+        "_settings",
+        "_zones",
+        "_confirmed",
+        "_peer_failed_at",
+        "version",
+        "known_version",
+        "store_reached_at",
+        "store_failed_at",
+    )
+
+    def __init__(self, zone: str, settings: FleetSettings):
+        self._zone = zone
+        self._settings = settings
+        self._zones: dict[str, ZoneEvidence] = {}
+        self._confirmed: dict[int, float] = {}
+        self._peer_failed_at: float | None = None
+        self.version = 0
+        self.known_version = 0
+        self.store_reached_at: float | None = None
+        self.store_failed_at: float | None = None
+
+    def note_configuration(self, version: int) -> None:
+        """Record that this host has put `version` into force."""
+        self.version = max(self.version, version)
+        self.note_version(version)
+
+    def note_version(self, version: int) -> None:
+        """Record that `version` exists."""
+        self.known_version = max(self.known_version, version)
+
+    def note_store_reached(
+        self, started_at: float, now: float, version: int
+    ) -> None:
+        """Record an answer of the store that named its newest version."""
+        self.store_failed_at = None
+        self.store_reached_at = _newest(self.store_reached_at, started_at)
+        self._confirm(self._zone, started_at, version)
+        evidence = self._find(self._zone)
+        evidence.reached_at = _newest(evidence.reached_at, now)
+
+    def note_store_failed(self, now: float) -> None:
+        """Record that this host's own attempt at the store has failed."""
+        self.store_failed_at = now
+        evidence = self._find(self._zone)
+        evidence.failed_at = _newest(evidence.failed_at, now)
+
+    def note_peer_failed(
+        self, zone: str, asked_at: float, age_ms: int | None
+    ) -> None:
+        """Record that another host said that its own attempts fail."""
+        if zone != self._zone:
+            return
+        failed_at = _date(asked_at, age_ms)
+        self._peer_failed_at = _newest(self._peer_failed_at, failed_at)
+
+    def note_report(
+        self, report: ZoneReport, asked_at: float, now: float
+    ) -> None:
+        """Take in what a peer knows of one zone."""
+        if report.confirmed_age_ms is not None:
+            moment = _date(asked_at, report.confirmed_age_ms)
+            self._confirm(report.zone, moment, report.version)
+        evidence = self._find(report.zone)
+        # A success refutes an outage, so it is dated as late as it may be.
+        reached_at = _date(now, report.reached_age_ms)
+        evidence.reached_at = _newest(evidence.reached_at, reached_at)
+        failed_at = _date(asked_at, report.failed_age_ms)
+        evidence.failed_at = _newest(evidence.failed_at, failed_at)
+
+    def _find(self, zone: str) -> ZoneEvidence:
+        return self._zones.setdefault(zone, ZoneEvidence())
+
+    def _confirm(self, zone: str, moment: float, version: int) -> None:
+        # A lower version than one already seen comes from a lagging read.
+        if version < self.known_version:
+            return
+        self.note_version(version)
+        self._confirmed[version] = max(
+            moment, self._confirmed.get(version, moment)
+        )
+        evidence = self._find(zone)
+        evidence.version = version
+        evidence.confirmed_at = _newest(evidence.confirmed_at, moment)
+
+    def drop_old(self, now: float) -> None:
+        """Forget confirmations that are too old to be of use."""
+        oldest = now - self._settings.isolated_after_s
+        self._confirmed = {
+            version: moment
+            for version, moment in self._confirmed.items()
+            if moment >= oldest
+        }
+
+    def list_reports(self, now: float) -> list[ZoneReport]:
+        """Return what this host knows of each zone, as ages."""
+        return [
+            evidence.to_report(zone, now)
+            for zone, evidence in sorted(self._zones.items())
+        ]
+
+    def is_recent(self, moment: float | None, now: float) -> bool:
+        """Return whether `moment` lies within the bound before `now`."""
+        if moment is None:
+            return False
+        return now - moment <= self._settings.isolated_after_s
+
+    def find_reason(
+        self, now: float, zones: set[str], is_alone_in_zone: bool
+    ) -> str | None:
+        """Return why the configuration may be outdated, or None if current.
+
+        `zones` are those of the roster where a member may still be running.
+        """
+        if self.is_confirmed(now):
+            return None
+        if self.version < self.known_version:
+            return (
+                f"has version {self.version}, "
+                f"version {self.known_version} exists"
+            )
+        return self._find_outage_gap(now, zones, is_alone_in_zone)
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether this version was lately seen to be the newest."""
+        return any(
+            version <= self.version and self.is_recent(moment, now)
+            for version, moment in self._confirmed.items()
+        )
+
+    def _find_outage_gap(
+        self, now: float, zones: set[str], is_alone_in_zone: bool
+    ) -> str | None:
+        answers = [evidence.reached_at for evidence in self._zones.values()]
+        reached_at = max(
+            (moment for moment in answers if moment is not None),
+            default=float("-inf"),
+        )
+        for zone in sorted(zones | {self._zone}):
+            failed_at = self._find_failure(zone, zones, is_alone_in_zone)
+            if not self.is_recent(failed_at, now):
+                return f"no recent word on the store from zone {zone}"
+            if failed_at <= reached_at:
+                return f"zone {zone} has not failed since the last answer"
+        return None
+
+    def _find_failure(
+        self, zone: str, zones: set[str], is_alone_in_zone: bool
+    ) -> float | None:
+        # Where all hosts are in one zone, this host's own failure alone
+        # does not tell an outage from being cut off.
+        if zones <= {self._zone} and not is_alone_in_zone:
+            return self._peer_failed_at
+        return self._find(zone).failed_at
--- /dev/null
+++ b/radishstile/fleet/membership.py
@@ -0,0 +1,124 @@
+"""What this host knows of one incarnation of another host."""
+
+from transitions import Machine
+
+from radishstile.fleet.state import Evidence, State
+from radishstile.member import Member
+
+
+class EndRecord:
+    """Evidence of one incarnation's end and when this host learnt of it."""
+
+    __slots__ = ("host", "incarnation", "evidence", "at")
+
+    def __init__(
+        self, host: str, incarnation: int, evidence: Evidence, at: float
+    ):
+        self.host = host
+        self.incarnation = incarnation
+        self.evidence = evidence
+        self.at = at
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Return the host's name and the ended incarnation."""
+        return self.host, self.incarnation
+
+
+class Membership:
+    """One incarnation's state, and the moments that it rests on.
+
+    `heard_at` is when the last answered heartbeat was asked; `watched_at`
+    since when this host expects to hear it; `doubted_at` the newest
+    moment at which this host or another found it silent; `hints` its free
+    units by resource.
+    """
+
+    # transitions binds its triggers to the model as attributes.
+    __slots__ = (
+        "member",
+        "heard_at",
+        "watched_at",
+        "doubted_at",
+        "hints",
+        "__dict__",
+    )
+
+    def __init__(self, member: Member, machine: Machine):
+        self.member = member
+        self.heard_at: float | None = None
+        self.watched_at: float | None = None
+        self.doubted_at: float | None = None
+        self.hints: dict[str, int] = {}
+        machine.add_model(self)
+
+    @property
+    def is_live(self) -> bool:
+        """Return whether the member can take new work."""
+        return self.state is State.LIVE
+
+    @property
+    def is_gone(self) -> bool:
+        """Return whether there is evidence of the incarnation's end."""
+        return self.state is State.GONE
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the member has said that it leaves."""
+        return self.state is State.LEAVING
+
+    @property
+    def is_watched(self) -> bool:
+        """Return whether this host sends heartbeats to the member."""
+        return self.watched_at is not None
+
+    def note_heard(self, asked_at: float) -> None:
+        """Record an answer to a heartbeat that was asked at `asked_at`."""
+        if self.heard_at is None or asked_at > self.heard_at:
+            self.heard_at = asked_at
+        self.vouch()
+
+    def vouch(self) -> None:
+        """Take the member for live unless it leaves or has ended."""
+        if self.state in (State.STARTING, State.SUSPECTED):
+            self.hear()
+
+    def note_remark(self, moment: float, bound_s: float) -> None:
+        """Record that another host found the member silent at `moment`.
+
+        Own hearing that is no more than `bound_s` older goes before it.
+        """
+        if self.heard_at is not None and moment - self.heard_at < bound_s:
+            return
+        self.doubt(moment)
+
+    def doubt(self, moment: float) -> None:
+        """Suspect the member, which was found silent at `moment`."""
+        if self.doubted_at is None or moment > self.doubted_at:
+            self.doubted_at = moment
+        self.silence()
+
+    def is_silent(self, now: float, since: float, bound_s: float) -> bool:
+        """Return whether a watched member has not answered for `bound_s`.
+
+        Silence before `since` does not count: this host was not listening.
+        """
+        if self.watched_at is None:
+            return False
+        last = max(self.watched_at, since)
+        if self.heard_at is not None:
+            last = max(last, self.heard_at)
+        return now - last > bound_s
+
+    def is_heard_since(self, oldest: float) -> bool:
+        """Return whether a heartbeat asked since `oldest` was answered."""
+        return self.heard_at is not None and self.heard_at >= oldest
+
+    def stop_watching(self) -> None:
+        """Forget that this host expected to hear the member."""
+        self.watched_at = None
+
+    def watch(self, now: float) -> None:
+        """Expect to hear the member from `now` on."""
+        if self.watched_at is None:
+            self.watched_at = now
--- /dev/null
+++ b/radishstile/fleet/roster.py
@@ -0,0 +1,206 @@
+"""The registered members and the home of each resource, by version."""
+
+from collections import Counter
+
+import xxhash
+
+from radishstile.fleet.statement import Release
+from radishstile.member import Member
+
+
+class HomeEntry:
+    """The incarnation that owns a resource's whole limit.
+
+    `epoch` is the roster version that assigned it.
+    """
+
+    __slots__ = ("host", "incarnation", "epoch")
+
+    def __init__(self, host: str, incarnation: int, epoch: int):
+        self.host = host
+        self.incarnation = incarnation
+        self.epoch = epoch
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Return the home's host and incarnation."""
+        return self.host, self.incarnation
+
+    def matches(self, release: Release) -> bool:
+        """Return whether `release` gives up exactly this entry."""
+        named = (release.host, release.incarnation, release.epoch)
+        return named == (self.host, self.incarnation, self.epoch)
+
+    def to_record(self) -> list:
+        """Return the entry as a JSON array."""
+        return [self.host, self.incarnation, self.epoch]
+
+
+class Roster:
+    """One version of the roster; never changed after it was made."""
+
+    __slots__ = ("version", "members", "homes")
+
+    def __init__(
+        self,
+        version: int = 0,
+        members: dict[str, Member] | None = None,
+        homes: dict[str, HomeEntry] | None = None,
+    ):
+        self.version = version
+        self.members = members or {}
+        self.homes = homes or {}
+
+    def to_record(self) -> dict:
+        """Return the roster as a JSON object."""
+        return {
+            "version": self.version,
+            "members": [
+                member.to_record()
+                for _, member in sorted(self.members.items())
+            ],
+            "homes": {
+                resource: entry.to_record()
+                for resource, entry in sorted(self.homes.items())
+            },
+        }
+
+    @classmethod
+    def from_record(cls, record: dict) -> "Roster":
+        """Return the roster that a JSON object describes."""
+        members = [Member.from_record(row) for row in record["members"]]
+        return cls(
+            record["version"],
+            {member.host: member for member in members},
+            {
+                resource: HomeEntry(*row)
+                for resource, row in record["homes"].items()
+            },
+        )
+
+    def find_home(self, resource: str) -> Member | None:
+        """Return the member that is home of `resource`, if registered."""
+        entry = self.homes.get(resource)
+        if entry is None:
+            return None
+        member = self.members.get(entry.host)
+        if member is None or member.identity != entry.identity:
+            return None
+        return member
+
+    @property
+    def identities(self) -> set[tuple[str, int]]:
+        """Return the identities of all registered members."""
+        return {member.identity for member in self.members.values()}
+
+    def is_registered(self, identity: tuple[str, int]) -> bool:
+        """Return whether exactly this incarnation is registered."""
+        member = self.members.get(identity[0])
+        return member is not None and member.identity == identity
+
+
+class Plan:
+    """What a planner knows when it works out the next roster.
+
+    `wanted` maps a resource to its preferred zone or None; `candidates` are
+    live members, by identity; `ended` are identities with evidence of their
+    end; `releases` are what homes said that they gave up; `regions` maps a
+    zone to its region, also where all members of the zone have ended.
+    """
+
+    __slots__ = (
+        "wanted",
+        "registered",
+        "candidates",
+        "ended",
+        "releases",
+        "regions",
+    )
+
+    def __init__(
+        self,
+        wanted: dict[str, str | None],
+        registered: list[Member],
+        candidates: set[tuple[str, int]],
+        ended: set[tuple[str, int]],
+        releases: set[Release],
+        regions: dict[str, str],
+    ):
+        self.wanted = wanted
+        self.registered = registered
+        self.candidates = candidates
+        self.ended = ended
+        self.releases = releases
+        self.regions = regions
+
+
+def plan_roster(roster: Roster, plan: Plan) -> Roster | None:
+    """Return the roster that should follow, or None if nothing changes."""
+    version = roster.version + 1
+    members = _register(roster, plan)
+    homes = _keep_homes(roster, members, plan)
+    pool = [m for m in members.values() if m.identity in plan.candidates]
+    _assign_homes(homes, pool, plan, version)
+    is_same = homes == roster.homes and members == roster.members
+    return None if is_same else Roster(version, members, homes)
+
+
+def rank(key: str, host: str) -> int:
+    """Return the rendezvous weight of `host` for `key`."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{host}".encode())
+
+
+def _register(roster: Roster, plan: Plan) -> dict[str, Member]:
+    members = dict(roster.members)
+    for member in plan.registered:
+        known = members.get(member.host)
+        if known is None or known.incarnation < member.incarnation:
+            members[member.host] = member
+    return {
+        host: member
+        for host, member in members.items()
+        if member.identity not in plan.ended
+    }
+
+
+def _keep_homes(
+    roster: Roster, members: dict[str, Member], plan: Plan
+) -> dict[str, HomeEntry]:
+    return {
+        resource: entry
+        for resource, entry in roster.homes.items()
+        if resource in plan.wanted
+        and entry.host in members
+        and members[entry.host].identity == entry.identity
+        and Release(*entry.identity, resource, entry.epoch)
+        not in plan.releases
+    }
+
+
+def _assign_homes(
+    homes: dict[str, HomeEntry],
+    pool: list[Member],
+    plan: Plan,
+    version: int,
+) -> None:
+    counts = Counter(entry.host for entry in homes.values())
+    for resource in sorted(plan.wanted.keys() - homes.keys()):
+        zone = plan.wanted[resource]
+        near = _narrow(pool, zone, plan.regions.get(zone))
+        if not near:
+            continue
+        home = min(near, key=lambda m: _weigh(m, resource, counts))
+        counts[home.host] += 1
+        homes[resource] = HomeEntry(home.host, home.incarnation, version)
+
+
+def _weigh(member: Member, resource: str, counts: Counter) -> tuple[int, int]:
+    return counts[member.host], -rank(resource, member.host)
+
+
+def _narrow(
+    pool: list[Member], zone: str | None, region: str | None
+) -> list[Member]:
+    in_zone = [member for member in pool if member.zone == zone]
+    in_region = [member for member in pool if member.region == region]
+    return in_zone or in_region or pool
--- /dev/null
+++ b/radishstile/fleet/settings.py
@@ -0,0 +1,34 @@
+"""Settings of the fleet's membership, heartbeats and freshness."""
+
+
+class FleetSettings:
+    """Bounds of heartbeats and evidence; times are in seconds.
+
+    `isolated_after_s` is how long keyed routes are served without evidence
+    that the configuration is current.
+    """
+
+    __slots__ = (
+        "heartbeat_s",
+        "suspect_after_s",
+        "isolated_after_s",
+        "watchers_per_zone",
+        "neighbours_per_zone",
+        "remote_neighbours",
+    )
+
+    def __init__(
+        self,
+        heartbeat_s: float = 1.0,
+        suspect_after_s: float = 3.0,
+        isolated_after_s: float = 6.0,
+        watchers_per_zone: int = 2,
+        neighbours_per_zone: int = 6,
+        remote_neighbours: int = 2,
+    ):
+        self.heartbeat_s = heartbeat_s
+        self.suspect_after_s = suspect_after_s
+        self.isolated_after_s = isolated_after_s
+        self.watchers_per_zone = watchers_per_zone
+        self.neighbours_per_zone = neighbours_per_zone
+        self.remote_neighbours = remote_neighbours
--- /dev/null
+++ b/radishstile/fleet/topology.py
@@ -0,0 +1,70 @@
+"""Who exchanges heartbeats with whom, and who does a zone's duties.
+
+All choices are deterministic functions of the members and their states, so
+that hosts agree without talking. Disagreement costs messages only.
+"""
+
+from collections.abc import Iterable
+
+from radishstile.fleet.roster import rank
+from radishstile.fleet.settings import FleetSettings
+from radishstile.member import Member
+
+# Members passed over for not being live are still asked, so that their
+# return is seen, up to this many for each live neighbour wanted.
+SKIPPED_PER_NEIGHBOUR = 1
+
+
+def list_neighbours(
+    me: Member,
+    members: Iterable[Member],
+    live: set[str],
+    settings: FleetSettings,
+) -> list[Member]:
+    """Return the members to whom `me` sends heartbeats.
+
+    `members` are those without evidence of their end, `live` the names of
+    the hosts that answer.
+    """
+    chosen = []
+    zones: dict[str, list[Member]] = {}
+    for member in members:
+        if member.host != me.host:
+            zones.setdefault(member.zone, []).append(member)
+    for zone in sorted(zones):
+        if zone == me.zone:
+            ring = sort_ring(me, zones[zone])
+            chosen += _take(ring, live, settings.neighbours_per_zone)
+            continue
+        ring = sorted(zones[zone], key=lambda m: rank(me.host, m.host))
+        chosen += _take(ring, live, settings.remote_neighbours)
+    return chosen
+
+
+def sort_ring(me: Member, members: list[Member]) -> list[Member]:
+    """Return the other hosts of a zone in ring order after `me`."""
+    start = rank("ring", me.host)
+    return sorted(
+        members, key=lambda m: (rank("ring", m.host) - start) % (1 << 64)
+    )
+
+
+def _take(ring: list[Member], live: set[str], count: int) -> list[Member]:
+    chosen = []
+    found = 0
+    limit = count * (1 + SKIPPED_PER_NEIGHBOUR)
+    for member in ring[:limit]:
+        if found == count:
+            break
+        chosen.append(member)
+        found += member.host in live
+    return chosen
+
+
+def list_watchers(
+    zone: str, members: Iterable[Member], live: set[str], count: int
+) -> list[Member]:
+    """Return the members that watch the store for `zone`."""
+    able = [m for m in members if m.zone == zone and m.host in live]
+    able.sort(key=lambda member: rank(f"watch/{zone}", member.host))
+    return able[:count]
--- /dev/null
+++ b/test/fleet/_common.py
@@ -0,0 +1,42 @@
+"""Members, rosters and statements for the fleet's tests."""
+
+from radishstile.fleet.fleet import Fleet
+from radishstile.fleet.roster import Roster
+from radishstile.fleet.settings import FleetSettings
+from radishstile.fleet.state import State
+from radishstile.fleet.statement import Statement
+from radishstile.member import Member
+
+SETTINGS = FleetSettings()
+
+
+def build_member(zone: str, number: int, incarnation: int = 1) -> Member:
+    host = f"{zone}-{number}"
+    region = zone[:-1]
+    return Member(host, incarnation, zone, region, "10.0.0.1", 7000, 80)
+
+
+def build_members(zones: list[str], count: int) -> list[Member]:
+    return [
+        build_member(zones[i % len(zones)], i // len(zones))
+        for i in range(count)
+    ]
+
+
+def build_fleet(me: Member, members: list[Member], now: float = 0) -> Fleet:
+    fleet = Fleet(me, SETTINGS)
+    fleet.note_roster(Roster(1, {m.host: m for m in members}), now)
+    fleet.note_configuration(4, now)
+    return fleet
+
+
+def exchange(asker: Fleet, answerer: Fleet, now: float) -> None:
+    """Let `asker` hear `answerer`, through the record on the wire."""
+    record = answerer.make_statement(now).to_record()
+    asker.hear(Statement.from_record(record), now, now)
+
+
+def say(member: Member, **details) -> Statement:
+    """Return a plain statement of `member`."""
+    state = details.pop("state", State.LIVE)
+    return Statement(member, state, 4, 4, 1, **details)
--- /dev/null
+++ b/test/fleet/test_fleet.py
@@ -0,0 +1,229 @@
+"""Tests of members' states, evidence of their end, and the fleet's duties."""
+
+import unittest
+
+from radishstile.fleet.event import MemberEnded, MemberLive, MemberSuspected
+from radishstile.fleet.roster import HomeEntry, Roster
+from radishstile.fleet.state import Evidence, MachineReport, State
+from radishstile.fleet.statement import EndNotice, Release, Remark
+from test.fleet._common import (
+    build_fleet,
+    build_member,
+    build_members,
+    exchange,
+    say,
+)
+
+ZONES = ["a1", "a2", "b1", "b2", "c1", "c2"]
+
+
+class FleetTestCase(unittest.TestCase):
+    def setUp(self):
+        self.members = build_members(["a1", "b1"], 6)
+        self.me, self.remote, self.near = self.members[:3]
+        self.fleet = build_fleet(self.me, self.members)
+
+    def find_state(self, member):
+        return self.fleet.directory.find(member.identity).state
+
+    def list_kinds(self, now):
+        return [type(event) for event in self.fleet.tick(now)]
+
+
+class StateTest(FleetTestCase):
+    def test_silence_suspects_and_never_ends(self):
+        for now in range(3600):
+            self.fleet.tick(now)
+            if now == 3:
+                self.assertIs(self.find_state(self.near), State.LIVE)
+        self.assertIs(self.find_state(self.near), State.SUSPECTED)
+        self.assertEqual(self.fleet.list_ended(), [])
+        self.fleet.hear(say(self.near), 3600, 3600)
+        self.assertIn(MemberLive, self.list_kinds(3600))
+        self.assertIs(self.find_state(self.near), State.LIVE)
+
+    def test_suspicion_is_told_once(self):
+        kinds = [kind for now in range(60) for kind in self.list_kinds(now)]
+        self.assertEqual(kinds.count(MemberSuspected), 5)
+
+    def test_own_pause_suspects_nobody(self):
+        self.fleet.tick(0)
+        self.fleet.tick(1)
+        self.assertNotIn(MemberSuspected, self.list_kinds(60))
+
+    def test_suspicion_reaches_hosts_that_do_not_ask_the_member(self):
+        members = build_members(ZONES, 450)
+        fleet = build_fleet(members[0], members)
+        peers = set(fleet.list_heartbeat_peers(0))
+        other = next(m for m in members[1:] if m not in peers)
+        remark = Remark(*other.identity, State.SUSPECTED, 500)
+        fleet.tick(1)
+        fleet.hear(say(members[6], remarks=[remark]), 1, 1)
+        self.assertNotIn(other, fleet.list_entry_members(1))
+        fleet.tick(8)
+        self.assertIn(other, fleet.list_entry_members(8))
+
+    def test_leaving_member_gets_no_new_work_anywhere(self):
+        leaver = build_fleet(self.near, self.members)
+        leaver.leave()
+        exchange(self.fleet, leaver, 1)
+        third = build_fleet(self.remote, self.members)
+        exchange(third, self.fleet, 2)
+        self.assertNotIn(self.near, third.list_entry_members(2))
+        self.assertNotIn(self.near, leaver.list_entry_members(2))
+        third.hear(say(self.near), 3, 3)
+        self.assertNotIn(self.near, third.list_entry_members(3))
+
+
+class EvidenceTest(FleetTestCase):
+    def assert_ended(self, member, evidence):
+        self.assertIs(self.fleet.find_evidence(member.identity), evidence)
+        self.assertIn(MemberEnded, self.list_kinds(1))
+        # It is final, whatever is heard later.
+        self.fleet.hear(say(member), 2, 2)
+        self.fleet.note_connected(member, 2)
+        self.assertNotIn(member, self.fleet.list_entry_members(2))
+        third = build_fleet(self.members[3], self.members)
+        exchange(third, self.fleet, 3)
+        self.assertIs(third.find_evidence(member.identity), evidence)
+
+    def test_released(self):
+        other = build_fleet(self.near, self.members)
+        other.finish(1)
+        exchange(self.fleet, other, 1)
+        self.assert_ended(self.near, Evidence.RELEASED)
+
+    def test_replaced(self):
+        self.fleet.note_replaced(build_member("a1", 1, 2), 1)
+        self.assert_ended(self.near, Evidence.REPLACED)
+
+    def test_delisted(self):
+        self.fleet.note_machines([MachineReport("a1-1", 1, False)], 1)
+        self.assertEqual(self.fleet.list_ended(), [])
+        self.fleet.note_machines([MachineReport("a1-1", 1, True)], 1)
+        self.assert_ended(self.near, Evidence.DELISTED)
+
+    def test_refused_counts_only_once_heard(self):
+        self.fleet.note_refused(self.near.identity, 0)
+        self.assertEqual(self.fleet.list_ended(), [])
+        self.fleet.note_connected(self.near, 0)
+        self.fleet.note_refused(self.near.identity, 1)
+        self.assert_ended(self.near, Evidence.REFUSED)
+
+    def test_dropped_by_a_later_roster(self):
+        kept = {m.host: m for m in self.members if m != self.near}
+        self.assertTrue(self.fleet.note_roster(Roster(2, kept), 1))
+        self.assert_ended(self.near, Evidence.DROPPED)
+
+    def test_delisting_an_old_incarnation_spares_the_new_one(self):
+        newer = build_member("a1", 1, 2)
+        self.fleet.note_connected(newer, 0)
+        self.fleet.note_machines([MachineReport("a1-1", 1, True)], 1)
+        self.assertIn(newer, self.fleet.list_entry_members(1))
+
+    def test_paused_host_that_was_replaced_stops(self):
+        self.fleet.note_store_reached(0, 0, 4)
+        self.assertTrue(self.fleet.is_current(0))
+        notice = EndNotice(*self.me.identity, Evidence.DELISTED, 5)
+        self.fleet.hear(say(self.near, ended=[notice]), 1, 1)
+        self.assertFalse(self.fleet.is_current(1))
+        self.assertNotIn(self.me, self.fleet.list_entry_members(1))
+
+
+class DutyTest(FleetTestCase):
+    def test_each_zone_has_watchers_and_one_planner(self):
+        members = build_members(ZONES, 22)
+        fleets = [build_fleet(member, members) for member in members]
+        for zone in ZONES:
+            near = [fleet for fleet in fleets if fleet.me.zone == zone]
+            self.assertEqual(sum(f.is_watcher(0) for f in near), 2)
+            self.assertEqual(sum(f.is_planner(0) for f in near), 1)
+
+    def test_lost_planner_is_followed(self):
+        fleets = [build_fleet(m, self.members) for m in self.members[::2]]
+        planner = next(fleet for fleet in fleets if fleet.is_planner(0))
+        rest = [fleet for fleet in fleets if fleet is not planner]
+        for fleet in rest:
+            fleet.note_machines([MachineReport(*planner.me.identity, True)], 1)
+        self.assertEqual(sum(f.is_planner(1) for f in rest), 1)
+
+    def test_provisional_member_is_an_entry_and_no_home(self):
+        started = build_member("b1", 9)
+        self.fleet.note_connected(started, 1)
+        third = build_fleet(self.near, self.members)
+        exchange(third, self.fleet, 2)
+        self.assertIn(started, third.list_entry_members(2))
+        roster = third.plan_roster({"rate/w": "b1"}, [], 2)
+        self.assertNotIn(started.host, roster.members)
+        self.assertEqual(roster.homes["rate/w"].host[:2], "b1")
+        roster = third.plan_roster({}, [started], 2)
+        self.assertIn(started.host, roster.members)
+
+    def test_record_of_a_host_nobody_hears_is_not_registered(self):
+        unheard = build_member("a1", 9)
+        self.assertIsNone(self.fleet.plan_roster({}, [unheard], 1))
+
+    def test_lower_roster_versions_are_dropped(self):
+        self.assertFalse(self.fleet.note_roster(Roster(1), 1))
+        self.assertEqual(len(self.fleet.roster.members), 6)
+
+
+class HomeTest(FleetTestCase):
+    def setUp(self):
+        super().setUp()
+        self.homes = {"rate/w": HomeEntry("a1-1", 1, 2)}
+        self.roster = Roster(2, self.fleet.roster.members, self.homes)
+        self.fleet.note_roster(self.roster, 0)
+        self.home = build_fleet(self.near, self.members)
+        self.home.note_roster(self.roster, 0)
+
+    def plan(self, now):
+        return self.fleet.plan_roster({"rate/w": "a1"}, [], now)
+
+    def test_home_stays_with_a_silent_member(self):
+        for now in range(60):
+            self.fleet.tick(now)
+        self.assertIsNone(self.plan(60))
+        self.assertEqual(self.fleet.find_home("rate/w"), self.near)
+
+    def test_home_of_a_leaving_member_moves_after_its_release(self):
+        self.home.leave()
+        exchange(self.fleet, self.home, 1)
+        self.assertIsNone(self.plan(1))
+        self.assertTrue(self.home.is_home("rate/w"))
+        self.home.release("rate/w")
+        self.assertFalse(self.home.is_home("rate/w"))
+        exchange(self.fleet, self.home, 2)
+        self.assertIsNone(self.fleet.find_home("rate/w"))
+        entry = self.plan(2).homes["rate/w"]
+        self.assertNotEqual(entry.host, self.near.host)
+        self.assertEqual(entry.epoch, 3)
+
+    def test_release_of_an_earlier_epoch_moves_nothing(self):
+        release = Release("a1-1", 1, "rate/w", 1)
+        self.fleet.hear(say(self.near, releases=[release]), 1, 1)
+        self.assertIsNone(self.plan(1))
+
+    def test_home_moves_on_evidence_and_the_loser_of_a_race_replans(self):
+        other = build_fleet(self.remote, self.members)
+        other.note_roster(self.roster, 0)
+        for fleet in (self.fleet, other):
+            fleet.note_machines([MachineReport("a1-1", 1, True)], 1)
+        written = self.plan(1)
+        wanted = {"rate/w": "a1", "rate/x": None}
+        lost = other.plan_roster(wanted, [], 1)
+        self.assertEqual(written.version, lost.version)
+        self.assertTrue(other.note_roster(written, 2))
+        self.assertFalse(other.note_roster(lost, 2))
+        again = other.plan_roster(wanted, [], 2)
+        self.assertEqual(again.homes["rate/w"].epoch, 3)
+        self.assertEqual(again.homes["rate/x"].epoch, 4)
+
+    def test_lost_zone_is_served_from_its_region_or_elsewhere(self):
+        reports = [MachineReport(f"a1-{i}", 1, True) for i in range(3)]
+        planner = build_fleet(self.remote, self.members)
+        planner.note_roster(self.roster, 0)
+        planner.note_machines(reports, 1)
+        roster = planner.plan_roster({"rate/w": "a1"}, [], 1)
+        self.assertEqual(roster.homes["rate/w"].host[:2], "b1")
+        self.assertEqual(len(roster.members), 3)
--- /dev/null
+++ b/test/fleet/test_roster.py
@@ -0,0 +1,79 @@
+"""Tests of the planning of rosters."""
+
+import json
+import unittest
+from collections import Counter
+
+from radishstile.fleet.roster import Plan, Roster, plan_roster
+from test.fleet._common import build_member, build_members
+
+ZONES = ["a1", "a2", "b1", "b2"]
+
+
+class RosterTest(unittest.TestCase):
+    def setUp(self):
+        self.members = build_members(ZONES, 16)
+        self.wanted = {f"rate/{i}": ZONES[i % 4] for i in range(40)}
+        self.roster = self.plan(Roster(), self.members, ended=set())
+
+    def plan(self, roster, members, ended):
+        live = {m.identity for m in members} - ended
+        regions = {zone: zone[0] for zone in ZONES}
+        plan = Plan(self.wanted, members, live, ended, set(), regions)
+        return plan_roster(roster, plan)
+
+    def test_homes_are_near_and_even(self):
+        counts = Counter(e.host for e in self.roster.homes.values())
+        self.assertEqual(len(counts), 16)
+        self.assertLessEqual(max(counts.values()), 3)
+        for resource, zone in self.wanted.items():
+            home = self.roster.find_home(resource)
+            self.assertEqual(home.zone, zone)
+
+    def test_nothing_moves_without_need(self):
+        self.assertIsNone(self.plan(self.roster, self.members, set()))
+        newcomer = build_member("a1", 50)
+        members = [*self.members, newcomer]
+        roster = self.plan(self.roster, members, set())
+        self.assertEqual(roster.homes, self.roster.homes)
+        ended = {self.members[0].identity}
+        roster = self.plan(self.roster, members, ended)
+        hosts = {entry.host for entry in roster.homes.values()}
+        self.assertIn("a1-50", hosts)
+        for resource, entry in self.roster.homes.items():
+            if entry.identity in ended:
+                self.assertEqual(roster.find_home(resource).zone, "a1")
+                self.assertEqual(roster.homes[resource].epoch, 2)
+            else:
+                self.assertEqual(roster.homes[resource], entry)
+
+    def test_newer_incarnation_takes_nothing_over(self):
+        newer = build_member("a1", 0, 2)
+        ended = {self.members[0].identity}
+        members = [*self.members[1:], newer]
+        roster = self.plan(self.roster, members, ended)
+        self.assertEqual(roster.members["a1-0"], newer)
+        for entry in roster.homes.values():
+            self.assertNotIn(entry.identity, ended)
+
+    def test_next_choice_is_the_region(self):
+        ended = {m.identity for m in self.members if m.zone == "a1"}
+        roster = self.plan(self.roster, self.members, ended)
+        zones = {
+            roster.find_home(resource).region
+            for resource, zone in self.wanted.items()
+            if zone == "a1"
+        }
+        self.assertEqual(zones, {"a"})
+
+    def test_unwanted_resource_is_dropped(self):
+        del self.wanted["rate/7"]
+        roster = self.plan(self.roster, self.members, set())
+        self.assertNotIn("rate/7", roster.homes)
+
+    def test_record_keeps_everything(self):
+        record = json.loads(json.dumps(self.roster.to_record()))
+        again = Roster.from_record(record)
+        self.assertEqual(again.to_record(), self.roster.to_record())
+        self.assertEqual(again.version, 1)
+        self.assertEqual(again.find_home("rate/3").zone, "b2")
