Divide a workspace's rate and burst among hosts

A home owns the whole limit under an epoch and allots parts by demand; a holder obeys the highest number and states what it holds.

20 seeded schedules with loss, duplicates, late messages, pauses, deaths and new epochs keep rate, burst and tokens within the limit at each step, and the spends within rate and burst in any window.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions, run by hand."""
--- /dev/null
+++ b/radishstile/fleet/holding.py
@@ -0,0 +1,47 @@
+"""The holder's part of a resource: which allotment it obeys."""
+
+from radishstile.fleet.allotment import Allotment
+
+
+class Holding:
+    """What one incarnation holds of one resource.
+
+    `rate` is in units a second and `burst` in whole units.
+    """
+
+    __slots__ = ("resource", "epoch", "number", "rate", "burst")
+
+    def __init__(self, resource: str, epoch: int = 0):
+        self.resource = resource
+        self.epoch = epoch
+        self.number = 0
+        self.rate = 0.0
+        self.burst = 0
+
+    def adopt(self, epoch: int) -> bool:
+        """Keep what is held under a newer epoch, whose numbers start anew."""
+        if epoch <= self.epoch:
+            return False
+        self.epoch = epoch
+        self.number = 0
+        return True
+
+    def accept(self, allotment: Allotment) -> bool:
+        """Obey `allotment` unless a newer one or its epoch is unknown.
+
+        An allotment of an epoch that was not adopted is dropped: its home
+        can't have counted what is held here.
+        """
+        if allotment.epoch != self.epoch:
+            return False
+        if allotment.number <= self.number:
+            return False
+        self.number = allotment.number
+        self.rate = allotment.rate
+        self.burst = allotment.burst
+        return True
+
+    def shrink(self, rate: float, burst: int) -> None:
+        """Give up what is above `rate` and `burst`."""
+        self.rate = min(self.rate, rate)
+        self.burst = min(self.burst, burst)
--- /dev/null
+++ b/radishstile/fleet/home.py
@@ -0,0 +1,256 @@
+"""The home of a resource: owns the whole limit and divides it by demand."""
+
+from collections.abc import Iterable
+
+from radishstile.fleet.account import Account
+from radishstile.fleet.allotment import (
+    Allotment,
+    Claim,
+    Dispatch,
+    Identity,
+    Inquiry,
+)
+from radishstile.fleet.share import Share, divide
+from radishstile.workspace.bucket import Bucket
+
+RESEND_S = 0.25
+MAX_PENDING = 8
+
+
+class Home:
+    """The one owner of a resource's limit, under one epoch.
+
+    The pool is what nobody else can have: the limit less what each account
+    counts. It starts empty and opens when each of `members` has stated what
+    it holds or has ended; time alone frees nothing.
+    """
+
+    __slots__ = (
+        "resource",
+        "epoch",
+        "rate",
+        "burst",
+        "is_closed",
+        "_pool",
+        "_members",
+        "_awaited",
+        "_ended",
+        "_accounts",
+    )
+
+    def __init__(
+        self,
+        resource: str,
+        epoch: int,
+        rate: float,
+        burst: int,
+        members: Iterable[Identity],
+        now: float,
+    ):
+        self.resource = resource
+        self.epoch = epoch
+        self.rate = rate
+        self.burst = burst
+        self.is_closed = False
+        self._pool = Bucket(0.0, 0.0, now)
+        self._members = set(members)
+        self._awaited = set(self._members)
+        self._ended: set[Identity] = set()
+        self._accounts: dict[Identity, Account] = {}
+        self._resize_pool(now)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the pool may be given out."""
+        return not self._awaited and not self.is_closed
+
+    @property
+    def pool(self) -> Bucket:
+        """Return the part of the limit that nobody else can have."""
+        return self._pool
+
+    def list_inquiries(self) -> list[Dispatch]:
+        """Return an inquiry for each member that has not answered yet."""
+        return [self._inquire(holder) for holder in sorted(self._awaited)]
+
+    def close(self, now: float) -> None:
+        """Stop for good: another home has a newer epoch."""
+        self.is_closed = True
+        self._resize_pool(now)
+
+    def add_member(self, identity: Identity, now: float) -> None:
+        """Let a newly registered incarnation hold a part."""
+        if identity in self._ended:
+            return
+        self._members.add(identity)
+        self._resize_pool(now)
+
+    def note_ended(self, identity: Identity, now: float) -> list[Dispatch]:
+        """Take back what an incarnation held, on evidence of its end."""
+        self._ended.add(identity)
+        self._members.discard(identity)
+        self._awaited.discard(identity)
+        self._accounts.pop(identity, None)
+        self._resize_pool(now)
+        return self._rebalance(now)
+
+    def set_limit(self, rate: float, burst: int, now: float) -> list[Dispatch]:
+        """Change the whole limit; holders shrink before others grow."""
+        self.rate = rate
+        self.burst = burst
+        self._resize_pool(now)
+        return self._rebalance(now)
+
+    def receive(self, claim: Claim, now: float) -> list[Dispatch]:
+        """Take a claim in, and return what to send to whom."""
+        if claim.epoch > self.epoch:
+            self.close(now)
+        if self.is_closed or claim.holder in self._ended:
+            return []
+        if claim.epoch < self.epoch:
+            return [self._inquire(claim.holder)]
+        account = self._open_account(claim.holder)
+        if claim.serial <= account.serial:
+            return []
+        returned = account.apply(claim)
+        self._awaited.discard(claim.holder)
+        self._resize_pool(now)
+        self._pool.add(returned)
+        if not self.is_open:
+            return []
+        dispatches = self._rebalance(now)
+        self._serve_waiting(account, now, dispatches)
+        return dispatches
+
+    def tick(self, now: float) -> list[Dispatch]:
+        """Send again what was not acknowledged, and divide by demand."""
+        if not self.is_open:
+            return self.list_inquiries() if not self.is_closed else []
+        again = [
+            Dispatch(account.holder, account.pending[-1])
+            for account in self._accounts.values()
+            if account.pending and now - account.sent_at >= RESEND_S
+        ]
+        for dispatch in again:
+            self._accounts[dispatch.holder].sent_at = now
+        return again + self._rebalance(now)
+
+    def _open_account(self, holder: Identity) -> Account:
+        return self._accounts.setdefault(holder, Account(holder))
+
+    def _inquire(self, holder: Identity) -> Dispatch:
+        return Dispatch(holder, Inquiry(self.resource, self.epoch))
+
+    def _resize_pool(self, now: float) -> None:
+        """Leave in the pool what no account counts."""
+        if not self.is_open:
+            self._pool.resize(0.0, 0.0, now)
+            return
+        accounts = self._accounts.values()
+        rate = self.rate - sum(item.counted_rate for item in accounts)
+        burst = self.burst - sum(item.counted_burst for item in accounts)
+        self._pool.resize(max(0.0, rate), max(0.0, burst), now)
+
+    def _rebalance(self, now: float) -> list[Dispatch]:
+        """Shrink holders above their share, then grow those below it."""
+        if not self.is_open:
+            return []
+        accounts = [
+            account
+            for holder, account in self._accounts.items()
+            if holder in self._members
+        ]
+        shares = divide(self.rate, self.burst, accounts)
+        is_short = self._is_short(accounts, shares)
+        dispatches = []
+        for account, share in zip(accounts, shares, strict=True):
+            if is_short and share.is_below(account):
+                dispatches.append(self._recall(account, share, now))
+        for account, share in zip(accounts, shares, strict=True):
+            if not account.pending and share.is_above(account):
+                self._grow(account, share, now, dispatches)
+        return dispatches
+
+    def _is_short(self, accounts: list[Account], shares: list[Share]) -> bool:
+        """Return whether a holder lacks more than the pool has free."""
+        pool = self._pool
+        lacking = sum(
+            max(0.0, share.rate - account.current_rate)
+            for account, share in zip(accounts, shares, strict=True)
+        )
+        held = sum(account.current_rate for account in accounts)
+        bursts = sum(account.current_burst for account in accounts)
+        is_over = held > self.rate or bursts > self.burst
+        return is_over or lacking > pool.rate_per_s
+
+    def _recall(self, account: Account, share: Share, now: float) -> Dispatch:
+        rate = min(account.current_rate, share.rate)
+        burst = min(account.current_burst, share.burst)
+        allotment = self._build(account, rate, burst)
+        account.issue(allotment, now)
+        return Dispatch(account.holder, allotment)
+
+    def _grow(
+        self,
+        account: Account,
+        share: Share,
+        now: float,
+        dispatches: list[Dispatch],
+    ) -> None:
+        pool = self._pool
+        more_rate = min(share.rate - account.rate, pool.rate_per_s)
+        more_burst = min(share.burst - account.burst, int(pool.burst))
+        more_rate = max(0.0, more_rate)
+        more_burst = max(0, more_burst)
+        if account.burst + more_burst < 1:
+            return
+        if more_rate <= 0 and more_burst <= 0:
+            return
+        level = self._choose_level(account, more_burst)
+        allotment = self._build(
+            account, account.rate + more_rate, account.burst + more_burst
+        )
+        allotment.level = level
+        pool.take(level)
+        account.issue(allotment, now)
+        self._resize_pool(now)
+        dispatches.append(Dispatch(account.holder, allotment))
+
+    def _choose_level(self, account: Account, more_burst: int) -> float:
+        """Return the tokens that go along: a fair part, or those awaited."""
+        if self._pool.burst <= 0:
+            return 0.0
+        part = self._pool.level * more_burst / self._pool.burst
+        awaited = min(account.waiting, self._pool.level, more_burst)
+        return min(more_burst, max(part, awaited))
+
+    def _build(self, account: Account, rate: float, burst: int) -> Allotment:
+        allotment = Allotment(
+            self.resource, self.epoch, account.sent_number + 1, rate, burst
+        )
+        allotment.is_exhausted = self._is_exhausted()
+        return allotment
+
+    def _is_exhausted(self) -> bool:
+        demand = sum(item.demand for item in self._accounts.values())
+        return demand > self.rate and self._pool.level < 1
+
+    def _serve_waiting(
+        self, account: Account, now: float, dispatches: list[Dispatch]
+    ) -> None:
+        """Give tokens to the requests that wait at the claim's holder."""
+        given = sum(item.level for item in account.pending)
+        given += sum(item.at_once for item in account.pending)
+        wanted = account.waiting - given
+        at_once = min(int(wanted), int(self._pool.level))
+        if wanted <= 0 or len(account.pending) >= MAX_PENDING:
+            return
+        allotment = self._build(
+            account, account.current_rate, account.current_burst
+        )
+        if at_once > 0:
+            allotment.at_once = at_once
+            self._pool.take(at_once)
+        account.issue(allotment, now)
+        self._resize_pool(now)
+        dispatches.append(Dispatch(account.holder, allotment))
--- /dev/null
+++ b/radishstile/fleet/share.py
@@ -0,0 +1,65 @@
+"""Divides a limit among its holders by their demand."""
+
+from radishstile.fleet.account import Account
+
+HEADROOM = 2.0
+POOL_PART_RATE = 0.1
+POOL_PART_BURST = 0.5
+MIN_BURST = 1
+TOLERANCE = 0.1
+
+
+class Share:
+    """What one holder should have: units a second, whole units."""
+
+    __slots__ = ("rate", "burst")
+
+    def __init__(self, rate: float, burst: int):
+        self.rate = rate
+        self.burst = burst
+
+    def is_below(self, account: Account) -> bool:
+        """Return whether the holder has clearly more than its share."""
+        margin = 1 + TOLERANCE
+        return (
+            account.current_rate > self.rate * margin
+            or account.current_burst > self.burst * margin
+        )
+
+    def is_above(self, account: Account) -> bool:
+        """Return whether the holder has clearly less than its share."""
+        margin = 1 - TOLERANCE
+        return (
+            account.rate < self.rate * margin
+            or account.burst < self.burst * margin
+        )
+
+
+def divide(rate: float, burst: int, accounts: list[Account]) -> list[Share]:
+    """Return a share for each account, in order.
+
+    A holder's share follows its demand, with headroom. The pool keeps a part
+    for requests that wait, smaller where one holder has most of the demand.
+    A share whose burst is below one token is useless to its holder: it stays
+    in the pool, which serves that holder's requests as they wait.
+    """
+    demand = sum(account.demand for account in accounts)
+    if demand <= 0:
+        return [Share(0.0, 0) for _ in accounts]
+    return [
+        _choose_share(rate, burst, account.demand, demand)
+        for account in accounts
+    ]
+
+
+def _choose_share(
+    rate: float, burst: int, demand: float, whole_demand: float
+) -> Share:
+    part = demand / whole_demand
+    part = min(part, HEADROOM * demand / rate) if rate > 0 else part
+    rate_part = part * (1 - POOL_PART_RATE * (1 - part))
+    burst_part = part * (1 - POOL_PART_BURST * (1 - part))
+    whole_burst = int(burst * burst_part)
+    if whole_burst < MIN_BURST:
+        return Share(0.0, 0)
+    return Share(rate * rate_part, whole_burst)
--- /dev/null
+++ b/radishstile/workspace/key.py
@@ -0,0 +1,110 @@
+"""Keys of workspaces: issue, parse and authenticate."""
+
+import hashlib
+import hmac
+import re
+import secrets
+
+from radishstile.configuration.document import Configuration, Route, Workspace
+from radishstile.errors import RefusalError
+from radishstile.outcome import Reason
+
+ID_BYTES = 9
+SECRET_BYTES = 24
+SECRET_CHARS = 32
+_PATTERN = re.compile(
+    rf"([A-Za-z0-9_-]{{1,64}})\.([A-Za-z0-9_-]{{{SECRET_CHARS}}})", re.ASCII
+)
+_UNKNOWN_HASH = "0" * 64
+
+
+class Key:
+    """An id, which may be shown, and a secret, which may not."""
+
+    __slots__ = ("key_id", "_secret")
+
+    def __init__(self, key_id: str, secret: str):
+        self.key_id = key_id
+        self._secret = secret
+
+    @property
+    def text(self) -> str:
+        """Return the key as its caller sends it."""
+        return f"{self.key_id}.{self._secret}"
+
+    @property
+    def secret(self) -> str:
+        """Return the secret part."""
+        return self._secret
+
+    def __repr__(self) -> str:
+        return "Key(...)"
+
+
+def issue_key() -> Key:
+    """Return a new random key."""
+    key_id = secrets.token_urlsafe(ID_BYTES)
+    return Key(key_id, secrets.token_urlsafe(SECRET_BYTES))
+
+
+def hash_secret(secret: str) -> str:
+    """Return the SHA-256 of a secret, in hexadecimal."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def parse_key(text: str) -> Key:
+    """Return the key in `text`, or raise `RefusalError`."""
+    match = _PATTERN.fullmatch(text)
+    if match is None:
+        raise RefusalError(Reason.BAD_KEY)
+    return Key(match[1], match[2])
+
+
+def authenticate(
+    configuration: Configuration, route: Route, text: str | None
+) -> Workspace | None:
+    """Return the workspace whose key `text` is, or None on an open route.
+
+    An open route needs no key, but a wrong one is refused there too: its
+    caller believes that it is known, and a withdrawn key stays withdrawn.
+    """
+    if not text:
+        if route.is_open:
+            return None
+        raise RefusalError(Reason.NO_KEY)
+    key = parse_key(text)
+    workspace = _find_workspace(configuration, key)
+    is_limited = route.workspaces and not route.is_open
+    if is_limited and workspace.name not in route.workspaces:
+        raise RefusalError(Reason.FOREIGN_KEY)
+    return workspace
+
+
+def contains_key(content: str | bytes, key: Key) -> bool:
+    """Return whether the key or its secret occurs, also percent-encoded."""
+    if isinstance(content, str):
+        content = content.encode("utf-8", "surrogateescape")
+    content = _decode_percents(content)
+    return key.secret.encode() in content
+
+
+def _find_workspace(configuration: Configuration, key: Key) -> Workspace:
+    """Return the key's workspace; an unknown id costs the same compare."""
+    owner = None
+    expected = _UNKNOWN_HASH
+    for workspace in configuration.workspaces.values():
+        if key.key_id in workspace.keys:
+            owner = workspace
+            expected = workspace.keys[key.key_id]
+    is_right = hmac.compare_digest(hash_secret(key.secret), expected)
+    if owner is None or not is_right:
+        raise RefusalError(Reason.BAD_KEY)
+    return owner
+
+
+def _decode_percents(content: bytes) -> bytes:
+    return re.sub(
+        rb"%([0-9A-Fa-f]{2})",
+        lambda match: bytes([int(match[1], 16)]),
+        content,
+    )
--- /dev/null
+++ b/radishstile/workspace/settings.py
@@ -0,0 +1,39 @@
+"""Settings of the admission of requests by workspace."""
+
+
+class AdmissionSettings:
+    """Bounds of waiting and of claims, all in seconds.
+
+    `admit_wait_s` bounds the wait for a token; `exhausted_wait_s` does so
+    while the workspace is above its rate. Claims are at least
+    `claim_spacing_s` apart, and `idle_claim_s` when nothing waits. A host
+    without requests for `idle_return_s` gives back what it holds.
+    """
+
+    __slots__ = (
+        "admit_wait_s",
+        "exhausted_wait_s",
+        "claim_spacing_s",
+        "exhausted_claim_s",
+        "idle_claim_s",
+        "idle_return_s",
+        "demand_window_s",
+    )
+
+    def __init__(
+        self,
+        admit_wait_s: float = 1.0,
+        exhausted_wait_s: float = 0.25,
+        claim_spacing_s: float = 0.01,
+        exhausted_claim_s: float = 0.25,
+        idle_claim_s: float = 1.0,
+        idle_return_s: float = 5.0,
+        demand_window_s: float = 1.0,
+    ):
+        self.admit_wait_s = admit_wait_s
+        self.exhausted_wait_s = exhausted_wait_s
+        self.claim_spacing_s = claim_spacing_s
+        self.exhausted_claim_s = exhausted_claim_s
+        self.idle_claim_s = idle_claim_s
+        self.idle_return_s = idle_return_s
+        self.demand_window_s = demand_window_s
--- /dev/null
+++ b/test/fleet/test_home.py
@@ -0,0 +1,152 @@
+"""Tests of a resource's home among lossy links, deaths and new epochs."""
+
+import random
+import unittest
+
+from radishstile.fleet.allotment import Claim
+from radishstile.fleet.home import Home
+from test.fleet._fleet import BURST, RATE, RESOURCE, Fleet
+
+SLACK = 1e-6
+
+
+class RandomScheduleTest(unittest.TestCase):
+    def check(self, fleet, seed):
+        rate, burst, tokens = fleet.measure_held()
+        self.assertLessEqual(rate, RATE + SLACK, seed)
+        self.assertLessEqual(burst, BURST + SLACK, seed)
+        self.assertLessEqual(tokens, BURST + SLACK, seed)
+        self.assertLessEqual(fleet.meter.worst, SLACK, seed)
+
+    def act(self, fleet, draw):
+        host = draw.choice(list(fleet.hosts.values()))
+        kind = draw.random()
+        if kind < 0.03:
+            self.break_something(fleet, host, draw)
+        if host.is_paused:
+            return
+        if kind < 0.5:
+            for _ in range(draw.choice((1, 1, 5))):
+                fleet.request(host)
+        elif kind < 0.9:
+            fleet.spend(host)
+        for reservation in host.reservations[8:]:
+            reservation.cancel(fleet.now)
+        del host.reservations[8:]
+
+    def break_something(self, fleet, host, draw):
+        kind = draw.random()
+        if kind < 0.07:
+            host.is_paused = True
+        elif kind < 0.7:
+            fleet.wake(host)
+        elif kind < 0.77 and len(fleet.hosts) > 2:
+            fleet.end_host(host.identity)
+            if host.identity == fleet.home_at:
+                fleet.assign_home(draw.choice(list(fleet.hosts)))
+        elif kind < 0.84:
+            fleet.start_host()
+        elif kind < 0.91:
+            fleet.assign_home(host.identity)
+
+    def test_limit_holds_in_any_window_under_faults(self):
+        for seed in range(20):
+            draw = random.Random(seed)
+            fleet = Fleet(draw.choice((3, 8)), seed)
+            fleet.assign_home(next(iter(fleet.hosts)))
+            favourite = None
+            for number in range(2000):
+                if number % 400 == 0:
+                    favourite = draw.choice(list(fleet.hosts.values()))
+                if favourite.identity in fleet.hosts and draw.random() < 0.4:
+                    fleet.request(favourite)
+                    fleet.spend(favourite)
+                self.act(fleet, draw)
+                fleet.step(draw.random() * 0.01)
+                self.check(fleet, seed)
+            self.assertGreater(fleet.meter.at, 0, seed)
+
+
+class HomeTest(unittest.TestCase):
+    def start(self, count=4):
+        fleet = Fleet(count, seed=1, loss=0.0)
+        home = fleet.assign_home(next(iter(fleet.hosts)))
+        fleet.step(1)
+        fleet.step(1)
+        self.assertTrue(home.is_open)
+        return fleet, home, list(fleet.hosts.values())
+
+    def test_whole_load_at_one_host_gets_nearly_everything(self):
+        fleet, _, hosts = self.start()
+        sent = fleet.run_plain(3, hosts[1], 0.9 * RATE)
+        self.assertGreaterEqual(sent, 0.9 * RATE * 3 * 0.99 - RATE * 0.1)
+        self.assertGreaterEqual(hosts[1].limiter.holding.rate, 0.9 * RATE)
+
+    def test_load_that_moves_takes_the_rate_along(self):
+        fleet, _, hosts = self.start()
+        fleet.run_plain(3, hosts[1], 0.9 * RATE)
+        fleet.run_plain(3, hosts[2], 0.9 * RATE)
+        self.assertGreaterEqual(hosts[2].limiter.holding.rate, 0.8 * RATE)
+        self.assertLessEqual(hosts[1].limiter.holding.rate, 0.2 * RATE)
+
+    def test_pool_stays_closed_until_each_member_answered_or_ended(self):
+        fleet, _, hosts = self.start()
+        hosts[2].is_paused = True
+        home = fleet.assign_home(hosts[1].identity)
+        fleet.step(3600)
+        fleet.step(3600)
+        self.assertFalse(home.is_open)
+        fleet.end_host(hosts[2].identity)
+        self.assertTrue(home.is_open)
+        self.assertEqual(home.pool.level, 0)
+
+    def test_units_of_ended_host_come_back_without_tokens(self):
+        fleet, home, hosts = self.start()
+        fleet.run_plain(3, hosts[1], 0.9 * RATE)
+        level = home.pool.level
+        home.note_ended(hosts[1].identity, fleet.now)
+        self.assertAlmostEqual(home.pool.rate_per_s, RATE)
+        self.assertAlmostEqual(home.pool.level, level)
+
+    def test_old_home_that_wakes_gives_nothing_to_those_who_moved_on(self):
+        fleet, old, hosts = self.start()
+        fleet.run_plain(1, hosts[1], RATE)
+        hosts[0].is_paused = True
+        fleet.assign_home(hosts[2].identity)
+        fleet.step(0.1)
+        held = hosts[1].limiter.holding.number
+        claim = Claim(RESOURCE, hosts[1].identity, 10_000, old.epoch)
+        claim.waiting = 5
+        for dispatch in old.receive(claim, fleet.now):
+            hosts[1].limiter.apply(dispatch.message, fleet.now)
+        self.assertEqual(hosts[1].limiter.holding.number, held)
+        fleet.wake(hosts[0])
+        self.assertTrue(old.is_closed)
+
+    def test_provisional_host_gets_only_tokens_to_spend_at_once(self):
+        fleet, home, _ = self.start()
+        fleet.step(1)
+        claim = Claim(RESOURCE, ("new", 9), 1, home.epoch, waiting=3)
+        claim.demand = RATE
+        messages = [item.message for item in home.receive(claim, fleet.now)]
+        self.assertEqual([item.at_once for item in messages], [3])
+        self.assertEqual([item.rate for item in messages], [0.0])
+        self.assertEqual([item.burst for item in messages], [0.0])
+
+    def test_lower_limit_shrinks_holders_before_the_pool_grows(self):
+        fleet, home, hosts = self.start()
+        fleet.run_plain(3, hosts[1], 0.9 * RATE)
+        fleet.send_all(home.set_limit(RATE / 4, BURST / 4, fleet.now))
+        self.assertEqual(home.pool.rate_per_s, 0)
+        fleet.step(0.2)
+        rate, burst, _ = fleet.measure_held()
+        self.assertLessEqual(rate, RATE / 4 + SLACK)
+        self.assertLessEqual(burst, BURST / 4 + SLACK)
+
+    def test_claim_that_was_overtaken_changes_nothing(self):
+        home = Home(RESOURCE, 1, RATE, BURST, [("a", 1)], 0.0)
+        late = Claim(RESOURCE, ("a", 1), 1, 1)
+        newer = Claim(RESOURCE, ("a", 1), 2, 1, rate=50, burst=5)
+        home.receive(newer, 0.0)
+        home.receive(late, 0.0)
+        self.assertLessEqual(home.pool.rate_per_s, RATE - 50)
