--- /dev/null
+++ b/radishstile/region/capacity.py
@@ -0,0 +1,72 @@
+"""Shares of a region's cap on requests in flight."""
+
+from radishstile.region.settings import RegionSettings
+
+
+def split_capacity(capacity: int, slots: dict[str, int]) -> dict[str, int]:
+    """Return whole shares of `capacity`, in proportion to `slots`.
+
+    `slots` maps a pool's resource name to its slots. Shares add up to
+    `capacity`, or less where there are fewer slots; the largest remainders
+    get the units that rounding leaves, ties by name, so that every host
+    derives the same shares from the same configuration.
+    """
+    total = sum(slots.values())
+    if total <= capacity:
+        return dict(slots)
+    shares = {name: capacity * count // total for name, count in slots.items()}
+    left = capacity - sum(shares.values())
+    by_remainder = sorted(
+        slots, key=lambda name: (-(capacity * slots[name] % total), name)
+    )
+    for name in by_remainder[:left]:
+        shares[name] += 1
+    return shares
+
+
+class RegionShare:
+    """One pool's share of its region's cap.
+
+    A smaller share is in force at once, a larger one after
+    `grow_delay_s`: by then the homes whose shares became smaller have
+    learned of it, and the requests above their shares have ended.
+    """
+
+    __slots__ = ("_settings", "_limit", "_has_limit", "_next", "_grows_at")
+
+    def __init__(self, settings: RegionSettings):
+        self._settings = settings
+        self._limit: int | None = None
+        self._has_limit = False
+        self._next: int | None = None
+        self._grows_at = 0.0
+
+    def apply(self, share: int | None, now: float) -> None:
+        """Apply the share of a new configuration; None is no limit."""
+        current = self.measure(now) if self._has_limit else share
+        self._has_limit = True
+        if share == self._next and now < self._grows_at:
+            return
+        self._next = share
+        if not _is_larger(share, current):
+            self._limit = share
+            self._grows_at = now
+            return
+        self._limit = current
+        self._grows_at = now + self._settings.grow_delay_s
+
+    def measure(self, now: float) -> int | None:
+        """Return the limit in force, or None where there is none."""
+        if now >= self._grows_at:
+            self._limit = self._next
+        return self._limit
+
+    def find_growth(self, now: float) -> float | None:
+        """Return when a larger share comes into force, or None."""
+        return self._grows_at if now < self._grows_at else None
+
+
+def _is_larger(share: int | None, current: int | None) -> bool:
+    if current is None:
+        return False
+    return share is None or share > current
--- /dev/null
+++ b/radishstile/route/choice.py
@@ -0,0 +1,160 @@
+"""Orders the regions and zones to which a request may be sent."""
+
+import random
+from enum import IntEnum
+
+from radishstile.route.settings import ChoiceSettings
+
+
+class Room(IntEnum):
+    """What is known about a candidate's room, the best first."""
+
+    FREE = 0
+    QUEUING = 1
+    UNKNOWN = 2
+    FULL = 3
+
+
+class ZoneHint:
+    """What a home told about its room, at time `heard_at`.
+
+    `wait_s` is the expected wait of a new request, in seconds.
+    """
+
+    __slots__ = ("slots", "free", "wait_s", "heard_at")
+
+    def __init__(self, slots: int, free: int, wait_s: float, heard_at: float):
+        self.slots = slots
+        self.free = free
+        self.wait_s = wait_s
+        self.heard_at = heard_at
+
+
+class Candidate:
+    """A zone with upstreams of the group, as seen from one entry host.
+
+    `delay_s` is the delay of the path to it, in seconds, and `headroom` the
+    unused part of its link, from 0 to 1 (1 inside a region).
+    """
+
+    __slots__ = ("region", "zone", "delay_s", "headroom", "hint")
+
+    def __init__(
+        self,
+        region: str,
+        zone: str,
+        delay_s: float,
+        headroom: float = 1.0,
+        hint: ZoneHint | None = None,
+    ):
+        self.region = region
+        self.zone = zone
+        self.delay_s = delay_s
+        self.headroom = headroom
+        self.hint = hint
+
+
+class Place:
+    """The region and zone from which candidates are judged."""
+
+    __slots__ = ("region", "zone")
+
+    def __init__(self, region: str, zone: str):
+        self.region = region
+        self.zone = zone
+
+
+def order_candidates(
+    settings: ChoiceSettings,
+    place: Place,
+    candidates: list[Candidate],
+    now: float,
+    rng: random.Random,
+    moved_region: str | None = None,
+) -> list[Candidate]:
+    """Return the candidates to try, the first to try first.
+
+    The region that a planned move names comes first, then the own zone, the
+    own region, and others by link delay. Candidates that are full, or whose
+    link has no headroom, are left out. Among those at the same distance,
+    the better of two random ones comes first, so that hosts with the same
+    hints don't all choose the same zone.
+    """
+    ordered: list[Candidate] = []
+    tiers: dict[tuple, list[Candidate]] = {}
+    for candidate in candidates:
+        if not _is_usable(settings, place, candidate, now):
+            continue
+        key = _find_tier(settings, place, candidate, now, moved_region)
+        tiers.setdefault(key, []).append(candidate)
+    for key in sorted(tiers):
+        ordered += _draw(settings, tiers[key], now, rng)
+    return ordered
+
+
+def judge_room(
+    settings: ChoiceSettings, hint: ZoneHint | None, now: float
+) -> Room:
+    """Return what a hint says about the room; an old one says nothing."""
+    if hint is None or now - hint.heard_at > settings.hint_max_age_s:
+        return Room.UNKNOWN
+    if hint.free > 0:
+        return Room.FREE
+    if hint.slots == 0 or hint.wait_s > settings.wait_max_s:
+        return Room.FULL
+    return Room.QUEUING
+
+
+def _is_usable(
+    settings: ChoiceSettings, place: Place, candidate: Candidate, now: float
+) -> bool:
+    if judge_room(settings, candidate.hint, now) == Room.FULL:
+        return False
+    if candidate.region == place.region:
+        return True
+    return candidate.headroom >= settings.headroom_min
+
+
+def _find_tier(
+    settings: ChoiceSettings,
+    place: Place,
+    candidate: Candidate,
+    now: float,
+    moved_region: str | None,
+) -> tuple:
+    home_region = moved_region or place.region
+    is_away = candidate.region != home_region
+    is_other_zone = candidate.zone != place.zone
+    # A zone with room goes before a nearer one's queue.
+    room = judge_room(settings, candidate.hint, now)
+    if is_away:
+        is_queuing = room == Room.QUEUING
+        return is_away, is_queuing, is_other_zone, candidate.delay_s
+    return is_away, room, is_other_zone, candidate.delay_s
+
+
+def _draw(
+    settings: ChoiceSettings,
+    candidates: list[Candidate],
+    now: float,
+    rng: random.Random,
+) -> list[Candidate]:
+    left = sorted(candidates, key=lambda candidate: candidate.zone)
+    drawn = []
+    while left:
+        pair = rng.sample(left, min(2, len(left)))
+        best = min(pair, key=lambda each: _weigh(settings, each, now))
+        drawn.append(best)
+        left.remove(best)
+    return drawn
+
+
+def _weigh(
+    settings: ChoiceSettings, candidate: Candidate, now: float
+) -> tuple:
+    room = judge_room(settings, candidate.hint, now)
+    if room in (Room.UNKNOWN, Room.FULL):
+        return room, 0.0, -candidate.headroom
+    hint = candidate.hint
+    busy_share = 1 - hint.free / max(1, hint.slots)
+    return room, hint.wait_s + busy_share, -candidate.headroom
--- /dev/null
+++ b/radishstile/route/settings.py
@@ -0,0 +1,25 @@
+"""Settings of the choice of region and zone."""
+
+HINT_MAX_AGE_S = 2.0
+HEADROOM_MIN = 0.1
+WAIT_MAX_S = 1.0
+
+
+class ChoiceSettings:
+    """When hints and links speak against a candidate.
+
+    `hint_max_age_s` and `wait_max_s` are in seconds, `headroom_min` is a
+    part of the link's rate from 0 to 1.
+    """
+
+    __slots__ = ("hint_max_age_s", "headroom_min", "wait_max_s")
+
+    def __init__(
+        self,
+        hint_max_age_s: float = HINT_MAX_AGE_S,
+        headroom_min: float = HEADROOM_MIN,
+        wait_max_s: float = WAIT_MAX_S,
+    ):
+        self.hint_max_age_s = hint_max_age_s
+        self.headroom_min = headroom_min
+        self.wait_max_s = wait_max_s
--- /dev/null
+++ b/radishstile/upstream/dispatcher.py
@@ -0,0 +1,280 @@
+"""Gives request tasks their slots in turn, for one group in one zone."""
+
+import asyncio
+import logging
+from functools import singledispatch
+
+from radishstile.configuration.document import UpstreamEntry
+from radishstile.errors import RefusalError
+from radishstile.outcome import Outcome, Reason
+from radishstile.upstream.health import HealthReport, LoadReport
+from radishstile.upstream.pool import SlotPool
+from radishstile.upstream.settings import PROBE_INTERVAL_S
+from radishstile.upstream.slot import (
+    Completed,
+    SlotLease,
+    SlotResult,
+    Unused,
+)
+from radishstile.workspace.queue import FairQueue, QueuedRequest, SlotSupply
+
+_LOG = logging.getLogger("radishstile.dispatcher")
+
+
+@singledispatch
+def ran_to_end(result: SlotResult) -> bool:
+    """Return whether the service time is that of a whole request."""
+    return False
+
+
+@ran_to_end.register
+def _(result: Completed) -> bool:
+    return True
+
+
+class DispatcherHints:
+    """What a home tells entry hosts about its room.
+
+    `wait_s` is the expected wait of a workspace without queued requests.
+    """
+
+    __slots__ = ("slots", "free", "queued", "wait_s")
+
+    def __init__(self, slots: int, free: int, queued: int, wait_s: float):
+        self.slots = slots
+        self.free = free
+        self.queued = queued
+        self.wait_s = wait_s
+
+
+class RunningRequest:
+    """A request on a slot, since `started_at`."""
+
+    __slots__ = ("request", "started_at")
+
+    def __init__(self, request: QueuedRequest, started_at: float):
+        self.request = request
+        self.started_at = started_at
+
+
+class Dispatcher:
+    """Owns the pool and the queue of one resource `slots/GROUP/ZONE`.
+
+    `run` must be running: it serves waiting requests when time alone opens
+    a slot. Everything else happens in the tasks that call.
+    """
+
+    __slots__ = (
+        "_name",
+        "_pool",
+        "_queue",
+        "_waiting",
+        "_running",
+        "_limit",
+        "_is_closed",
+        "_changed",
+        "_emptied",
+    )
+
+    def __init__(self, name: str, pool: SlotPool, queue: FairQueue):
+        self._name = name
+        self._pool = pool
+        self._queue = queue
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._running: dict[int, RunningRequest] = {}
+        self._limit: int | None = None
+        self._is_closed = False
+        self._changed = asyncio.Event()
+        self._emptied = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve waiting requests whenever time alone opens a slot."""
+        loop = asyncio.get_running_loop()
+        while True:
+            opening = self._pool.find_next_opening(loop.time())
+            if not self._waiting:
+                opening = None
+            self._changed.clear()
+            try:
+                async with asyncio.timeout_at(opening):
+                    await self._changed.wait()
+            except TimeoutError:
+                self._serve()
+
+    async def acquire(
+        self,
+        workspace: str,
+        weight: float,
+        route: str,
+        deadline: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> SlotLease:
+        """Wait for a slot and return its lease, which must be released.
+
+        Raises `RefusalError` as not run: `STOPPING`, `NO_UPSTREAM`,
+        `OVERLOADED` where the wait would be too long, or `DEADLINE`.
+        """
+        now = asyncio.get_running_loop().time()
+        self._check_open(excluded)
+        request = self._queue.admit(
+            workspace, weight, route, deadline, excluded, self._supply(), now
+        )
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[request.number] = future
+        self._serve()
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await future
+        except TimeoutError:
+            self._give_back(future)
+            raise self._refuse(Reason.DEADLINE) from None
+        except asyncio.CancelledError:
+            self._give_back(future)
+            raise
+        finally:
+            self._queue.remove(request)
+            self._waiting.pop(request.number, None)
+            self._note_change()
+
+    def _check_open(self, excluded: frozenset[str]) -> None:
+        if self._is_closed:
+            raise self._refuse(Reason.STOPPING)
+        if not self._pool.has_working(excluded):
+            raise self._refuse(Reason.NO_UPSTREAM)
+
+    def _refuse(self, reason: Reason) -> RefusalError:
+        return RefusalError(reason, Outcome.NOT_RUN, PROBE_INTERVAL_S)
+
+    def _give_back(self, future: asyncio.Future) -> None:
+        # The lease may have been set just before the task was cancelled.
+        if not future.done() or future.cancelled():
+            return
+        if future.exception() is None:
+            self.release(future.result(), Unused())
+
+    def _supply(self) -> SlotSupply:
+        now = asyncio.get_running_loop().time()
+        slots = self._pool.count_open(now)
+        free = self._pool.count_free(now)
+        if self._limit is not None:
+            slots = min(slots, self._limit)
+            occupied = self._pool.count_occupied(now)
+            free = max(0, min(free, self._limit - occupied))
+        opening = self._pool.find_next_opening(now)
+        opens_in_s = None if opening is None else opening - now
+        return SlotSupply(slots, free, opens_in_s)
+
+    def _serve(self) -> None:
+        while self._waiting and self._serve_one():
+            pass
+        if self._waiting and not self._pool.has_working():
+            self._refuse_waiting()
+
+    def _serve_one(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        for request in self._queue.list_next(self._supply(), now):
+            if self._waiting[request.number].done():
+                continue
+            lease = self._pool.take(
+                now, request.deadline, request.excluded, request.cost_s
+            )
+            if lease is None:
+                continue
+            self._queue.start(request)
+            self._running[lease.number] = RunningRequest(request, now)
+            self._waiting.pop(request.number).set_result(lease)
+            return True
+        return False
+
+    def _refuse_waiting(self) -> None:
+        _LOG.warning("dispatcher: %s: No upstream works.", self._name)
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(self._refuse(Reason.NO_UPSTREAM))
+
+    def release(self, lease: SlotLease, result: SlotResult) -> None:
+        """Give a lease back with its result; again does nothing."""
+        running = self._running.pop(lease.number, None)
+        if running is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._pool.release(lease, result, now)
+        service_s = now - running.started_at
+        self._queue.finish(running.request, service_s, ran_to_end(result))
+        self._note_change()
+        self._serve()
+
+    def apply_upstreams(self, entries: list[UpstreamEntry]) -> None:
+        """Apply the upstreams of a new configuration."""
+        now = asyncio.get_running_loop().time()
+        self._pool.apply_upstreams(entries, now)
+        self._note_change()
+        self._serve()
+
+    def apply_leaving(self, names: frozenset[str]) -> None:
+        """Apply the platform's list of leaving upstreams."""
+        self._pool.apply_leaving(names, asyncio.get_running_loop().time())
+        self._note_change()
+        self._serve()
+
+    def apply_limit(self, limit: int | None) -> None:
+        """Bound the requests in flight by a share of the region's cap."""
+        self._limit = limit
+        self._note_change()
+        self._serve()
+
+    def take_over(self, max_deadline_s: float) -> None:
+        """Hold all slots until a former home's requests have ended."""
+        now = asyncio.get_running_loop().time()
+        self._pool.take_over(now, max_deadline_s)
+
+    def note_released_clean(self) -> None:
+        """Open the slots: the former home had nothing in flight."""
+        self._pool.note_released_clean()
+        self._note_change()
+        self._serve()
+
+    def note_report(
+        self, name: str, report: HealthReport | LoadReport
+    ) -> None:
+        """Take in what an upstream's own endpoint said."""
+        now = asyncio.get_running_loop().time()
+        self._pool.note_report(name, report, now)
+
+    def take_probe(self, deadline: float) -> SlotLease | None:
+        """Return a lease to probe a down upstream, if one is due."""
+        now = asyncio.get_running_loop().time()
+        return self._pool.take_probe(now, deadline)
+
+    def release_probe(
+        self, lease: SlotLease, is_ok: bool, is_over: bool
+    ) -> None:
+        """Give a probe's lease back with what the upstream answered."""
+        now = asyncio.get_running_loop().time()
+        self._pool.release_probe(lease, is_ok, is_over, now)
+        self._note_change()
+        self._serve()
+
+    def hints(self) -> DispatcherHints:
+        """Return what entry hosts may know about the room here."""
+        supply = self._supply()
+        wait_s = self._queue.estimate_wait("", 1.0, supply)
+        return DispatcherHints(
+            supply.slots, supply.free, self._queue.queued, wait_s
+        )
+
+    def close(self) -> None:
+        """Refuse new requests; those that wait or run are still served."""
+        self._is_closed = True
+        self._note_change()
+
+    async def drained(self) -> None:
+        """Wait until no request waits or runs, after `close`."""
+        while self._waiting or self._running:
+            self._emptied.clear()
+            await self._emptied.wait()
+
+    def _note_change(self) -> None:
+        self._changed.set()
+        if not self._waiting and not self._running:
+            self._emptied.set()
--- /dev/null
+++ b/radishstile/upstream/health.py
@@ -0,0 +1,181 @@
+"""Health of an upstream: measured results first, reports as hints."""
+
+from functools import singledispatch, singledispatchmethod
+
+from transitions import Machine
+
+from radishstile.upstream.settings import UpstreamSettings
+from radishstile.upstream.slot import (
+    Broken,
+    Completed,
+    Errored,
+    SlotResult,
+    TimedOut,
+    Unreachable,
+)
+
+COLD = "cold"
+WARMING = "warming"
+HEALTHY = "healthy"
+FAILING = "failing"
+DOWN = "down"
+DRAINING = "draining"
+LEAVING = "leaving"
+
+STATES = (COLD, WARMING, HEALTHY, FAILING, DOWN, DRAINING, LEAVING)
+WORKING = (COLD, WARMING, HEALTHY, FAILING)
+
+# One machine serves all upstreams: its events take the model as an
+# argument, so that models need no attributes bound to them.
+_MACHINE = Machine(
+    model=None,
+    states=STATES,
+    initial=None,
+    auto_transitions=False,
+    transitions=[
+        ["succeed", [COLD, FAILING], WARMING],
+        ["succeed", [WARMING, HEALTHY], "="],
+        ["complete", WARMING, HEALTHY],
+        ["back_off", HEALTHY, WARMING],
+        ["fail", [COLD, WARMING, HEALTHY], FAILING],
+        ["fail", FAILING, DOWN],
+        ["revive", DOWN, COLD],
+        ["drain", [*WORKING, DOWN, LEAVING], DRAINING],
+        ["leave", [*WORKING, DOWN, DRAINING], LEAVING],
+        ["reinstate", [DRAINING, LEAVING], COLD],
+    ],
+    ignore_invalid_triggers=True,
+)
+
+
+class HealthReport:
+    """What an upstream's health endpoint said."""
+
+    __slots__ = ("is_ok",)
+
+    def __init__(self, is_ok: bool):
+        self.is_ok = is_ok
+
+
+class LoadReport:
+    """What an upstream's load endpoint said; `busy_share` is from 0 to 1."""
+
+    __slots__ = ("busy_share",)
+
+    def __init__(self, busy_share: float):
+        self.busy_share = busy_share
+
+
+class Health:
+    """State of one upstream, moved by results, reports and notices."""
+
+    __slots__ = (
+        "state",
+        "failed_at",
+        "_settings",
+        "_failures",
+        "_probe_interval_s",
+        "_probe_at",
+        "_reported_at",
+        "_is_report_bad",
+    )
+
+    def __init__(self, settings: UpstreamSettings, state: str = COLD):
+        self.state = state
+        self.failed_at = 0.0
+        self._settings = settings
+        self._failures = 0
+        self._probe_interval_s = settings.probe_interval_s
+        self._probe_at = 0.0
+        self._reported_at: float | None = None
+        self._is_report_bad = False
+
+    def fire(self, event: str) -> None:
+        """Make the transition that `event` names, if the state has it."""
+        _MACHINE.events[event].trigger(self)
+
+    @property
+    def is_working(self) -> bool:
+        """Return whether the upstream may get new work."""
+        return self.state in WORKING
+
+    def note_result(self, result: SlotResult, now: float) -> None:
+        """Take in the measured result of a request."""
+        self._apply(result, now)
+
+    @singledispatchmethod
+    def _apply(self, result: SlotResult, now: float) -> None:
+        """Leave the state as it is: the result says nothing about it."""
+
+    @_apply.register
+    def _(self, result: Completed, now: float) -> None:
+        self._failures = 0
+        self._probe_interval_s = self._settings.probe_interval_s
+        self.fire("succeed")
+
+    @_apply.register(Errored)
+    @_apply.register(Unreachable)
+    @_apply.register(Broken)
+    @_apply.register(TimedOut)
+    def _(self, result: SlotResult, now: float) -> None:
+        self.failed_at = now
+        self._failures += 1
+        if self._failures < self._settings.failures_to_eject:
+            return
+        self.fire("fail")
+        self._probe_at = now + self._probe_interval_s
+
+    def note_report(
+        self, report: HealthReport | LoadReport, now: float
+    ) -> None:
+        """Take in a report, which is a hint until it is too old."""
+        self._reported_at = now
+        self._is_report_bad = is_bad(report)
+
+    def may_open(self, now: float) -> bool:
+        """Return whether slow start may go on.
+
+        It stops when reports have stopped or the last one was bad. An
+        upstream that never reported is judged by its answers alone.
+        """
+        if self._reported_at is None:
+            return True
+        age_s = now - self._reported_at
+        if age_s > self._settings.report_max_age_s:
+            return False
+        return not self._is_report_bad
+
+    def is_suspect(self, now: float) -> bool:
+        """Return whether a report that still counts speaks against it."""
+        if self._reported_at is None or not self._is_report_bad:
+            return False
+        return now - self._reported_at <= self._settings.report_max_age_s
+
+    def is_probe_due(self, now: float) -> bool:
+        """Return whether a down upstream should get its next probe."""
+        return self.state == DOWN and now >= self._probe_at
+
+    def note_probe(self, is_ok: bool, now: float) -> None:
+        """Take in a probe's result; a failed one doubles the interval."""
+        self._probe_interval_s = min(
+            self._probe_interval_s * 2, self._settings.probe_interval_limit_s
+        )
+        self._probe_at = now + self._probe_interval_s
+        if is_ok:
+            self.fire("revive")
+
+
+@singledispatch
+def is_bad(report: object) -> bool:
+    """Return whether a report speaks against its upstream."""
+    raise TypeError(f"not a report: {report!r}")
+
+
+@is_bad.register
+def _(report: HealthReport) -> bool:
+    return not report.is_ok
+
+
+@is_bad.register
+def _(report: LoadReport) -> bool:
+    return report.busy_share >= 1
--- /dev/null
+++ b/radishstile/upstream/pool.py
@@ -0,0 +1,394 @@
+"""The upstreams of one group in one availability zone, and their slots."""
+
+from collections.abc import Collection
+from functools import singledispatchmethod
+
+from radishstile.configuration.document import UpstreamEntry
+from radishstile.upstream.health import (
+    COLD,
+    FAILING,
+    HEALTHY,
+    WARMING,
+    Health,
+    HealthReport,
+    LoadReport,
+)
+from radishstile.upstream.settings import UpstreamSettings
+from radishstile.upstream.slot import (
+    Completed,
+    Shed,
+    SlotLease,
+    SlotResult,
+    SlotTable,
+)
+from radishstile.upstream.warmup import WarmUp
+
+
+class PooledUpstream:
+    """One upstream with its health, slow start and occupied slots."""
+
+    __slots__ = (
+        "entry",
+        "health",
+        "table",
+        "is_probing",
+        "_settings",
+        "_warm_up",
+        "_shed_until",
+    )
+
+    def __init__(
+        self,
+        settings: UpstreamSettings,
+        entry: UpstreamEntry,
+        now: float,
+        is_warm: bool,
+    ):
+        self.entry = entry
+        self.health = Health(settings, HEALTHY if is_warm else COLD)
+        self.table = SlotTable()
+        self.is_probing = False
+        self._settings = settings
+        level = float(entry.slots) if is_warm else 1.0
+        self._warm_up = WarmUp(settings, entry.slow_start_s, now, level)
+        self._shed_until = 0.0
+
+    def apply_entry(self, entry: UpstreamEntry, now: float) -> None:
+        """Take over a changed configuration of the same endpoint."""
+        grown = entry.slots > self.entry.slots
+        self.entry = entry
+        if entry.is_draining:
+            self.health.fire("drain")
+        elif not self.health.is_working:
+            self._reinstate(now)
+        if grown:
+            self.health.fire("back_off")
+
+    def _reinstate(self, now: float) -> None:
+        self.health.fire("reinstate")
+        if self.health.state == COLD:
+            self._restart(now)
+
+    def _restart(self, now: float) -> None:
+        self._warm_up = WarmUp(self._settings, self.entry.slow_start_s, now)
+
+    def note_probe(self, is_ok: bool, now: float) -> None:
+        """Take in the result of the probe that `take_probe` began."""
+        self.is_probing = False
+        self.health.note_probe(is_ok, now)
+        if self.health.state == COLD:
+            self._restart(now)
+
+    def count_open(self, now: float) -> int:
+        """Return how many slots may be used now, occupied ones included."""
+        if not self.health.is_working or now < self._shed_until:
+            return 0
+        if self.health.state == FAILING:
+            return min(1, self.entry.slots)
+        if self.health.state == HEALTHY:
+            return self.entry.slots
+        slots = self.entry.slots
+        self._warm_up.advance(now, slots, self.health.may_open(now))
+        return min(self._warm_up.count_open(slots), slots)
+
+    def count_free(self, now: float) -> int:
+        """Return how many slots a new request could take now."""
+        if self.table.is_closed(now):
+            return 0
+        return max(0, self.count_open(now) - self.table.count(now))
+
+    def count_occupied(self, now: float) -> int:
+        """Return the slots on which a request may be running."""
+        if self.table.is_closed(now):
+            return max(self.entry.slots, self.table.count(now))
+        return self.table.count(now)
+
+    def rank(self, now: float) -> tuple:
+        """Return a key that is lowest for the upstream to use next."""
+        busy_share = self.table.count(now) / max(1, self.count_open(now))
+        return (
+            self.health.state == FAILING,
+            self.health.is_suspect(now),
+            busy_share,
+            self.health.failed_at,
+            self.entry.name,
+        )
+
+    def note_result(
+        self, lease: SlotLease, result: SlotResult, now: float
+    ) -> None:
+        """Take in the result of a request that this upstream had."""
+        was_failing = self.health.state == FAILING
+        self.health.note_result(result, now)
+        if self.health.state == FAILING and not was_failing:
+            self._warm_up.back_off()
+        self._apply(result, lease, now)
+        if self.health.state != WARMING:
+            return
+        slots = self.entry.slots
+        self._warm_up.advance(now, slots, self.health.may_open(now))
+        if self._warm_up.is_complete(slots):
+            self.health.fire("complete")
+
+    @singledispatchmethod
+    def _apply(self, result: SlotResult, lease: SlotLease, now: float) -> None:
+        """Leave slow start as it is."""
+
+    @_apply.register
+    def _(self, result: Completed, lease: SlotLease, now: float) -> None:
+        if self._is_slow(result, lease) and self.health.state == WARMING:
+            self._warm_up.back_off()
+            return
+        self._warm_up.note_success()
+
+    @_apply.register
+    def _(self, result: Shed, lease: SlotLease, now: float) -> None:
+        self._shed_until = now + self._settings.shed_hold_s
+        self.health.fire("back_off")
+        self._warm_up.back_off()
+
+    def _is_slow(self, result: Completed, lease: SlotLease) -> bool:
+        if lease.expected_s is None:
+            return False
+        return result.service_s > lease.expected_s * self._settings.slow_ratio
+
+    def list_openings(self, now: float) -> list[float]:
+        """Return the times after `now` at which time alone opens slots."""
+        times = self.table.list_openings(now)
+        if now < self._shed_until:
+            times.append(self._shed_until)
+        if self.health.state != WARMING or not self.health.may_open(now):
+            return times
+        opening = self._warm_up.find_next_opening(self.entry.slots)
+        if opening is not None and opening > now:
+            times.append(opening)
+        return times
+
+
+class SlotPool:
+    """Gives out the slots of the upstreams of one group in one zone.
+
+    Upstreams are kept by endpoint, not by name, so that renaming one in the
+    configuration never doubles its slots.
+    """
+
+    __slots__ = (
+        "_settings",
+        "_upstreams",
+        "_removed",
+        "_leaving",
+        "_number",
+        "_closed_until",
+        "_has_entries",
+    )
+
+    def __init__(self, settings: UpstreamSettings):
+        self._settings = settings
+        self._upstreams: dict[tuple[str, int], PooledUpstream] = {}
+        self._removed: set[tuple[str, int]] = set()
+        self._leaving: frozenset[str] = frozenset()
+        self._number = 0
+        self._closed_until = 0.0
+        self._has_entries = False
+
+    def apply_upstreams(
+        self, entries: list[UpstreamEntry], now: float
+    ) -> None:
+        """Make `entries` the upstreams; those that miss get no new work.
+
+        The upstreams of the first call count as warm, because they have
+        been serving under an earlier home; later ones begin cold.
+        """
+        known = {(entry.address, entry.port): entry for entry in entries}
+        for endpoint, entry in known.items():
+            self._apply_entry(endpoint, entry, now)
+        self._removed = set(self._upstreams) - set(known)
+        for endpoint in self._removed:
+            self._upstreams[endpoint].health.fire("leave")
+        self._has_entries = True
+        self.apply_leaving(self._leaving, now)
+        self._drop_removed(now)
+
+    def _apply_entry(self, endpoint, entry: UpstreamEntry, now: float) -> None:
+        upstream = self._upstreams.get(endpoint)
+        if upstream is None:
+            is_warm = not self._has_entries
+            upstream = PooledUpstream(self._settings, entry, now, is_warm)
+            upstream.table.close(self._closed_until)
+            self._upstreams[endpoint] = upstream
+        upstream.apply_entry(entry, now)
+
+    def _drop_removed(self, now: float) -> None:
+        for endpoint in list(self._removed):
+            if self._upstreams[endpoint].count_occupied(now) == 0:
+                del self._upstreams[endpoint]
+                self._removed.discard(endpoint)
+
+    def apply_leaving(self, names: Collection[str], now: float) -> None:
+        """Give no new work to the upstreams that the platform sees leave."""
+        self._leaving = frozenset(names)
+        for endpoint, upstream in self._upstreams.items():
+            if upstream.entry.name in self._leaving:
+                upstream.health.fire("leave")
+            elif endpoint not in self._removed:
+                upstream.apply_entry(upstream.entry, now)
+
+    def take_over(self, now: float, max_deadline_s: float) -> None:
+        """Count all slots as occupied until a former home's requests ended.
+
+        `max_deadline_s` is the longest deadline that the former home could
+        have sent to an upstream, in seconds.
+        """
+        margin_s = self._settings.deadline_margin_s
+        self._close(now + max_deadline_s + margin_s)
+
+    def note_released_clean(self) -> None:
+        """Open the slots: the former home ended with nothing in flight."""
+        self._close(0.0)
+
+    def note_handover(self, deadlines: dict[str, list[float]]) -> None:
+        """Hold only the slots that the former home had in flight.
+
+        `deadlines` maps an upstream's name to the times, on this loop's
+        clock, at which its running requests end at the latest.
+        """
+        self._close(0.0)
+        for upstream in self._upstreams.values():
+            for until in deadlines.get(upstream.entry.name, ()):
+                self._number += 1
+                upstream.table.occupy(self._number, until)
+
+    def _close(self, until: float) -> None:
+        self._closed_until = until
+        for upstream in self._upstreams.values():
+            upstream.table.close(until)
+
+    def take(
+        self,
+        now: float,
+        deadline: float,
+        excluded: Collection[str] = (),
+        expected_s: float | None = None,
+    ) -> SlotLease | None:
+        """Return a lease of the best free slot, or None.
+
+        `excluded` names upstreams that must not get this request, and
+        `expected_s` is its expected service time.
+        """
+        candidates = [
+            upstream
+            for upstream in self._upstreams.values()
+            if upstream.entry.name not in excluded
+            and upstream.count_free(now) > 0
+        ]
+        if not candidates:
+            return None
+        chosen = min(candidates, key=lambda upstream: upstream.rank(now))
+        return self._lease(chosen, deadline, expected_s)
+
+    def _lease(
+        self,
+        upstream: PooledUpstream,
+        deadline: float,
+        expected_s: float | None,
+    ) -> SlotLease:
+        self._number += 1
+        until = deadline + self._settings.deadline_margin_s
+        upstream.table.occupy(self._number, until)
+        entry = upstream.entry
+        return SlotLease(
+            self._number,
+            entry.name,
+            entry.address,
+            entry.port,
+            deadline,
+            expected_s,
+        )
+
+    def release(
+        self, lease: SlotLease, result: SlotResult, now: float
+    ) -> None:
+        """Take in a result, and free the slot if its request is over.
+
+        A slot whose request may still run stays occupied until its deadline
+        and a margin have passed.
+        """
+        upstream = self._upstreams.get(lease.endpoint)
+        if upstream is None:
+            return
+        if result.is_over:
+            upstream.table.free(lease.number)
+        upstream.note_result(lease, result, now)
+        self._drop_removed(now)
+
+    def take_probe(self, now: float, deadline: float) -> SlotLease | None:
+        """Return a lease to probe a down upstream whose probe is due."""
+        for upstream in self._upstreams.values():
+            if upstream.is_probing or not upstream.health.is_probe_due(now):
+                continue
+            if upstream.count_occupied(now) >= upstream.entry.slots:
+                continue
+            upstream.is_probing = True
+            return self._lease(upstream, deadline, None)
+        return None
+
+    def release_probe(
+        self, lease: SlotLease, is_ok: bool, is_over: bool, now: float
+    ) -> None:
+        """Take in a probe's result, and free its slot if it is over."""
+        upstream = self._upstreams.get(lease.endpoint)
+        if upstream is None:
+            return
+        if is_over:
+            upstream.table.free(lease.number)
+        upstream.note_probe(is_ok, now)
+
+    def note_report(
+        self, name: str, report: HealthReport | LoadReport, now: float
+    ) -> None:
+        """Take in what an upstream's own endpoint said."""
+        for upstream in self._upstreams.values():
+            if upstream.entry.name == name:
+                upstream.health.note_report(report, now)
+
+    @property
+    def upstreams(self) -> list[PooledUpstream]:
+        """Return the upstreams, with those that are still emptying."""
+        return list(self._upstreams.values())
+
+    def count_open(self, now: float) -> int:
+        """Return the slots that new work may use, occupied ones included."""
+        return sum(
+            upstream.count_open(now)
+            for upstream in self._upstreams.values()
+            if not upstream.table.is_closed(now)
+        )
+
+    def count_free(self, now: float) -> int:
+        """Return the slots that new work could take now."""
+        return sum(
+            upstream.count_free(now) for upstream in self._upstreams.values()
+        )
+
+    def count_occupied(self, now: float) -> int:
+        """Return the slots on which a request may be running."""
+        return sum(
+            upstream.count_occupied(now)
+            for upstream in self._upstreams.values()
+        )
+
+    def has_working(self, excluded: Collection[str] = ()) -> bool:
+        """Return whether any upstream not excluded may get new work."""
+        return any(
+            upstream.health.is_working and upstream.entry.name not in excluded
+            for upstream in self._upstreams.values()
+        )
+
+    def find_next_opening(self, now: float) -> float | None:
+        """Return when time alone next opens a slot, or None."""
+        times = [
+            time
+            for upstream in self._upstreams.values()
+            for time in upstream.list_openings(now)
+        ]
+        return min(times, default=None)
--- /dev/null
+++ b/radishstile/upstream/settings.py
@@ -0,0 +1,75 @@
+"""Settings of slots, health and queues of upstreams."""
+
+FAILURES_TO_EJECT = 3
+PROBE_INTERVAL_S = 1.0
+PROBE_INTERVAL_LIMIT_S = 30.0
+REPORT_MAX_AGE_S = 5.0
+SHED_HOLD_S = 0.25
+DEADLINE_MARGIN_S = 1.0
+SLOW_RATIO = 3.0
+SUCCESSES_PER_SLOT = 2
+WORKSPACE_QUEUE_LIMIT = 1000
+DEFAULT_COST_S = 0.1
+RESERVED_SHARE = 0.2
+
+
+class UpstreamSettings:
+    """Limits and intervals that a slot pool applies to its upstreams.
+
+    Times are in seconds. `slow_ratio` is the multiple of the expected
+    service time from which an answer counts as slow; `successes_per_slot`
+    is the number of answers that opens one more slot during slow start.
+    """
+
+    __slots__ = (
+        "failures_to_eject",
+        "probe_interval_s",
+        "probe_interval_limit_s",
+        "report_max_age_s",
+        "shed_hold_s",
+        "deadline_margin_s",
+        "slow_ratio",
+        "successes_per_slot",
+    )
+
+    def __init__(
+        self,
+        failures_to_eject: int = FAILURES_TO_EJECT,
+        probe_interval_s: float = PROBE_INTERVAL_S,
+        probe_interval_limit_s: float = PROBE_INTERVAL_LIMIT_S,
+        report_max_age_s: float = REPORT_MAX_AGE_S,
+        shed_hold_s: float = SHED_HOLD_S,
+        deadline_margin_s: float = DEADLINE_MARGIN_S,
+        slow_ratio: float = SLOW_RATIO,
+        successes_per_slot: int = SUCCESSES_PER_SLOT,
+    ):
+        self.failures_to_eject = failures_to_eject
+        self.probe_interval_s = probe_interval_s
+        self.probe_interval_limit_s = probe_interval_limit_s
+        self.report_max_age_s = report_max_age_s
+        self.shed_hold_s = shed_hold_s
+        self.deadline_margin_s = deadline_margin_s
+        self.slow_ratio = slow_ratio
+        self.successes_per_slot = successes_per_slot
+
+
+class QueueSettings:
+    """Limits of a fair queue.
+
+    `workspace_limit` is in waiting requests, `default_cost_s` the service
+    time assumed for a route without answers, in seconds, and
+    `reserved_share` the most of all slots that is kept from workspaces over
+    their fair share.
+    """
+
+    __slots__ = ("workspace_limit", "default_cost_s", "reserved_share")
+
+    def __init__(
+        self,
+        workspace_limit: int = WORKSPACE_QUEUE_LIMIT,
+        default_cost_s: float = DEFAULT_COST_S,
+        reserved_share: float = RESERVED_SHARE,
+    ):
+        self.workspace_limit = workspace_limit
+        self.default_cost_s = default_cost_s
+        self.reserved_share = reserved_share
--- /dev/null
+++ b/radishstile/upstream/warmup.py
@@ -0,0 +1,78 @@
+"""Slow start of an upstream: how many of its slots may be used."""
+
+from radishstile.upstream.settings import UpstreamSettings
+
+ROUNDING = 1e-9
+
+
+class WarmUp:
+    """Opens the slots of an upstream with time and with its answers.
+
+    Both must allow a slot: `slow_start_s` spreads the opening in time, and
+    each slot past the first needs some completed requests.
+    """
+
+    __slots__ = (
+        "_settings",
+        "_slow_start_s",
+        "_level",
+        "_successes",
+        "_advanced_at",
+    )
+
+    def __init__(
+        self,
+        settings: UpstreamSettings,
+        slow_start_s: float,
+        now: float,
+        level: float = 1.0,
+    ):
+        self._settings = settings
+        self._slow_start_s = slow_start_s
+        self._level = max(level, 1.0)
+        self._successes = int((level - 1) * settings.successes_per_slot)
+        self._advanced_at = now
+
+    def advance(self, now: float, slots: int, may_open: bool) -> None:
+        """Let the time since the last call open slots, if it may."""
+        elapsed = now - self._advanced_at
+        self._advanced_at = now
+        if not may_open:
+            return
+        if self._slow_start_s <= 0:
+            self._level = float(slots)
+            return
+        earned = 1 + self._successes / self._settings.successes_per_slot
+        grown = self._level + elapsed * (slots - 1) / self._slow_start_s
+        self._level = max(self._level, min(grown, earned + 1))
+        self._level = min(self._level, float(slots))
+
+    def note_success(self) -> None:
+        """Count a completed request."""
+        self._successes += 1
+
+    def back_off(self) -> None:
+        """Halve the open slots, which must then be earned again."""
+        self._level = max(1.0, self._level / 2)
+        per_slot = self._settings.successes_per_slot
+        self._successes = int((self._level - 1) * per_slot)
+
+    def count_open(self, slots: int) -> int:
+        """Return the slots that may be used, at least one."""
+        earned = 1 + self._successes // self._settings.successes_per_slot
+        if self._slow_start_s <= 0:
+            return max(1, min(slots, int(self._level + ROUNDING)))
+        return max(1, min(slots, int(self._level + ROUNDING), earned))
+
+    def is_complete(self, slots: int) -> bool:
+        """Return whether all slots are open."""
+        return self.count_open(slots) >= slots
+
+    def find_next_opening(self, slots: int) -> float | None:
+        """Return when time alone opens a slot that answers have earned."""
+        earned = 1 + self._successes // self._settings.successes_per_slot
+        following = int(self._level + ROUNDING) + 1
+        if following > min(earned, slots) or self._slow_start_s <= 0:
+            return None
+        rate = (slots - 1) / self._slow_start_s
+        return self._advanced_at + (following - self._level) / rate
--- /dev/null
+++ b/radishstile/workspace/queue.py
@@ -0,0 +1,353 @@
+"""Queues of waiting requests that share slots fairly among workspaces."""
+
+import math
+from collections import OrderedDict
+
+from radishstile.errors import RefusalError
+from radishstile.outcome import Outcome, Reason
+from radishstile.upstream.settings import QueueSettings
+
+COST_GAIN = 0.2
+LOAD_WINDOW_S = 10.0
+IDLE_LOAD = 0.002
+RETRY_AFTER_MIN_S = 0.1
+
+
+class SlotSupply:
+    """What the queue may use now.
+
+    `slots` is the number open to new work, occupied ones included, `free`
+    the number that a request could take at once, and `opens_in_s` the time
+    until a slot opens by time alone, or None.
+    """
+
+    __slots__ = ("slots", "free", "opens_in_s")
+
+    def __init__(self, slots: int, free: int, opens_in_s: float | None):
+        self.slots = slots
+        self.free = free
+        self.opens_in_s = opens_in_s
+
+
+class QueuedRequest:
+    """A request that waits for a slot, or runs on one."""
+
+    __slots__ = (
+        "number",
+        "workspace",
+        "route",
+        "deadline",
+        "excluded",
+        "cost_s",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        workspace: str,
+        route: str,
+        deadline: float,
+        excluded: frozenset[str],
+        cost_s: float,
+    ):
+        self.number = number
+        self.workspace = workspace
+        self.route = route
+        self.deadline = deadline
+        self.excluded = excluded
+        self.cost_s = cost_s
+
+
+class RouteQueue:
+    """Requests of one workspace for one route, first come first served."""
+
+    __slots__ = ("tag", "waiting")
+
+    def __init__(self):
+        self.tag = 0.0
+        self.waiting: OrderedDict[int, QueuedRequest] = OrderedDict()
+
+    @property
+    def head(self) -> QueuedRequest:
+        """Return the request that has waited longest."""
+        return next(iter(self.waiting.values()))
+
+
+class WorkspaceQueue:
+    """Requests of one workspace, shared fairly among its routes.
+
+    `tag` is the workspace's virtual start time, in seconds of service for
+    each unit of weight; `running` counts its occupied slots.
+    """
+
+    __slots__ = (
+        "weight",
+        "tag",
+        "running",
+        "routes",
+        "queued",
+        "queued_cost_s",
+        "_virtual_time",
+        "_load",
+        "_load_at",
+    )
+
+    def __init__(self):
+        self.weight = 1.0
+        self.tag = 0.0
+        self.running = 0
+        self.routes: dict[str, RouteQueue] = {}
+        self.queued = 0
+        self.queued_cost_s = 0.0
+        self._virtual_time = 0.0
+        self._load = 0.0
+        self._load_at = 0.0
+
+    def push(self, request: QueuedRequest, now: float) -> None:
+        """Append a request to its route's queue."""
+        queue = self.routes.setdefault(request.route, RouteQueue())
+        if not queue.waiting:
+            queue.tag = max(queue.tag, self._virtual_time)
+        queue.waiting[request.number] = request
+        self.queued += 1
+        self.queued_cost_s += request.cost_s
+        self._load = self.measure_load(now) + request.cost_s / LOAD_WINDOW_S
+        self._load_at = now
+
+    def remove(self, request: QueuedRequest) -> bool:
+        """Remove a waiting request; return whether it was waiting."""
+        queue = self.routes.get(request.route)
+        if queue is None or request.number not in queue.waiting:
+            return False
+        del queue.waiting[request.number]
+        self.queued -= 1
+        self.queued_cost_s -= request.cost_s
+        return True
+
+    def start(self, request: QueuedRequest) -> None:
+        """Move a waiting request to the running ones."""
+        self.remove(request)
+        queue = self.routes[request.route]
+        self._virtual_time = max(self._virtual_time, queue.tag)
+        queue.tag += request.cost_s
+        self.running += 1
+
+    def list_heads(self) -> list[QueuedRequest]:
+        """Return each route's first request, the route to serve next first."""
+        queues = [queue for queue in self.routes.values() if queue.waiting]
+        queues.sort(key=lambda queue: (queue.tag, queue.head.number))
+        return [queue.head for queue in queues]
+
+    def measure_load(self, now: float) -> float:
+        """Return the slots that its recent requests needed on average."""
+        return self._load * math.exp((self._load_at - now) / LOAD_WINDOW_S)
+
+    def is_active(self, now: float) -> bool:
+        """Return whether it has requests now or had some recently."""
+        if self.queued or self.running:
+            return True
+        return self.measure_load(now) > IDLE_LOAD
+
+
+class FairQueue:
+    """Decides which waiting request gets the next slot.
+
+    Workspaces are served by start-time fair queueing, weighted, at the
+    expected service time of each request's route. A workspace that occupies
+    its fair share of slots comes after those that don't, and leaves some
+    slots free for those that were active recently: a running request can't
+    be interrupted, so a slot that a short request will need must not be
+    given to a long one.
+    """
+
+    __slots__ = (
+        "_settings",
+        "_queues",
+        "_costs_s",
+        "_virtual_time",
+        "_number",
+        "_running_cost_s",
+    )
+
+    def __init__(self, settings: QueueSettings):
+        self._settings = settings
+        self._queues: dict[str, WorkspaceQueue] = {}
+        self._costs_s: dict[str, float] = {}
+        self._virtual_time = 0.0
+        self._number = 0
+        self._running_cost_s = 0.0
+
+    @property
+    def queued(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(queue.queued for queue in self._queues.values())
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that were started and not ended."""
+        return sum(queue.running for queue in self._queues.values())
+
+    def expect_cost(self, route: str) -> float:
+        """Return the expected service time of a route, in seconds."""
+        return self._costs_s.get(route, self._settings.default_cost_s)
+
+    def admit(
+        self,
+        workspace: str,
+        weight: float,
+        route: str,
+        deadline: float,
+        excluded: frozenset[str],
+        supply: SlotSupply,
+        now: float,
+    ) -> QueuedRequest:
+        """Append a request, unless it could not be served in time.
+
+        Raises `RefusalError` as not run, with the time after which another
+        attempt may be worth it.
+        """
+        cost_s = self.expect_cost(route)
+        self._check_deadline(workspace, weight, deadline, supply, cost_s, now)
+        queue = self._find_queue(workspace, now)
+        queue.weight = weight
+        if not queue.queued:
+            queue.tag = max(queue.tag, self._virtual_time)
+        self._number += 1
+        request = QueuedRequest(
+            self._number, workspace, route, deadline, excluded, cost_s
+        )
+        queue.push(request, now)
+        return request
+
+    def _check_deadline(
+        self,
+        workspace: str,
+        weight: float,
+        deadline: float,
+        supply: SlotSupply,
+        cost_s: float,
+        now: float,
+    ) -> None:
+        if deadline <= now:
+            raise RefusalError(Reason.DEADLINE, Outcome.NOT_RUN)
+        wait_s = self.estimate_wait(workspace, weight, supply)
+        queue = self._queues.get(workspace)
+        limit = self._settings.workspace_limit
+        is_full = queue is not None and queue.queued >= limit
+        if is_full or (wait_s > 0 and now + wait_s + cost_s > deadline):
+            retry_after_s = max(RETRY_AFTER_MIN_S, wait_s)
+            raise RefusalError(
+                Reason.OVERLOADED, Outcome.NOT_RUN, retry_after_s
+            )
+
+    def _find_queue(self, workspace: str, now: float) -> WorkspaceQueue:
+        queue = self._queues.get(workspace)
+        if queue is not None:
+            return queue
+        for name, other in list(self._queues.items()):
+            if not other.is_active(now):
+                del self._queues[name]
+        queue = WorkspaceQueue()
+        self._queues[workspace] = queue
+        return queue
+
+    def estimate_wait(
+        self, workspace: str, weight: float, supply: SlotSupply
+    ) -> float:
+        """Return the expected wait of a new request, in seconds."""
+        queue = self._queues.get(workspace)
+        has_queued = queue is not None and queue.queued > 0
+        if supply.free > 0 and not has_queued:
+            return 0.0
+        if supply.slots == 0:
+            return supply.opens_in_s or 0.0
+        others = sum(
+            other.weight
+            for name, other in self._queues.items()
+            if other.queued and name != workspace
+        )
+        share = supply.slots * weight / (weight + others)
+        residual_s = self._running_cost_s / max(1, self.running)
+        own_cost_s = queue.queued_cost_s if has_queued else 0.0
+        return own_cost_s / share + residual_s / supply.slots
+
+    def list_next(self, supply: SlotSupply, now: float) -> list[QueuedRequest]:
+        """Return the requests that may start now, the first to try first.
+
+        The list has at most one request for each workspace and route.
+        """
+        if supply.free <= 0:
+            return []
+        active = {
+            name: queue
+            for name, queue in self._queues.items()
+            if queue.is_active(now)
+        }
+        weights = sum(queue.weight for queue in active.values())
+        ranked = []
+        for name, queue in active.items():
+            if not queue.queued:
+                continue
+            share = supply.slots * queue.weight / weights
+            is_over = queue.running >= share
+            reserved = self._count_reserved(name, active, supply, now)
+            if is_over and supply.free <= reserved:
+                continue
+            ranked.append((is_over, queue.tag, name))
+        ranked.sort()
+        return [
+            request
+            for _, _, name in ranked
+            for request in active[name].list_heads()
+        ]
+
+    def _count_reserved(
+        self,
+        workspace: str,
+        active: dict[str, WorkspaceQueue],
+        supply: SlotSupply,
+        now: float,
+    ) -> int:
+        weights = sum(queue.weight for queue in active.values())
+        reserved = 0
+        for name, queue in active.items():
+            if name == workspace:
+                continue
+            load = queue.measure_load(now)
+            share = supply.slots * queue.weight / weights
+            needed = min(share, math.ceil(load + math.sqrt(load)))
+            reserved += max(0, math.ceil(needed) - queue.running)
+        limit = math.ceil(supply.slots * self._settings.reserved_share)
+        return min(reserved, limit)
+
+    def start(self, request: QueuedRequest) -> None:
+        """Count a request as running, on a slot that it was given."""
+        queue = self._queues[request.workspace]
+        self._virtual_time = max(self._virtual_time, queue.tag)
+        queue.tag += request.cost_s / queue.weight
+        queue.start(request)
+        self._running_cost_s += request.cost_s
+
+    def finish(
+        self, request: QueuedRequest, service_s: float, is_measured: bool
+    ) -> None:
+        """Count a running request as ended after `service_s` seconds.
+
+        `is_measured` tells whether it ran to its end, so that its time says
+        something about its route.
+        """
+        queue = self._queues[request.workspace]
+        queue.running -= 1
+        queue.tag += (service_s - request.cost_s) / queue.weight
+        self._running_cost_s -= request.cost_s
+        if not is_measured:
+            return
+        known_s = self._costs_s.get(request.route, service_s)
+        gained_s = COST_GAIN * (service_s - known_s)
+        self._costs_s[request.route] = known_s + gained_s
+
+    def remove(self, request: QueuedRequest) -> None:
+        """Remove a request that no longer waits."""
+        queue = self._queues.get(request.workspace)
+        if queue is not None:
+            queue.remove(request)
--- /dev/null
+++ b/test/upstream/test_dispatcher.py
@@ -0,0 +1,129 @@
+"""Tests of dispatchers: what tasks that ask for slots would see."""
+
+import asyncio
+
+from radishstile.errors import RefusalError
+from radishstile.outcome import Outcome, Reason
+from radishstile.upstream.slot import Cancelled, Completed, Unreachable
+from test._common import PausedTestCase
+from test.upstream._common import make_dispatcher, make_entries, make_pool
+
+
+class DispatcherTest(PausedTestCase):
+    def _start(self, count: int = 1, slots: int = 1):
+        self.dispatcher = make_dispatcher(make_pool(count, slots))
+        task = asyncio.create_task(self.dispatcher.run())
+        self.addCleanup(task.cancel)
+
+    async def _acquire(self, workspace="acme", deadline=60.0, **fields):
+        return await self.dispatcher.acquire(
+            workspace, 1.0, "print", deadline, **fields
+        )
+
+    async def _wait(self, **fields) -> asyncio.Task:
+        task = asyncio.create_task(self._acquire(**fields))
+        await asyncio.sleep(0)
+        return task
+
+    async def _expect_refusal(self, reason: Reason, **fields):
+        with self.assertRaises(RefusalError) as caught:
+            await self._acquire(**fields)
+        self.assertEqual(caught.exception.reason, reason)
+        self.assertEqual(caught.exception.outcome, Outcome.NOT_RUN)
+        return caught.exception
+
+    async def test_waiting_request_gets_the_freed_slot(self):
+        self._start()
+        first = await self._acquire()
+        second = await self._wait()
+        third = await self._wait()
+        self.assertEqual(self.dispatcher.hints().queued, 2)
+        self.dispatcher.release(first, Completed(0.1))
+        self.dispatcher.release(first, Completed(0.1))
+        await asyncio.sleep(0.01)
+        self.assertTrue(second.done())
+        self.assertFalse(third.done())
+        self.dispatcher.release(second.result(), Completed(0.1))
+        await third
+
+    async def test_cancel_at_any_moment_loses_no_slot(self):
+        self._start()
+        for is_freed_first in (True, False):
+            lease = await self._acquire()
+            waiting = await self._wait()
+            if is_freed_first:
+                self.dispatcher.release(lease, Completed(0.1))
+                waiting.cancel()
+            else:
+                waiting.cancel()
+                self.dispatcher.release(lease, Completed(0.1))
+            await asyncio.gather(waiting, return_exceptions=True)
+            self.assertEqual(self.dispatcher.hints().free, 1)
+            self.assertEqual(self.dispatcher.hints().queued, 0)
+
+    async def test_refuses_early_when_the_wait_is_too_long(self):
+        self._start()
+        await self._acquire()
+        for _ in range(5):
+            await self._wait()
+        error = await self._expect_refusal(Reason.OVERLOADED, deadline=0.3)
+        self.assertEqual(self.now, 0)
+        self.assertGreater(error.retry_after, 0.3)
+
+    async def test_deadline_passed_in_the_queue_is_not_run(self):
+        self._start()
+        await self._acquire()
+        await self._expect_refusal(Reason.DEADLINE, deadline=5.0)
+        self.assertEqual(self.now, 5)
+        self.assertEqual(self.dispatcher.hints().queued, 0)
+
+    async def test_time_alone_opens_a_slot_for_a_waiting_request(self):
+        self._start()
+        lease = await self._acquire(deadline=10.0)
+        waiting = await self._wait()
+        self.dispatcher.release(lease, Cancelled(is_over=False))
+        await waiting
+        self.assertEqual(self.now, 11)
+
+    async def test_waiting_requests_are_refused_when_no_upstream_works(self):
+        self._start()
+        lease = await self._acquire()
+        waiting = await self._wait()
+        self.dispatcher.apply_upstreams(make_entries(1, 1, state="draining"))
+        with self.assertRaises(RefusalError) as caught:
+            await waiting
+        self.assertEqual(caught.exception.reason, Reason.NO_UPSTREAM)
+        self.assertEqual(self.dispatcher.hints().queued, 0)
+        await self._expect_refusal(Reason.NO_UPSTREAM)
+        self.dispatcher.release(lease, Unreachable())
+
+    async def test_no_upstream_left_after_exclusion(self):
+        self._start(count=2)
+        lease = await self._acquire(excluded=frozenset({"u0"}))
+        self.assertEqual(lease.upstream, "u1")
+        await self._expect_refusal(
+            Reason.NO_UPSTREAM, excluded=frozenset({"u0", "u1"})
+        )
+
+    async def test_region_share_bounds_requests_in_flight(self):
+        self._start(slots=6)
+        self.dispatcher.apply_limit(2)
+        for _ in range(2):
+            await self._acquire()
+        third = await self._wait()
+        self.assertFalse(third.done())
+        self.dispatcher.apply_limit(3)
+        await third
+
+    async def test_close_finishes_what_waits_and_runs(self):
+        self._start()
+        lease = await self._acquire()
+        waiting = await self._wait()
+        self.dispatcher.close()
+        await self._expect_refusal(Reason.STOPPING)
+        drained = asyncio.create_task(self.dispatcher.drained())
+        self.dispatcher.release(lease, Completed(0.1))
+        await asyncio.sleep(1)
+        self.assertFalse(drained.done())
+        self.dispatcher.release(await waiting, Completed(0.1))
+        await drained
--- /dev/null
+++ b/test/upstream/test_pool.py
@@ -0,0 +1,186 @@
+"""Tests of slot pools: what an upstream would see."""
+
+import random
+import unittest
+
+from radishstile.upstream.pool import SlotPool
+from radishstile.upstream.settings import UpstreamSettings
+from radishstile.upstream.slot import (
+    Cancelled,
+    Completed,
+    Shed,
+    TimedOut,
+    Unreachable,
+)
+from test.upstream._common import make_entries, make_pool
+
+
+def take_all(pool: SlotPool, now: float, deadline: float = 1000.0) -> list:
+    """Return leases of all slots that are free."""
+    leases = []
+    while (lease := pool.take(now, deadline)) is not None:
+        leases.append(lease)
+    return leases
+
+
+class TakeTest(unittest.TestCase):
+    def test_least_busy_share_first(self):
+        pool = make_pool(2, slots=2)
+        names = [pool.take(0, 9).upstream for _ in range(4)]
+        self.assertEqual(names, ["u0", "u1", "u0", "u1"])
+        self.assertIsNone(pool.take(0, 9))
+
+    def test_excluded_upstream_is_not_taken(self):
+        pool = make_pool(2, slots=1)
+        self.assertEqual(pool.take(0, 9, {"u0"}).upstream, "u1")
+        self.assertIsNone(pool.take(0, 9, {"u0"}))
+
+    def test_least_recently_failed_first(self):
+        pool = make_pool(2)
+        pool.release(pool.take(0, 9), Unreachable(), 1)
+        self.assertEqual(pool.take(2, 9).upstream, "u1")
+
+    def test_draining_gets_no_new_work_and_finishes(self):
+        pool = make_pool(1)
+        lease = pool.take(0, 9)
+        pool.apply_upstreams(make_entries(1, state="draining"), 1)
+        self.assertIsNone(pool.take(1, 9))
+        pool.release(lease, Completed(1), 2)
+        self.assertEqual(pool.count_occupied(2), 0)
+        self.assertIsNone(pool.take(2, 9))
+
+    def test_leaving_gets_no_new_work_until_it_is_back(self):
+        pool = make_pool(2, slots=1)
+        pool.apply_leaving({"u0"}, 1)
+        self.assertEqual([each.upstream for each in take_all(pool, 1)], ["u1"])
+        pool.apply_upstreams(make_entries(2, slots=1), 2)
+        self.assertIsNone(pool.take(2, 9))
+        pool.apply_leaving(set(), 3)
+        self.assertEqual(pool.take(3, 9).upstream, "u0")
+
+    def test_renaming_does_not_double_slots(self):
+        pool = make_pool(1, slots=2)
+        take_all(pool, 0)
+        renamed = make_entries(1, slots=2)
+        renamed[0].name = "other"
+        pool.apply_upstreams(renamed, 1)
+        self.assertIsNone(pool.take(1, 9))
+
+
+class OccupiedTest(unittest.TestCase):
+    def test_cancel_frees_only_when_closed(self):
+        for is_over, expected in ((True, 1), (False, 0)):
+            pool = make_pool(1, slots=1)
+            pool.release(pool.take(0, 30), Cancelled(is_over), 1)
+            self.assertEqual(pool.count_free(1), expected)
+
+    def test_doubtful_slot_frees_after_deadline_and_margin(self):
+        pool = make_pool(1, slots=1)
+        pool.release(pool.take(0, 30), TimedOut(is_over=False), 30)
+        self.assertEqual(pool.find_next_opening(30), 31)
+        self.assertEqual(pool.count_free(30.9), 0)
+        self.assertEqual(pool.count_free(31), 1)
+
+    def test_take_over_waits_for_former_requests(self):
+        pool = SlotPool(UpstreamSettings())
+        pool.take_over(10, max_deadline_s=30)
+        pool.apply_upstreams(make_entries(1), 10)
+        pool.apply_upstreams(make_entries(2), 20)
+        self.assertIsNone(pool.take(40.9, 99))
+        self.assertEqual(pool.count_occupied(20), 12)
+        self.assertIsNotNone(pool.take(41, 99))
+
+    def test_clean_release_opens_at_once(self):
+        pool = make_pool(1)
+        pool.take_over(10, max_deadline_s=30)
+        pool.note_released_clean()
+        self.assertEqual(pool.count_free(10), 6)
+
+    def test_handover_holds_what_was_in_flight(self):
+        pool = make_pool(1)
+        pool.take_over(10, max_deadline_s=30)
+        pool.note_handover({"u0": [15.0, 20.0]})
+        self.assertEqual(pool.count_free(10), 4)
+        self.assertEqual(pool.count_free(15), 5)
+        self.assertEqual(pool.count_free(20), 6)
+
+    def test_slots_are_never_exceeded_at_any_upstream(self):
+        for seed in range(40):
+            self._run_schedule(random.Random(seed))
+
+    def _run_schedule(self, rng: random.Random) -> None:
+        """Check by an own model of what runs where, until when."""
+        slots = {}
+        running = {}
+        pool = SlotPool(UpstreamSettings())
+        now = 0.0
+        for step in range(400):
+            now += rng.random()
+            if step % 25 == 0:
+                entries = make_entries(rng.randint(1, 4), rng.randint(1, 6))
+                rng.choice(entries).is_draining = rng.random() < 0.3
+                pool.apply_upstreams(entries, now)
+                slots.update({each.address: each.slots for each in entries})
+            if step % 97 == 96:
+                pool = SlotPool(UpstreamSettings())
+                pool.take_over(now, max_deadline_s=20)
+                pool.apply_upstreams(entries, now)
+            self._take_or_release(rng, pool, running, slots, now)
+
+    def _take_or_release(self, rng, pool, running, slots, now) -> None:
+        for key, (lease, _) in list(running.items()):
+            if lease.deadline <= now:
+                del running[key]
+        if running and rng.random() < 0.45:
+            lease, owner = running.pop(rng.choice(list(running)))
+            is_over = rng.random() < 0.6
+            if not is_over:
+                running[id(lease)] = lease, owner
+            owner.release(lease, Cancelled(is_over), now)
+            return
+        lease = pool.take(now, now + rng.uniform(1, 20))
+        if lease is None:
+            return
+        running[id(lease)] = lease, pool
+        used = [each for each, _ in running.values()]
+        count = sum(each.address == lease.address for each in used)
+        self.assertLessEqual(count, slots[lease.address])
+
+
+class HealthTest(unittest.TestCase):
+    def _fail(self, pool: SlotPool, count: int, now: float = 0) -> None:
+        for _ in range(count):
+            pool.release(pool.take(now, 9), Unreachable(), now)
+
+    def test_failures_in_a_row_take_an_upstream_down(self):
+        pool = make_pool(1)
+        self._fail(pool, 3)
+        self.assertEqual(pool.count_free(0), 1)
+        self._fail(pool, 1)
+        self.assertFalse(pool.has_working())
+        self.assertIsNone(pool.take(0, 9))
+
+    def test_success_between_failures_keeps_it(self):
+        pool = make_pool(1)
+        for _ in range(5):
+            self._fail(pool, 2)
+            pool.release(pool.take(0, 9), Completed(0.1), 0)
+        self.assertEqual(pool.count_free(0), 6)
+
+    def test_one_probe_at_a_time_and_back_with_one_slot(self):
+        pool = make_pool(1)
+        self._fail(pool, 4)
+        self.assertIsNone(pool.take_probe(0.5, 9))
+        probe = pool.take_probe(1, 9)
+        self.assertIsNone(pool.take_probe(1, 9))
+        pool.release_probe(probe, is_ok=False, is_over=True, now=1)
+        self.assertIsNone(pool.take_probe(2.5, 9))
+        probe = pool.take_probe(3, 9)
+        pool.release_probe(probe, is_ok=True, is_over=True, now=3)
+        self.assertEqual(len(take_all(pool, 30)), 1)
+
+    def test_shed_closes_shortly_and_halves(self):
+        pool = make_pool(1)
+        pool.release(pool.take(0, 9), Shed(), 0)
+        self.assertEqual(pool.count_free(0.2), 0)
+        self.assertEqual(pool.count_free(0.25), 3)
