Answer look-ups from a compact block table

Callers ask any host for entry hosts. The table of client blocks resolves nested blocks when built and is bisected; it splits into store objects by address range, so a small change rewrites few of them. Entry hosts are ordered by weighted rendezvous hashing of the client's block: hosts agree without talking, and a host that leaves moves only its own blocks.

Client blocks are /24 and /48 whatever the table holds, as hosts with different versions of the table must agree on which blocks have moved.

--- /dev/null
+++ b/radishstile/lookup/address.py
@@ -0,0 +1,53 @@
+"""Client addresses as integers, and the blocks they are grouped by."""
+
+import ipaddress
+from enum import IntEnum
+
+BLOCK_BITS_V4 = 24
+BLOCK_BITS_V6 = 48
+
+
+class Family(IntEnum):
+    """An address family, by its IP version."""
+
+    V4 = 4
+    V6 = 6
+
+    @property
+    def bits(self) -> int:
+        """Return the width of an address in bits."""
+        return 32 if self is Family.V4 else 128
+
+
+class ClientAddress:
+    """The address of a caller: its value and its family."""
+
+    __slots__ = ("value", "family")
+
+    def __init__(self, value: int, family: Family):
+        self.value = value
+        self.family = family
+
+    @classmethod
+    def parse(cls, text: str) -> "ClientAddress":
+        """Return the address that `text` states, or raise `ValueError`.
+
+        An IPv4 address mapped into IPv6 counts as IPv4.
+        """
+        address = ipaddress.ip_address(text)
+        mapped = getattr(address, "ipv4_mapped", None)
+        address = mapped or address
+        return cls(int(address), Family(address.version))
+
+    @property
+    def block(self) -> bytes:
+        """Return the key of the client block that holds the address.
+
+        Blocks have a fixed length (/24 and /48), so that hosts agree on them
+        whichever version of the block table they have.
+        """
+        if self.family is Family.V4:
+            prefix = self.value >> (32 - BLOCK_BITS_V4)
+            return b"4" + prefix.to_bytes(BLOCK_BITS_V4 // 8)
+        prefix = self.value >> (128 - BLOCK_BITS_V6)
+        return b"6" + prefix.to_bytes(BLOCK_BITS_V6 // 8)
--- /dev/null
+++ b/radishstile/lookup/chunk.py
@@ -0,0 +1,175 @@
+"""Parts of a block table that fit into one store object each."""
+
+import sys
+import zlib
+from array import array
+from collections.abc import Iterable, Iterator
+
+import msgpack
+import xxhash
+
+from radishstile.errors import ConfigurationError
+from radishstile.lookup.address import Family
+from radishstile.lookup.intervals import NO_SITE, Intervals
+
+MAX_INTERVALS = 49_152
+MAX_BODY_BYTES = 1_048_576
+_DAMAGE = (
+    zlib.error,
+    ValueError,
+    TypeError,
+    KeyError,
+    msgpack.UnpackException,
+)
+
+
+class Chunk:
+    """The intervals of one aligned address range.
+
+    The range is the network of `prefix_bits` at `start`. `body` is the
+    encoded content; `digest` depends on the content only.
+    """
+
+    __slots__ = ("family", "start", "prefix_bits", "digest", "body")
+
+    def __init__(
+        self,
+        family: Family,
+        start: int,
+        prefix_bits: int,
+        digest: str,
+        body: bytes,
+    ):
+        self.family = family
+        self.start = start
+        self.prefix_bits = prefix_bits
+        self.digest = digest
+        self.body = body
+
+    @property
+    def name(self) -> str:
+        """Return a name that is unique within a table."""
+        return f"v{int(self.family)}-{self.start:x}-{self.prefix_bits}"
+
+
+class _Range:
+    """An aligned address range and the intervals that touch it."""
+
+    __slots__ = ("start", "prefix_bits", "first", "last")
+
+    def __init__(self, start: int, prefix_bits: int, first: int, last: int):
+        self.start = start
+        self.prefix_bits = prefix_bits
+        self.first = first
+        self.last = last
+
+
+def split_intervals(family: Family, intervals: Intervals) -> Iterator[Chunk]:
+    """Yield the chunks of a family, in the order of addresses.
+
+    A range is halved while it holds too many intervals, hence a change of a
+    few blocks leaves the other ranges as they were.
+    """
+    pending = [_Range(0, 0, 0, len(intervals) - 1)]
+    while pending:
+        part = pending.pop()
+        if part.last - part.first < MAX_INTERVALS:
+            yield _encode_range(family, intervals, part)
+            continue
+        low, high = _halve_range(intervals, part)
+        pending.append(high)
+        pending.append(low)
+
+
+def _halve_range(intervals: Intervals, part: _Range) -> tuple[_Range, _Range]:
+    bits = part.prefix_bits + 1
+    middle = part.start + (1 << (intervals.bits - bits))
+    low_last = intervals.find_index(middle - 1)
+    high_first = intervals.find_index(middle)
+    low = _Range(part.start, bits, part.first, low_last)
+    high = _Range(middle, bits, high_first, part.last)
+    return low, high
+
+
+def _encode_range(family: Family, intervals: Intervals, part: _Range) -> Chunk:
+    own = Intervals(intervals.bits)
+    for index in range(part.first, part.last + 1):
+        start = max(part.start, intervals.start_of(index))
+        own.append(start, intervals.sites[index])
+    content = msgpack.packb(
+        {
+            "family": int(family),
+            "start": part.start.to_bytes(16),
+            "prefix_bits": part.prefix_bits,
+            "starts": _to_bytes(own.starts),
+            "lows": _to_bytes(own.lows),
+            "sites": own.sites.tobytes(),
+        }
+    )
+    digest = xxhash.xxh3_128_hexdigest(content)
+    body = zlib.compress(content)
+    return Chunk(family, part.start, part.prefix_bits, digest, body)
+
+
+def _to_bytes(column: array) -> bytes:
+    if sys.byteorder == "big":
+        column = column[:]
+        column.byteswap()
+    return column.tobytes()
+
+
+def _from_bytes(column: array, data: bytes) -> None:
+    column.frombytes(data)
+    if sys.byteorder == "big":
+        column.byteswap()
+
+
+def join_bodies(bodies: Iterable[bytes]) -> dict[Family, Intervals]:
+    """Return the intervals of each family from the bodies of all chunks.
+
+    Raises `ConfigurationError` where a body is damaged or a range is missing
+    or given twice.
+    """
+    records = [_decode_body(body) for body in bodies]
+    records.sort(key=lambda record: (record["family"], record["start"]))
+    return {family: _join_family(family, records) for family in Family}
+
+
+def _decode_body(body: bytes) -> dict:
+    try:
+        reader = zlib.decompressobj()
+        content = reader.decompress(body, MAX_BODY_BYTES)
+        if reader.unconsumed_tail or not reader.eof:
+            raise ValueError("not whole, or too large")
+        record = msgpack.unpackb(content)
+        record["start"] = int.from_bytes(record["start"])
+        return record
+    except _DAMAGE as error:
+        raise ConfigurationError(f"block chunk: {error}") from error
+
+
+def _join_family(family: Family, records: list[dict]) -> Intervals:
+    joined = Intervals(family.bits)
+    expected = 0
+    for record in records:
+        if record["family"] != family:
+            continue
+        if record["start"] != expected:
+            raise ConfigurationError(f"block chunks: gap at {expected:#x}")
+        part = Intervals(family.bits)
+        _from_bytes(part.starts, record["starts"])
+        _from_bytes(part.lows, record["lows"])
+        part.sites.frombytes(record["sites"])
+        for index, site in enumerate(part.sites):
+            joined.append(part.start_of(index), site)
+        expected += 1 << (family.bits - record["prefix_bits"])
+    if expected != 1 << family.bits:
+        raise ConfigurationError(f"block chunks: gap at {expected:#x}")
+    return joined
+
+
+def make_empty(family: Family) -> Intervals:
+    """Return the intervals of a family without any block."""
+    intervals = Intervals(family.bits)
+    intervals.append(0, NO_SITE)
+    return intervals
--- /dev/null
+++ b/radishstile/lookup/directory.py
@@ -0,0 +1,171 @@
+"""The entry hosts that answers may name, in order for each block."""
+
+import math
+from collections.abc import Iterable
+
+import xxhash
+
+from radishstile.lookup.settings import LookupSettings
+from radishstile.member import Member
+
+MIN_HOSTS = 3
+_HASH_RANGE = 1 << 64
+_UNKNOWN_DISTANCE = math.inf
+
+
+class LookupAnswer:
+    """Entry hosts in the order to try them, and how long that holds."""
+
+    __slots__ = ("hosts", "ttl_s")
+
+    def __init__(self, hosts: tuple[Member, ...], ttl_s: float):
+        self.hosts = hosts
+        self.ttl_s = ttl_s
+
+
+class _Candidate:
+    """A member with the seed of its hash and its weight."""
+
+    __slots__ = ("member", "seed", "weight")
+
+    def __init__(self, member: Member, weight: float):
+        self.member = member
+        self.seed = xxhash.xxh3_64_intdigest(member.host.encode())
+        self.weight = weight
+
+    def score(self, key: bytes) -> float:
+        """Return the weighted rendezvous score for `key`."""
+        drawn = xxhash.xxh3_64_intdigest(key, self.seed)
+        return -self.weight / math.log((drawn + 0.5) / _HASH_RANGE)
+
+
+class Directory:
+    """Orders live entry hosts for each bucket of client blocks.
+
+    `region` is the region of the asked host. `distances_ms` maps (region,
+    region) to the round trip in milliseconds; unknown pairs come last.
+    """
+
+    __slots__ = (
+        "region",
+        "_settings",
+        "_distances_ms",
+        "_candidates",
+        "_nearest",
+        "_cache",
+        "_hot_hosts",
+        "_members",
+    )
+
+    def __init__(
+        self,
+        settings: LookupSettings,
+        region: str,
+        distances_ms: dict[tuple[str, str], float] | None = None,
+    ):
+        self.region = region
+        self._settings = settings
+        self._distances_ms = distances_ms or {}
+        self._candidates: dict[str, list[_Candidate]] = {}
+        self._nearest: dict[str, list[str]] = {}
+        self._cache: dict[tuple[str, int], LookupAnswer] = {}
+        self._hot_hosts: frozenset[str] = frozenset()
+        self._members: list[Member] = []
+
+    def replace_members(self, members: Iterable[Member]) -> None:
+        """Take the members that new answers may name.
+
+        Leaving and suspected ones are left out by the caller, and are out of
+        all answers from here on.
+        """
+        ordered = sorted(members, key=lambda member: member.host)
+        if [m.identity for m in ordered] == [
+            m.identity for m in self._members
+        ]:
+            return
+        self._members = ordered
+        self._rebuild()
+
+    def replace_hot_hosts(self, hosts: Iterable[str]) -> None:
+        """Take the names of hosts that report too much load."""
+        hot = frozenset(hosts)
+        if hot == self._hot_hosts:
+            return
+        self._hot_hosts = hot
+        self._rebuild()
+
+    def _rebuild(self) -> None:
+        self._cache.clear()
+        self._nearest.clear()
+        self._candidates = {}
+        for member in self._members:
+            is_hot = member.host in self._hot_hosts
+            weight = self._settings.hot_weight if is_hot else 1.0
+            candidate = _Candidate(member, weight)
+            self._candidates.setdefault(member.region, []).append(candidate)
+
+    def answer(self, region: str, block: bytes) -> LookupAnswer:
+        """Return the hosts for a client block that is served in `region`."""
+        digest = xxhash.xxh3_64_intdigest(block)
+        bucket = digest % self._settings.buckets
+        key = (region, bucket)
+        answer = self._cache.get(key)
+        if answer is None:
+            answer = self._make_answer(region, bucket)
+            self._cache[key] = answer
+        return answer
+
+    def _make_answer(self, region: str, bucket: int) -> LookupAnswer:
+        key = bucket.to_bytes(4)
+        hosts = self._pick_hosts(region, key, self._settings.hosts)
+        missing = max(0, MIN_HOSTS - len(hosts))
+        wanted = max(self._settings.fallback_hosts, missing)
+        hosts.extend(self._pick_fallbacks(region, key, wanted))
+        return LookupAnswer(tuple(hosts), self._settings.ttl_s)
+
+    def _pick_fallbacks(
+        self, region: str, key: bytes, count: int
+    ) -> list[Member]:
+        """Return hosts of other regions, one of each before a second one."""
+        choices = [
+            self._pick_hosts(other, key, count)
+            for other in self._list_nearest(region)
+        ]
+        ranked = [
+            (rank, order, host)
+            for order, hosts in enumerate(choices)
+            for rank, host in enumerate(hosts)
+        ]
+        ranked.sort(key=lambda entry: entry[:2])
+        return [host for _, _, host in ranked[:count]]
+
+    def _pick_hosts(self, region: str, key: bytes, count: int) -> list[Member]:
+        """Return the best hosts of a region, the second from a new zone."""
+        ranked = sorted(
+            self._candidates.get(region, ()),
+            key=lambda candidate: candidate.score(key),
+            reverse=True,
+        )
+        members = [candidate.member for candidate in ranked]
+        if not members:
+            return []
+        zone = members[0].zone
+        for index, member in enumerate(members):
+            if member.zone != zone:
+                members.insert(1, members.pop(index))
+                break
+        return members[:count]
+
+    def _list_nearest(self, region: str) -> list[str]:
+        nearest = self._nearest.get(region)
+        if nearest is None:
+            others = [name for name in self._candidates if name != region]
+            nearest = sorted(
+                others, key=lambda other: self._rank_distance(region, other)
+            )
+            self._nearest[region] = nearest
+        return nearest
+
+    def _rank_distance(self, region: str, other: str) -> tuple[float, str]:
+        pair = (region, other)
+        return self._distances_ms.get(pair, _UNKNOWN_DISTANCE), other
