Step planned moves under a hard cap

A move's blocks are a function of its name and its published share. The cap holds in load: a moved request costs one unit of the move's budget and stays in its source region without one. The driver decides one event at a time from the newest configuration and fresh measurements, and writes by conditional update.

A sum of measurements with a silent source is unknown rather than lower. A driver that did not write a record counts its age from when it read it, as clocks of hosts differ.

--- /dev/null
+++ b/radishstile/shift/driver.py
@@ -0,0 +1,221 @@
+"""Decides the next step of a planned move, at the move's home.
+
+The home writes each decision by conditional update from the version that it
+decided on, so a driver that was paused or replaced changes nothing.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from radishstile.configuration.document import Configuration, Move
+from radishstile.shift import event as events
+from radishstile.shift.limit import limit_step
+from radishstile.shift.measures import Measures, TargetMeasure
+from radishstile.shift.progress import HoldReason, MoveProgress
+from radishstile.shift.settings import ShiftSettings
+
+
+class StepInputs:
+    """What one decision goes by: the newest that the driver knows."""
+
+    __slots__ = ("configuration", "measures", "settings", "now")
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        measures: Measures,
+        settings: ShiftSettings,
+        now: float,
+    ):
+        self.configuration = configuration
+        self.measures = measures
+        self.settings = settings
+        self.now = now
+
+
+class _Situation:
+    """One move with its measurements; an unknown one is None."""
+
+    __slots__ = ("move", "target", "load", "movers")
+
+    def __init__(self, move: Move, inputs: StepInputs):
+        configuration = inputs.configuration
+        self.move = move
+        group = configuration.routes[move.route].group
+        zones = list_zones(configuration, move.to_region, group)
+        measures = inputs.measures
+        self.target = measures.read_target(zones, group, inputs.now)
+        self.load = measures.read_move(move.name, inputs.now)
+        self.movers = _count_movers(configuration, move.to_region, group)
+
+
+def list_zones(
+    configuration: Configuration, region: str, group: str
+) -> list[str]:
+    """Return the zones of `region` with upstreams of `group`."""
+    zones = {
+        upstream.zone
+        for upstream in configuration.upstreams.values()
+        if upstream.group == group
+        and configuration.zones[upstream.zone] == region
+    }
+    return sorted(zones)
+
+
+def _count_movers(
+    configuration: Configuration, region: str, group: str
+) -> int:
+    """Return how many moves share the headroom of `group` in `region`."""
+    routes = configuration.routes
+    return sum(
+        move.to_region == region and routes[move.route].group == group
+        for move in configuration.moves.values()
+    )
+
+
+def publish_shares(
+    moves: Iterable[Move], progresses: Mapping[str, MoveProgress]
+) -> dict[str, float]:
+    """Return the share of each move whose progress is for its path."""
+    return {
+        move.name: progresses[move.name].share
+        for move in moves
+        if move.name in progresses and progresses[move.name].applies_to(move)
+    }
+
+
+def decide(progress: MoveProgress, inputs: StepInputs) -> MoveProgress | None:
+    """Return the next progress to publish, or None to wait."""
+    event = choose_event(progress, inputs)
+    if event is None:
+        return None
+    return progress.apply(event, inputs.now)
+
+
+def choose_event(
+    progress: MoveProgress, inputs: StepInputs
+) -> events.ShiftEvent | None:
+    """Return what happened to the move, or None while nothing did."""
+    move = inputs.configuration.moves.get(progress.name)
+    if move is None:
+        is_over = progress.state == "cancelled"
+        return None if is_over else events.Cancelled()
+    if progress.state == "cancelled" or not progress.applies_to(move):
+        return events.Restarted(move)
+    situation = _Situation(move, inputs)
+    if _is_hot(situation.target, inputs.settings):
+        return _step_back(progress, move, inputs)
+    if move.is_paused:
+        return _hold(progress, events.Paused(), HoldReason.PAUSED)
+    if situation.target is None or situation.load is None:
+        return _hold_unmeasured(progress)
+    return _CHOICES[progress.state](progress, situation, inputs)
+
+
+def _is_hot(target: TargetMeasure | None, settings: ShiftSettings) -> bool:
+    if target is None:
+        return False
+    if target.free < settings.hot_free * target.slots:
+        return True
+    return target.queued > settings.hot_queue * target.slots
+
+
+def _step_back(
+    progress: MoveProgress, move: Move, inputs: StepInputs
+) -> events.ShiftEvent | None:
+    if progress.share == 0:
+        return None
+    settings = inputs.settings
+    is_held = progress.reason == HoldReason.HOT.value
+    waited_s = inputs.now - progress.since
+    if is_held and waited_s < settings.step_back_pace_s:
+        return None
+    part = max(move.step, progress.share * settings.step_back)
+    return events.TargetHot(max(0.0, progress.share - part))
+
+
+def _hold(
+    progress: MoveProgress, event: events.ShiftEvent, reason: HoldReason
+) -> events.ShiftEvent | None:
+    is_held = progress.state == "held" and progress.reason == reason.value
+    return None if is_held else event
+
+
+def _hold_unmeasured(progress: MoveProgress) -> events.ShiftEvent | None:
+    if progress.state not in ("stepping", "settling"):
+        return None
+    return events.MeasurementsStopped()
+
+
+def _choose_stepping(
+    progress: MoveProgress, situation: _Situation, inputs: StepInputs
+) -> events.ShiftEvent | None:
+    if inputs.now - progress.since < inputs.settings.answer_ttl_s:
+        return None
+    return events.AnswersExpired()
+
+
+def _choose_settling(
+    progress: MoveProgress, situation: _Situation, inputs: StepInputs
+) -> events.ShiftEvent | None:
+    if not _has_settled(progress, situation, inputs):
+        return None
+    if progress.share == situation.move.target_share:
+        return events.TargetReached()
+    return _choose_step(progress, situation, inputs)
+
+
+def _choose_held(
+    progress: MoveProgress, situation: _Situation, inputs: StepInputs
+) -> events.ShiftEvent | None:
+    target = situation.target
+    if target.free <= inputs.settings.reserve * target.slots:
+        return None
+    return events.Resumed()
+
+
+def _choose_done(
+    progress: MoveProgress, situation: _Situation, inputs: StepInputs
+) -> events.ShiftEvent | None:
+    if progress.share == situation.move.target_share:
+        return None
+    return events.TargetChanged()
+
+
+def _has_settled(
+    progress: MoveProgress, situation: _Situation, inputs: StepInputs
+) -> bool:
+    """Return whether the last step's load has arrived and been measured."""
+    settings = inputs.settings
+    expired_at = progress.since + settings.answer_ttl_s
+    settle_s = settings.answer_ttl_s + settings.max_age_s
+    wait_s = max(situation.move.pace_s, settle_s)
+    if inputs.now - progress.since < wait_s:
+        return False
+    return min(situation.target.at, situation.load.at) >= expired_at
+
+
+def _choose_step(
+    progress: MoveProgress, situation: _Situation, inputs: StepInputs
+) -> events.ShiftEvent | None:
+    limited = limit_step(
+        progress.share,
+        situation.move,
+        situation.target,
+        situation.load,
+        situation.movers,
+        inputs.settings,
+    )
+    if limited.reason is None:
+        return events.StepDue(limited.share)
+    if progress.reason == limited.reason.value:
+        return None
+    return events.StepLimited(limited.reason.value)
+
+
+_CHOICES = {
+    "planned": _choose_step,
+    "stepping": _choose_stepping,
+    "settling": _choose_settling,
+    "held": _choose_held,
+    "done": _choose_done,
+}
--- /dev/null
+++ b/radishstile/shift/event.py
@@ -0,0 +1,87 @@
+"""Events that change the progress of a planned move."""
+
+from radishstile.configuration.document import Move
+
+
+class ShiftEvent:
+    """Base of all events of a planned move."""
+
+    __slots__ = ()
+
+
+class StepDue(ShiftEvent):
+    """The next share may be published."""
+
+    __slots__ = ("share",)
+
+    def __init__(self, share: float):
+        self.share = share
+
+
+class AnswersExpired(ShiftEvent):
+    """No caller keeps an answer from before the last step."""
+
+    __slots__ = ()
+
+
+class StepLimited(ShiftEvent):
+    """The next step would pass the cap or the target's headroom."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str):
+        self.reason = reason
+
+
+class TargetReached(ShiftEvent):
+    """The last share has settled."""
+
+    __slots__ = ()
+
+
+class TargetChanged(ShiftEvent):
+    """The configuration states another target share than was reached."""
+
+    __slots__ = ()
+
+
+class MeasurementsStopped(ShiftEvent):
+    """A measurement is missing or too old."""
+
+    __slots__ = ()
+
+
+class TargetHot(ShiftEvent):
+    """The target region has too little room; `share` is the lower one."""
+
+    __slots__ = ("share",)
+
+    def __init__(self, share: float):
+        self.share = share
+
+
+class Paused(ShiftEvent):
+    """An operator paused the move."""
+
+    __slots__ = ()
+
+
+class Resumed(ShiftEvent):
+    """What held the move is over."""
+
+    __slots__ = ()
+
+
+class Cancelled(ShiftEvent):
+    """The move is no longer in the configuration."""
+
+    __slots__ = ()
+
+
+class Restarted(ShiftEvent):
+    """The configuration gives the move's name to another path."""
+
+    __slots__ = ("move",)
+
+    def __init__(self, move: Move):
+        self.move = move
--- /dev/null
+++ b/radishstile/shift/guard.py
@@ -0,0 +1,119 @@
+"""The hard cap of planned moves: one unit for each moved request."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from radishstile.configuration.document import Move
+from radishstile.shift.measures import MoveHint
+from radishstile.shift.settings import ShiftSettings
+from radishstile.shift.share import Place, Placement
+
+RESOURCE_PREFIX = "move/"
+MIN_BURST = 1.0
+MIN_SPAN_S = 0.001
+
+
+class Budget(Protocol):
+    """Units of one move's cap that this host may spend."""
+
+    def try_take(self, now: float) -> bool:
+        """Spend one unit; return False where there is none."""
+
+
+def name_resource(move: Move) -> str:
+    """Return the name of the resource that holds the cap of `move`."""
+    return RESOURCE_PREFIX + move.name
+
+
+def size_burst(move: Move, settings: ShiftSettings) -> float:
+    """Return the burst of the move's budget, in requests."""
+    return max(MIN_BURST, move.cap_per_s * settings.burst_s)
+
+
+class _Counter:
+    """Requests that a move met since its last hint.
+
+    `offered` are those of its route and source region, `wanted` those within
+    its share, and `moved` those that got a unit.
+    """
+
+    __slots__ = ("offered", "wanted", "moved", "since")
+
+    def __init__(self, now: float):
+        self.offered = 0
+        self.wanted = 0
+        self.moved = 0
+        self.since = now
+
+
+class MoveGuard:
+    """Lets a request move only with a unit of the move's budget.
+
+    A moved request without a unit stays in its source region, so the cap
+    holds whatever the published share and however skewed the load.
+    """
+
+    __slots__ = ("_placement", "_budgets", "_counters")
+
+    def __init__(
+        self,
+        placement: Placement,
+        budgets: Mapping[str, Budget],
+        now: float,
+    ):
+        self._budgets = budgets
+        self._counters: dict[str, _Counter] = {}
+        self.replace_placement(placement, now)
+
+    def replace_placement(self, placement: Placement, now: float) -> None:
+        """Take the placement of newer shares or a newer configuration."""
+        self._placement = placement
+        known = self._counters
+        self._counters = {
+            name: known.get(name) or _Counter(now) for name in placement.names
+        }
+
+    def choose(
+        self, route: str, region: str, block: bytes, now: float
+    ) -> Place:
+        """Return where one request runs; `region` is the client's own.
+
+        A request that has a move's name and its own region was held back.
+        """
+        for move in self._placement.list_moves(route, region):
+            counter = self._counters[move.name]
+            counter.offered += 1
+            if not move.has_moved(block):
+                continue
+            counter.wanted += 1
+            budget = self._budgets.get(move.name)
+            if budget is None or not budget.try_take(now):
+                return Place(region, move.name)
+            counter.moved += 1
+            return Place(move.to_region, move.name)
+        return Place(region)
+
+    def take_hints(self, source: str, now: float) -> list[MoveHint]:
+        """Return each move's rates since the last hints, and start anew.
+
+        `source` is the name of this host.
+        """
+        hints = [
+            _make_hint(name, counter, source, now)
+            for name, counter in self._counters.items()
+        ]
+        self._counters = {name: _Counter(now) for name in self._counters}
+        return hints
+
+
+def _make_hint(
+    move: str, counter: _Counter, source: str, now: float
+) -> MoveHint:
+    span_s = max(now - counter.since, MIN_SPAN_S)
+    return MoveHint(
+        source,
+        move,
+        offered_per_s=counter.offered / span_s,
+        wanted_per_s=counter.wanted / span_s,
+        moved_per_s=counter.moved / span_s,
+    )
--- /dev/null
+++ b/radishstile/shift/limit.py
@@ -0,0 +1,69 @@
+"""Limits one step of a planned move by its cap and the target's headroom."""
+
+from radishstile.configuration.document import Move
+from radishstile.shift.measures import MoveMeasure, TargetMeasure
+from radishstile.shift.progress import HoldReason
+from radishstile.shift.settings import ShiftSettings
+
+
+class LimitedStep:
+    """The share that may be published, or the reason why none may."""
+
+    __slots__ = ("share", "reason")
+
+    def __init__(self, share: float, reason: HoldReason | None = None):
+        self.share = share
+        self.reason = reason
+
+
+def limit_step(
+    share: float,
+    move: Move,
+    target: TargetMeasure,
+    load: MoveMeasure,
+    movers: int,
+    settings: ShiftSettings,
+) -> LimitedStep:
+    """Return the next share towards the move's target share.
+
+    `movers` moves divide the target's headroom evenly, as their drivers do
+    not see one another's steps in time.
+    """
+    if move.target_share <= share:
+        return LimitedStep(max(move.target_share, share - move.step))
+    wanted = min(move.target_share, share + move.step) - share
+    room_per_s = measure_headroom(target, settings) / movers
+    by_cap = _limit_share(move.cap_per_s - load.wanted_per_s, load)
+    by_headroom = _limit_share(room_per_s, load)
+    allowed = min(wanted, by_cap, by_headroom)
+    if allowed == wanted:
+        return LimitedStep(min(move.target_share, share + wanted))
+    if allowed >= settings.min_step:
+        return LimitedStep(share + allowed)
+    reason = HoldReason.CAP if by_cap <= by_headroom else HoldReason.HEADROOM
+    return LimitedStep(share, reason)
+
+
+def _limit_share(room_per_s: float, load: MoveMeasure) -> float:
+    """Return the share of the offered load that fits into the room."""
+    if room_per_s <= 0:
+        return 0.0
+    if load.offered_per_s <= 0:
+        return 1.0
+    return room_per_s / load.offered_per_s
+
+
+def measure_headroom(target: TargetMeasure, settings: ShiftSettings) -> float:
+    """Return the load that the target can take on, in requests a second.
+
+    New load meets cold caches, hence takes longer than what runs there.
+    """
+    free = target.free - settings.reserve * target.slots
+    if free <= 0:
+        return 0.0
+    if target.rate_per_s <= 0 or target.in_flight <= 0:
+        # Nothing runs there, so the time of a request is not known: a step
+        # may bring one request a second for each free slot.
+        return free
+    service_s = target.in_flight / target.rate_per_s
+    return free / (service_s * settings.cold_factor)
--- /dev/null
+++ b/radishstile/shift/measures.py
@@ -0,0 +1,195 @@
+"""Measurements that planned moves go by, with their ages."""
+
+from collections.abc import Iterable
+from functools import singledispatchmethod
+
+from radishstile.shift.settings import ShiftSettings
+
+
+class TargetHint:
+    """What one availability zone of a region reports on an upstream group.
+
+    `free`, `in_flight` and `queued` are in requests, `rate_per_s` in
+    finished requests a second; `age_s` is the report's age when it arrived.
+    """
+
+    __slots__ = (
+        "zone",
+        "group",
+        "free",
+        "in_flight",
+        "queued",
+        "rate_per_s",
+        "age_s",
+    )
+
+    def __init__(
+        self,
+        zone: str,
+        group: str,
+        free: float,
+        in_flight: float,
+        queued: float,
+        rate_per_s: float,
+        age_s: float = 0.0,
+    ):
+        self.zone = zone
+        self.group = group
+        self.free = free
+        self.in_flight = in_flight
+        self.queued = queued
+        self.rate_per_s = rate_per_s
+        self.age_s = age_s
+
+
+class MoveHint:
+    """What one host reports on a move, in requests a second.
+
+    `offered_per_s` is the load of the route and source region that other
+    moves left, `wanted_per_s` the part within the move's share, and
+    `moved_per_s` the part that moved.
+    """
+
+    __slots__ = (
+        "source",
+        "move",
+        "offered_per_s",
+        "wanted_per_s",
+        "moved_per_s",
+        "age_s",
+    )
+
+    def __init__(
+        self,
+        source: str,
+        move: str,
+        offered_per_s: float,
+        wanted_per_s: float,
+        moved_per_s: float,
+        age_s: float = 0.0,
+    ):
+        self.source = source
+        self.move = move
+        self.offered_per_s = offered_per_s
+        self.wanted_per_s = wanted_per_s
+        self.moved_per_s = moved_per_s
+        self.age_s = age_s
+
+
+class TargetMeasure:
+    """The state of an upstream group in a whole region.
+
+    `at` is the time of the oldest report, on this host's clock.
+    """
+
+    __slots__ = ("free", "in_flight", "queued", "rate_per_s", "at")
+
+    def __init__(self, at: float):
+        self.free = 0.0
+        self.in_flight = 0.0
+        self.queued = 0.0
+        self.rate_per_s = 0.0
+        self.at = at
+
+    @property
+    def slots(self) -> float:
+        """Return the number of slots, free and in use."""
+        return self.free + self.in_flight
+
+
+class MoveMeasure:
+    """The load of a move over all hosts, in requests a second."""
+
+    __slots__ = ("offered_per_s", "wanted_per_s", "moved_per_s", "at")
+
+    def __init__(self, at: float):
+        self.offered_per_s = 0.0
+        self.wanted_per_s = 0.0
+        self.moved_per_s = 0.0
+        self.at = at
+
+
+class _Report:
+    """A hint and the time that it describes."""
+
+    __slots__ = ("hint", "at")
+
+    def __init__(self, hint: TargetHint | MoveHint, at: float):
+        self.hint = hint
+        self.at = at
+
+
+class Measures:
+    """Keeps the newest hint of each source.
+
+    A total is unknown while any of its sources is silent for too long: a
+    sum without the silent ones would show too little load.
+    """
+
+    __slots__ = ("_max_age_s", "_targets", "_moves")
+
+    def __init__(self, settings: ShiftSettings):
+        self._max_age_s = settings.max_age_s
+        self._targets: dict[tuple[str, str], _Report] = {}
+        self._moves: dict[str, dict[str, _Report]] = {}
+
+    @singledispatchmethod
+    def add(self, hint, now: float) -> None:
+        """Take a hint that arrived at `now`, unless a newer one is known."""
+        raise TypeError(f"unknown hint {type(hint).__name__}")
+
+    @add.register
+    def _(self, hint: TargetHint, now: float) -> None:
+        key = (hint.zone, hint.group)
+        _keep_newest(self._targets, key, _Report(hint, now - hint.age_s))
+
+    @add.register
+    def _(self, hint: MoveHint, now: float) -> None:
+        reports = self._moves.setdefault(hint.move, {})
+        _keep_newest(reports, hint.source, _Report(hint, now - hint.age_s))
+
+    def forget(self, source: str) -> None:
+        """Drop the hints of a host that is no member any more."""
+        for reports in self._moves.values():
+            reports.pop(source, None)
+
+    def read_target(
+        self, zones: Iterable[str], group: str, now: float
+    ) -> TargetMeasure | None:
+        """Return the sum over `zones`, or None where one is unknown."""
+        reports = [self._targets.get((zone, group)) for zone in zones]
+        if not self._are_fresh(reports, now):
+            return None
+        total = TargetMeasure(min(report.at for report in reports))
+        for report in reports:
+            total.free += report.hint.free
+            total.in_flight += report.hint.in_flight
+            total.queued += report.hint.queued
+            total.rate_per_s += report.hint.rate_per_s
+        return total
+
+    def read_move(self, name: str, now: float) -> MoveMeasure | None:
+        """Return the load of a move, or None where it is unknown."""
+        reports = list(self._moves.get(name, {}).values())
+        if not self._are_fresh(reports, now):
+            return None
+        total = MoveMeasure(min(report.at for report in reports))
+        for report in reports:
+            total.offered_per_s += report.hint.offered_per_s
+            total.wanted_per_s += report.hint.wanted_per_s
+            total.moved_per_s += report.hint.moved_per_s
+        return total
+
+    def _are_fresh(self, reports: list[_Report | None], now: float) -> bool:
+        if not reports:
+            return False
+        return all(
+            report is not None and now - report.at <= self._max_age_s
+            for report in reports
+        )
+
+
+def _keep_newest(reports: dict, key, report: _Report) -> None:
+    known = reports.get(key)
+    if known is None or report.at >= known.at:
+        reports[key] = report
--- /dev/null
+++ b/radishstile/shift/patch.py
@@ -0,0 +1,27 @@
+"""Checks a new configuration against the load that moves now."""
+
+from collections.abc import Mapping
+
+from radishstile.configuration.document import Configuration
+from radishstile.errors import ConfigurationError
+
+
+def check_patch(
+    old: Configuration, new: Configuration, moving: Mapping[str, float]
+) -> None:
+    """Refuse a cap below what its move moves now.
+
+    `moving` maps a move's name to its moved load in requests a second.
+    Raises `ConfigurationError`.
+    """
+    for name, move in new.moves.items():
+        before = old.moves.get(name)
+        if before is None or move.cap_per_s >= before.cap_per_s:
+            continue
+        moved_per_s = moving.get(name, 0.0)
+        if move.cap_per_s < moved_per_s:
+            raise ConfigurationError(
+                f"moves/{name}: cap_per_s {move.cap_per_s:g} is below the "
+                f"{moved_per_s:g} requests/s that move now; lower "
+                f"target_share first"
+            )
--- /dev/null
+++ b/radishstile/shift/progress.py
@@ -0,0 +1,201 @@
+"""The published progress of a planned move."""
+
+from enum import Enum
+from functools import singledispatch
+
+from transitions import Machine
+
+from radishstile.configuration.document import Move
+from radishstile.shift import event as events
+
+_STATES = ("planned", "stepping", "settling", "held", "done", "cancelled")
+_ACTIVE = ["planned", "stepping", "settling", "held", "done"]
+_TRANSITIONS = (
+    ["publish", ["planned", "settling"], "stepping"],
+    ["settle", "stepping", "settling"],
+    ["hold", _ACTIVE, "held"],
+    ["resume", "held", "settling"],
+    ["finish", "settling", "done"],
+    ["reopen", "done", "settling"],
+    ["cancel", _ACTIVE, "cancelled"],
+    ["restart", "*", "planned"],
+)
+_FIELDS = ("route", "from_region", "to_region", "share", "step", "reason")
+
+
+class HoldReason(Enum):
+    """Why a move is held or does not step."""
+
+    PAUSED = "paused"
+    MEASUREMENTS = "measurements-stopped"
+    HOT = "target-hot"
+    CAP = "at-cap"
+    HEADROOM = "no-headroom"
+
+
+class MoveProgress:
+    """How far a planned move is: its published share and its state.
+
+    `share` is the part of client blocks that have moved, `step` counts the
+    published changes of share. `driver` is the identity of the incarnation
+    that wrote it, and `since` the time of the last change of share or state
+    on that incarnation's clock. The path (route and regions) is the one that
+    the share was published for.
+    """
+
+    # `transitions` binds its triggers and `state` as attributes.
+    __slots__ = ("name", *_FIELDS, "driver", "since", "__dict__")
+
+    def __init__(self, move: Move, driver: str, now: float):
+        self.name = move.name
+        self.driver = driver
+        self.since = now
+        self.reset(move)
+        self._bind("planned")
+
+    def _bind(self, state: str) -> None:
+        Machine(
+            model=self,
+            states=_STATES,
+            transitions=_TRANSITIONS,
+            initial=state,
+            auto_transitions=False,
+        )
+
+    def reset(self, move: Move) -> None:
+        """Start again at share zero, for the path of `move`."""
+        self.route = move.route
+        self.from_region = move.from_region
+        self.to_region = move.to_region
+        self.share = 0.0
+        self.step = 0
+        self.reason = ""
+
+    def applies_to(self, move: Move) -> bool:
+        """Return whether the share was published for the path of `move`."""
+        return (self.route, self.from_region, self.to_region) == (
+            move.route,
+            move.from_region,
+            move.to_region,
+        )
+
+    def to_record(self) -> dict:
+        """Return the progress as a JSON object."""
+        record = {name: getattr(self, name) for name in _FIELDS}
+        record["name"] = self.name
+        record["state"] = self.state
+        record["driver"] = self.driver
+        record["since"] = self.since
+        return record
+
+    @classmethod
+    def from_record(
+        cls, record: dict, driver: str, now: float
+    ) -> "MoveProgress":
+        """Return the progress that a JSON object describes.
+
+        The clocks of hosts differ. A driver that did not write the record
+        itself can't know its age, and counts it from `now`.
+        """
+        progress = cls.__new__(cls)
+        progress.name = record["name"]
+        for name in _FIELDS:
+            setattr(progress, name, record[name])
+        is_own = record["driver"] == driver
+        progress.since = record["since"] if is_own else now
+        progress.driver = driver
+        progress._bind(record["state"])
+        return progress
+
+    def apply(self, event: events.ShiftEvent, now: float) -> "MoveProgress":
+        """Return the progress after `event`; this one stays as it is."""
+        record = self.to_record()
+        changed = MoveProgress.from_record(record, self.driver, now)
+        _apply(event, changed, now)
+        return changed
+
+
+@singledispatch
+def _apply(event, progress: MoveProgress, now: float) -> None:
+    raise TypeError(f"unknown event {type(event).__name__}")
+
+
+@_apply.register
+def _(event: events.StepDue, progress: MoveProgress, now: float) -> None:
+    progress.publish()
+    progress.share = event.share
+    progress.step += 1
+    progress.reason = ""
+    progress.since = now
+
+
+@_apply.register
+def _(
+    event: events.AnswersExpired, progress: MoveProgress, now: float
+) -> None:
+    progress.settle()
+
+
+@_apply.register
+def _(event: events.StepLimited, progress: MoveProgress, now: float) -> None:
+    progress.reason = event.reason
+
+
+@_apply.register
+def _(event: events.TargetReached, progress: MoveProgress, now: float) -> None:
+    progress.finish()
+    progress.reason = ""
+
+
+@_apply.register
+def _(event: events.TargetChanged, progress: MoveProgress, now: float) -> None:
+    progress.reopen()
+    progress.since = now
+
+
+@_apply.register
+def _(
+    event: events.MeasurementsStopped, progress: MoveProgress, now: float
+) -> None:
+    _hold(progress, HoldReason.MEASUREMENTS, now)
+
+
+@_apply.register
+def _(event: events.TargetHot, progress: MoveProgress, now: float) -> None:
+    _hold(progress, HoldReason.HOT, now)
+    progress.share = event.share
+    progress.step += 1
+
+
+@_apply.register
+def _(event: events.Paused, progress: MoveProgress, now: float) -> None:
+    _hold(progress, HoldReason.PAUSED, now)
+
+
+@_apply.register
+def _(event: events.Resumed, progress: MoveProgress, now: float) -> None:
+    progress.resume()
+    progress.reason = ""
+    progress.since = now
+
+
+@_apply.register
+def _(event: events.Cancelled, progress: MoveProgress, now: float) -> None:
+    progress.cancel()
+    progress.share = 0.0
+    progress.step += 1
+    progress.reason = ""
+    progress.since = now
+
+
+@_apply.register
+def _(event: events.Restarted, progress: MoveProgress, now: float) -> None:
+    progress.restart()
+    progress.reset(event.move)
+    progress.since = now
+
+
+def _hold(progress: MoveProgress, reason: HoldReason, now: float) -> None:
+    progress.hold()
+    progress.reason = reason.value
+    progress.since = now
--- /dev/null
+++ b/radishstile/shift/settings.py
@@ -0,0 +1,53 @@
+"""Settings of planned moves."""
+
+
+class ShiftSettings:
+    """How planned moves step.
+
+    `answer_ttl_s` is the time that callers keep look-up answers.
+    `max_age_s` is the age from which a measurement is unknown.
+    `reserve` is the part of the target's slots that a step leaves free,
+    `hot_free` the part below which the target is hot, `hot_queue` the queue
+    in parts of the slots above which it is hot. `cold_factor` is how much
+    longer a request takes on a cold target. A hot target is stepped back by
+    `step_back` of the share, at least by the move's step, each
+    `step_back_pace_s`. `min_step` is the smallest share worth a step.
+    `burst_s` is the burst of a move's budget in seconds of its cap.
+    """
+
+    __slots__ = (
+        "answer_ttl_s",
+        "max_age_s",
+        "reserve",
+        "hot_free",
+        "hot_queue",
+        "cold_factor",
+        "step_back",
+        "step_back_pace_s",
+        "min_step",
+        "burst_s",
+    )
+
+    def __init__(
+        self,
+        answer_ttl_s: float = 5.0,
+        max_age_s: float = 10.0,
+        reserve: float = 0.2,
+        hot_free: float = 0.05,
+        hot_queue: float = 0.05,
+        cold_factor: float = 2.0,
+        step_back: float = 0.25,
+        step_back_pace_s: float = 2.0,
+        min_step: float = 0.001,
+        burst_s: float = 0.1,
+    ):
+        self.answer_ttl_s = answer_ttl_s
+        self.max_age_s = max_age_s
+        self.reserve = reserve
+        self.hot_free = hot_free
+        self.hot_queue = hot_queue
+        self.cold_factor = cold_factor
+        self.step_back = step_back
+        self.step_back_pace_s = step_back_pace_s
+        self.min_step = min_step
+        self.burst_s = burst_s
--- a/radishstile/shift/share.py
+++ b/radishstile/shift/share.py
@@ -1,6 +1,6 @@
 """Which client blocks planned moves have moved, from published shares."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import xxhash
 
@@ -19,21 +19,25 @@
         self.move = move
 
 
-class _PublishedMove:
-    """A move with its published share, ready to be compared."""
+class PublishedMove:
+    """A move with its published share, ready to be compared.
 
-    __slots__ = ("name", "to_region", "seed", "limit")
+    A block has moved while its hash is below the share, so a block that has
+    moved stays moved while the share grows.
+    """
+
+    __slots__ = ("name", "to_region", "_seed", "_limit")
 
     def __init__(self, move: Move, share: float):
         self.name = move.name
         self.to_region = move.to_region
-        self.seed = xxhash.xxh3_64_intdigest(move.name.encode())
+        self._seed = xxhash.xxh3_64_intdigest(move.name.encode())
         bounded = min(max(share, 0.0), 1.0)
-        self.limit = int(bounded * _HASH_RANGE)
+        self._limit = int(bounded * _HASH_RANGE)
 
     def has_moved(self, block: bytes) -> bool:
         """Return whether `block` is within the published share."""
-        return xxhash.xxh3_64_intdigest(block, self.seed) < self.limit
+        return xxhash.xxh3_64_intdigest(block, self._seed) < self._limit
 
 
 class Placement:
@@ -42,27 +46,33 @@
     `shares` maps a move's name to its published share; a move without one
     moves nothing. Moves out of the same region on the same route go by name,
     and each takes its share of the blocks that those before it left. Only
-    the client's own region counts: moves are not chained.
+    the client's own region counts: moves are not chained. `names` are the
+    names of the moves.
     """
 
-    __slots__ = ("_moves",)
+    __slots__ = ("names", "_moves")
 
     def __init__(self, moves: Iterable[Move], shares: Mapping[str, float]):
-        self._moves: dict[tuple[str, str], list[_PublishedMove]] = {}
+        self.names: list[str] = []
+        self._moves: dict[tuple[str, str], list[PublishedMove]] = {}
         for move in sorted(moves, key=lambda move: move.name):
-            share = shares.get(move.name, 0.0)
-            if share <= 0 or move.from_region == move.to_region:
+            if move.from_region == move.to_region:
                 continue
+            self.names.append(move.name)
             source = (move.route, move.from_region)
-            published = _PublishedMove(move, share)
+            published = PublishedMove(move, shares.get(move.name, 0.0))
             self._moves.setdefault(source, []).append(published)
 
+    def list_moves(self, route: str, region: str) -> Sequence[PublishedMove]:
+        """Return the moves of `route` out of `region`, in their order."""
+        return self._moves.get((route, region), ())
+
     def place(self, route: str, region: str, block: bytes) -> Place:
         """Return where requests of `block` for `route` should run.
 
         `region` is the client's own region.
         """
-        for move in self._moves.get((route, region), ()):
+        for move in self.list_moves(route, region):
             if move.has_moved(block):
                 return Place(move.to_region, move.name)
         return Place(region)
--- /dev/null
+++ b/test/shift/_common.py
@@ -0,0 +1,101 @@
+"""Builds configurations and measurements for the tests of moves."""
+
+from radishstile.configuration.document import Configuration
+from radishstile.shift.driver import StepInputs, decide
+from radishstile.shift.measures import Measures, MoveHint, TargetHint
+from radishstile.shift.progress import MoveProgress
+from radishstile.shift.settings import ShiftSettings
+
+REGIONS = ("akl", "wlg", "chc")
+SLOTS = 60
+
+
+def make_configuration(version=1, **moves):
+    """Return a configuration of one route and the moves given by record."""
+    document = {
+        "regions": {region: {} for region in REGIONS},
+        "zones": {f"{region}-a": {"region": region} for region in REGIONS},
+        "groups": {
+            "press": {
+                "upstreams": {
+                    f"press-{region}": {
+                        "zone": f"{region}-a",
+                        "address": "127.0.0.1",
+                        "port": 80,
+                        "slots": SLOTS,
+                    }
+                    for region in REGIONS
+                }
+            }
+        },
+        "routes": {"slips": {"path": "/slips", "group": "press"}},
+        "moves": moves,
+    }
+    return Configuration(version, document)
+
+
+def make_move(**changes):
+    """Return the record of a move from akl to wlg."""
+    record = {
+        "route": "slips",
+        "from_region": "akl",
+        "to_region": "wlg",
+        "cap_per_s": 1000.0,
+        "step": 0.1,
+        "pace_s": 30.0,
+    }
+    return {**record, **changes}
+
+
+class DriverCase:
+    """One driver of the move `m`, its measurements and its clock."""
+
+    def __init__(self, record=None, driver="one#1"):
+        self.settings = ShiftSettings()
+        self.configuration = make_configuration(m=record or make_move())
+        self.measures = Measures(self.settings)
+        self.now = 100.0
+        move = self.configuration.moves["m"]
+        self.progress = MoveProgress(move, driver, self.now)
+
+    def change(self, **changes):
+        """Let an operator change the move."""
+        self.configuration = make_configuration(m=make_move(**changes))
+
+    def measure(self, free=50.0, queued=0.0, offered=100.0, wanted=None):
+        """Let fresh hints arrive."""
+        used = SLOTS - free
+        hint = TargetHint("wlg-a", "press", free, used, queued, used * 10)
+        self.measures.add(hint, self.now)
+        if wanted is None:
+            wanted = offered * self.progress.share
+        hint = MoveHint("entry", "m", offered, wanted, wanted)
+        self.measures.add(hint, self.now)
+
+    def decide(self):
+        """Decide once; return whether anything is published."""
+        inputs = StepInputs(
+            self.configuration, self.measures, self.settings, self.now
+        )
+        progress = decide(self.progress, inputs)
+        if progress is None:
+            return False
+        self.progress = progress
+        return True
+
+    def run(self, seconds, **measured):
+        """Measure and decide each second; return the published shares."""
+        shares = []
+        for _ in range(seconds):
+            self.now += 1
+            self.measure(**measured)
+            if self.decide():
+                shares.append(self.progress.share)
+        return shares
+
+    def take_over(self, driver="two#1"):
+        """Let another driver read what is published."""
+        record = self.progress.to_record()
+        self.now += 5000
+        self.progress = MoveProgress.from_record(record, driver, self.now)
+        self.measures = Measures(self.settings)
--- /dev/null
+++ b/test/shift/test_driver.py
@@ -0,0 +1,179 @@
+"""Tests of `radishstile.shift.driver`."""
+
+import unittest
+
+from radishstile.shift.driver import publish_shares
+from radishstile.shift.measures import MoveHint, TargetHint
+from test.shift._common import DriverCase, make_configuration, make_move
+
+
+class StepTest(unittest.TestCase):
+    def test_steps_at_the_pace_until_the_target_share(self):
+        case = DriverCase(make_move(target_share=0.25))
+        steps = []
+        for _ in range(150):
+            before = case.progress.share
+            case.run(1)
+            if case.progress.share != before:
+                steps.append((case.now, round(case.progress.share, 6)))
+        self.assertEqual(steps, [(101, 0.1), (131, 0.2), (161, 0.25)])
+        self.assertEqual(case.progress.state, "done")
+
+    def test_no_step_before_old_answers_expired_and_load_is_measured(self):
+        case = DriverCase(make_move(pace_s=1))
+        case.run(1)
+        published_at = case.now
+        case.run(6)
+        self.assertEqual(case.progress.state, "settling")
+        # The last hints were taken before the answers had expired.
+        case.measures.add(
+            MoveHint("entry", "m", 100, 10, 10, age_s=9.9), case.now + 8
+        )
+        while case.now - published_at < 40 and case.progress.step == 1:
+            case.run(1)
+        self.assertGreaterEqual(case.now - published_at, 15)
+
+    def test_no_step_without_fresh_measurements(self):
+        case = DriverCase()
+        self.assertFalse(case.decide())
+        case.run(1)
+        for _ in range(100):
+            case.now += 1
+            case.decide()
+        self.assertEqual(case.progress.state, "held")
+        self.assertEqual(case.progress.reason, "measurements-stopped")
+        self.assertEqual(case.progress.share, 0.1)
+        before = case.now
+        while case.progress.step == 1:
+            case.run(1)
+        self.assertGreaterEqual(case.now - before, 30)
+
+    def test_silent_host_or_zone_is_unknown_and_not_zero(self):
+        case = DriverCase()
+        case.measures.add(MoveHint("cut-off", "m", 900, 0, 0), case.now)
+        case.now += 20
+        case.measure()
+        self.assertFalse(case.decide())
+        case.measures.forget("cut-off")
+        self.assertTrue(case.decide())
+
+    def test_late_hint_does_not_replace_a_newer_one(self):
+        case = DriverCase()
+        case.measure(free=10.0)
+        old = TargetHint("wlg-a", "press", 60, 0, 0, 0, age_s=5)
+        case.measures.add(old, case.now)
+        total = case.measures.read_target(["wlg-a"], "press", case.now)
+        self.assertEqual(total.free, 10)
+
+
+class LimitTest(unittest.TestCase):
+    def test_step_keeps_the_predicted_load_under_the_cap(self):
+        case = DriverCase(make_move(cap_per_s=15, step=0.1))
+        case.run(200, offered=100.0)
+        self.assertAlmostEqual(case.progress.share, 0.15)
+        self.assertEqual(case.progress.reason, "at-cap")
+
+    def test_step_keeps_to_the_headroom_of_a_cold_target(self):
+        case = DriverCase(make_move(step=1.0))
+        # 50 free less a reserve of 12, at 0.1 s a request, twice when cold.
+        case.run(1, free=50.0, offered=1000.0)
+        self.assertAlmostEqual(case.progress.share, 38 / 0.2 / 1000)
+        self.assertEqual(DriverCase().run(50, free=12.0), [0.0])
+
+    def test_moves_into_one_region_share_its_headroom(self):
+        case = DriverCase()
+        moves = {
+            "m": make_move(step=1.0),
+            "n": make_move(step=1.0, from_region="chc"),
+        }
+        case.configuration = make_configuration(**moves)
+        case.run(1, free=50.0, offered=1000.0)
+        self.assertAlmostEqual(case.progress.share, 38 / 0.2 / 1000 / 2)
+
+    def test_hot_target_steps_back_within_seconds_then_holds(self):
+        case = DriverCase()
+        case.run(100)
+        moved = case.progress.share
+        self.assertGreater(moved, 0.3)
+        shares = case.run(10, queued=10.0)
+        self.assertEqual(shares, sorted(shares, reverse=True))
+        self.assertLessEqual(shares[0], moved - 0.1)
+        self.assertEqual(shares[-1], 0)
+        self.assertEqual(case.progress.reason, "target-hot")
+        # Not hot any more, but no room above the reserve either.
+        self.assertEqual(case.run(60, free=10.0), [])
+        case.run(10)
+        self.assertEqual(case.progress.share, 0)
+        case.run(30)
+        self.assertEqual(case.progress.share, 0.1)
+
+
+class OperatorTest(unittest.TestCase):
+    def test_newest_configuration_wins_in_the_middle_of_a_step(self):
+        case = DriverCase()
+        case.run(33)
+        self.assertEqual(case.progress.share, 0.2)
+        case.change(paused=True)
+        case.run(100)
+        self.assertEqual(case.progress.share, 0.2)
+        self.assertEqual(case.progress.reason, "paused")
+        case.change(cap_per_s=25)
+        case.run(100)
+        self.assertAlmostEqual(case.progress.share, 0.25)
+        case.change(cap_per_s=25, target_share=0.0, step=0.2)
+        case.run(100)
+        self.assertEqual(case.progress.share, 0)
+        self.assertEqual(case.progress.state, "done")
+
+    def test_deleted_move_moves_nothing_and_can_come_back(self):
+        case = DriverCase()
+        case.run(40)
+        case.configuration = make_configuration()
+        case.run(2)
+        self.assertEqual(case.progress.state, "cancelled")
+        self.assertEqual(case.progress.share, 0)
+        case.change()
+        case.run(3)
+        self.assertEqual(case.progress.share, 0.1)
+
+    def test_share_does_not_count_for_another_path(self):
+        case = DriverCase()
+        case.run(70)
+        case.change(to_region="chc")
+        moves = case.configuration.moves.values()
+        self.assertEqual(publish_shares(moves, {"m": case.progress}), {})
+        case.decide()
+        self.assertEqual(case.progress.to_region, "chc")
+        self.assertEqual(case.progress.share, 0)
+
+
+class TakeOverTest(unittest.TestCase):
+    def test_new_driver_waits_a_full_settle_time_at_each_step(self):
+        for step in range(1, 6):
+            case = DriverCase()
+            while case.progress.step < step:
+                case.run(1)
+            share = case.progress.share
+            case.take_over()
+            began = case.now
+            self.assertFalse(case.decide() and case.progress.share > share)
+            while case.progress.step == step:
+                self.assertEqual(case.progress.share, share)
+                case.run(1)
+            self.assertGreaterEqual(case.now - began, 30, step)
+
+    def test_own_record_keeps_its_age(self):
+        case = DriverCase()
+        case.run(20)
+        record = case.progress.to_record()
+        copy = type(case.progress).from_record(record, "one#1", 5000.0)
+        self.assertEqual(copy.to_record(), record)
+
+    def test_paused_driver_that_wakes_does_not_step(self):
+        case = DriverCase()
+        case.run(25)
+        share = case.progress.share
+        case.now += 3600
+        case.decide()
+        self.assertEqual(case.progress.share, share)
+        self.assertEqual(case.progress.reason, "measurements-stopped")
