Start the settle time anew after a driver's pause

Hints that waited in a paused driver's sockets seem fresh when it wakes. The check that hints are younger than the expiry of answers is gone: the wait of TTL plus the oldest accepted age implies it.

--- /dev/null
+++ b/bench/lookup.py
@@ -0,0 +1,190 @@
+"""Measures look-ups: the block table, its chunks and the answers.
+
+Usage: python -m bench.lookup [PATH], where PATH takes the results as JSON.
+"""
+
+import json
+import random
+import sys
+import time
+import tracemalloc
+from ipaddress import IPv4Network, IPv6Network
+
+from radishstile.lookup import answer
+from radishstile.lookup.address import ClientAddress, Family
+from radishstile.lookup.directory import Directory
+from radishstile.lookup.location import Locator
+from radishstile.lookup.settings import LookupSettings
+from radishstile.lookup.table import BlockTable
+from radishstile.member import Member
+from radishstile.shift.share import Placement
+
+BLOCK_COUNTS = (10_000, 100_000, 780_000)
+HOST_COUNTS = (22, 100, 450)
+SITES = 60
+ZONES_PER_REGION = 4
+REGIONS = ("akl", "wlg", "chc")
+LOOKUPS = 100_000
+SEED = 20
+V6_PART = 0.3
+
+
+def make_pairs(count: int, rng: random.Random) -> list:
+    """Return `count` networks with a site each, nested in places."""
+    pairs = {}
+    while len(pairs) < count:
+        if rng.random() < V6_PART:
+            prefix = rng.choice((32, 40, 44, 48))
+            bits = 0b001 << (prefix - 3) | rng.getrandbits(prefix - 3)
+            network = IPv6Network((bits << (128 - prefix), prefix))
+        else:
+            prefix = rng.choice((16, 19, 20, 22, 24, 24, 24))
+            bits = rng.getrandbits(prefix)
+            network = IPv4Network((bits << (32 - prefix), prefix))
+        pairs[network] = rng.randrange(SITES)
+    return list(pairs.items())
+
+
+def measure_table(count: int) -> dict:
+    """Return the costs of a table of `count` blocks."""
+    rng = random.Random(SEED)
+    pairs = make_pairs(count, rng)
+    build_s, table = _time(lambda: BlockTable.build(pairs))
+    split_s, chunks = _time(table.to_chunks)
+    bodies = [chunk.body for chunk in chunks]
+    tracemalloc.start()
+    copy = BlockTable.from_chunks(bodies)
+    kept, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    join_s, copy = _time(lambda: BlockTable.from_chunks(bodies))
+    network, site = pairs[0]
+    pairs[0] = (network, (site + 1) % SITES)
+    before = {chunk.name: chunk.digest for chunk in chunks}
+    after = BlockTable.build(pairs).to_chunks()
+    return {
+        "blocks": count,
+        "intervals": len(copy),
+        "build_s": build_s,
+        "split_s": split_s,
+        "join_s": join_s,
+        "kept_mb": kept / 1e6,
+        "join_peak_mb": peak / 1e6,
+        "chunks": len(chunks),
+        "largest_chunk_kb": max(map(len, bodies)) / 1e3,
+        "total_chunks_kb": sum(map(len, bodies)) / 1e3,
+        "rewritten": sum(before.get(c.name) != c.digest for c in after),
+        "find_us": _measure_find(copy, rng),
+    }
+
+
+def _measure_find(table: BlockTable, rng: random.Random) -> float:
+    addresses = [_draw_address(rng) for _ in range(LOOKUPS)]
+
+    def find_all():
+        for value, family in addresses:
+            table.find(value, family)
+
+    return _time(find_all)[0] / LOOKUPS * 1e6
+
+
+def _draw_address(rng: random.Random) -> tuple[int, Family]:
+    if rng.random() < V6_PART:
+        return 0b001 << 125 | rng.getrandbits(125), Family.V6
+    return rng.getrandbits(32), Family.V4
+
+
+def measure_answers(count: int, table: BlockTable) -> dict:
+    """Return the costs of answers while `count` hosts are live."""
+    rng = random.Random(SEED)
+    settings = LookupSettings()
+    directory = Directory(settings, REGIONS[0])
+    members = _make_members(count)
+    change_s, _ = _time(lambda: directory.replace_members(members))
+    site_regions = [REGIONS[site % 3] for site in range(SITES)]
+    locator = Locator([], table, site_regions)
+    placement = Placement([], {})
+    queries = [
+        answer.LookupQuery(ClientAddress(*_draw_address(rng)), "slips")
+        for _ in range(LOOKUPS)
+    ]
+
+    def ask_all():
+        for query in queries:
+            answer.make(query, locator, placement, directory)
+
+    tracemalloc.start()
+    ask_all()
+    cache_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    warm_s, _ = _time(ask_all)
+    directory.replace_members(members[1:])
+    buckets = settings.buckets
+    cold_s, _ = _time(lambda: _fill(directory, buckets))
+    return {
+        "hosts": count,
+        "membership_change_us": change_s * 1e6,
+        "cached_answer_us": warm_s / LOOKUPS * 1e6,
+        "first_answer_us": cold_s / buckets * 1e6,
+        "cache_mb": cache_bytes / 1e6,
+        "busiest_host_ratio": _measure_evenness(directory, members),
+    }
+
+
+def _fill(directory: Directory, buckets: int) -> None:
+    for number in range(buckets):
+        directory.answer(REGIONS[0], number.to_bytes(4))
+
+
+def _measure_evenness(directory: Directory, members: list[Member]) -> float:
+    """Return the busiest host's blocks over the mean of its region."""
+    counts: dict[str, int] = {}
+    for number in range(LOOKUPS):
+        host = directory.answer(REGIONS[0], number.to_bytes(4)).hosts[0].host
+        counts[host] = counts.get(host, 0) + 1
+    hosts = sum(member.region == REGIONS[0] for member in members[1:])
+    return max(counts.values()) * hosts / LOOKUPS
+
+
+def _make_members(count: int) -> list[Member]:
+    members = []
+    for number in range(count):
+        region = REGIONS[number % len(REGIONS)]
+        zone = f"{region}-{number // len(REGIONS) % ZONES_PER_REGION}"
+        members.append(Member(f"host-{number}", 1, zone, region, "", 1, 2))
+    return members
+
+
+def _time(action) -> tuple[float, object]:
+    began = time.perf_counter()
+    result = action()
+    return time.perf_counter() - began, result
+
+
+def print_table(title: str, rows: list[dict]) -> None:
+    """Print `rows`, one line each,."""
+    print(f"\n{title}")
+    print("  ".join(rows[0]))
+    for row in rows:
+        cells = []
+        for name, value in row.items():
+            text = f"{value:.3g}" if isinstance(value, float) else str(value)
+            cells.append(text.rjust(len(name)))
+        print("  ".join(cells))
+
+
+def main() -> None:
+    """Measure, print the tables and write them to the path given."""
+    tables = [measure_table(count) for count in BLOCK_COUNTS]
+    print_table("Block table", tables)
+    pairs = make_pairs(BLOCK_COUNTS[-1], random.Random(SEED))
+    table = BlockTable.build(pairs)
+    del pairs
+    answers = [measure_answers(count, table) for count in HOST_COUNTS]
+    print_table("Answers, 780,000 blocks", answers)
+    if sys.argv[1:]:
+        with open(sys.argv[1], "w", encoding="utf-8") as file:
+            json.dump({"table": tables, "answers": answers}, file, indent=1)
+
+
+if __name__ == "__main__":
+    main()
--- a/radishstile/shift/driver.py
+++ b/radishstile/shift/driver.py
@@ -32,6 +32,47 @@
         self.now = now
 
 
+class MoveDriver:
+    """The home's hold on one move: what is published, at which version.
+
+    `identity` names the incarnation that drives. After a decision the caller
+    writes it with `version` expected, then calls `accept`; after a conflict
+    or a lost answer it reads the object and calls `load`.
+    """
+
+    __slots__ = ("identity", "progress", "version", "_seen_at")
+
+    def __init__(self, identity: str, move: Move, now: float):
+        self.identity = identity
+        self.progress = MoveProgress(move, identity, now)
+        self.version = 0
+        self._seen_at = now
+
+    def load(self, record: dict, version: int, now: float) -> None:
+        """Take what is published; an older version changes nothing."""
+        if version < self.version:
+            return
+        self.progress = MoveProgress.from_record(record, self.identity, now)
+        self.version = version
+
+    def accept(self, progress: MoveProgress, version: int) -> None:
+        """Take what this driver has published as `version`."""
+        self.progress = progress
+        self.version = version
+
+    def decide(self, inputs: StepInputs) -> MoveProgress | None:
+        """Return the next progress to publish, or None to wait.
+
+        After a pause of this process, hints that waited in its sockets seem
+        fresh, so the settle time starts anew.
+        """
+        paused_s = inputs.now - self._seen_at
+        self._seen_at = inputs.now
+        if paused_s > inputs.settings.max_age_s:
+            self.progress.since = inputs.now
+        return decide(self.progress, inputs)
+
+
 class _Situation:
     """One move with its measurements; an unknown one is None."""
 
@@ -184,14 +225,16 @@
 def _has_settled(
     progress: MoveProgress, situation: _Situation, inputs: StepInputs
 ) -> bool:
-    """Return whether the last step's load has arrived and been measured."""
+    """Return whether the last step's load has arrived and been measured.
+
+    Callers follow a step within the TTL of their answers, and measurements
+    are at most `max_age_s` old, so those known after both are of the load
+    that the step brought.
+    """
     settings = inputs.settings
-    expired_at = progress.since + settings.answer_ttl_s
     settle_s = settings.answer_ttl_s + settings.max_age_s
     wait_s = max(situation.move.pace_s, settle_s)
-    if inputs.now - progress.since < wait_s:
-        return False
-    return min(situation.target.at, situation.load.at) >= expired_at
+    return inputs.now - progress.since >= wait_s
 
 
 def _choose_step(
