Fit messages and settings to the parts that use them

Cause: claims travel as lists, a started run must be told so that its token is spent, and settings sections are checked from constructors' signatures.

Ruled out: a message for cancelling (closing the exchange cancels already).

Measured: wire and platform tests pass.

--- a/radishstile/http/upstream.py
+++ b/radishstile/http/upstream.py
@@ -10,6 +10,7 @@
 
 from radishstile.call import Answer
 from radishstile.http import headers as names
+from radishstile.http.resending import forbid_resending
 
 _PART_BYTES = 65_536
 
@@ -61,10 +62,8 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            middlewares=(forbid_resending,),
         )
-        # aiohttp would send a GET or PUT again by itself when a kept
-        # connection closes; each send must be counted and decided here.
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close the connection pool."""
@@ -77,7 +76,9 @@
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its answer; leaving cancels the rest.
 
-        Raises `aiohttp.ClientError` or `TimeoutError`.
+        Raises `aiohttp.ClientConnectorError` where nothing was sent, and
+        `ConnectionLostError`, `aiohttp.ClientError` or `TimeoutError` where
+        the request may have run.
         """
         url = URL(f"http://{address}:{port}{request.target}", encoded=True)
         async with (
--- a/radishstile/platform/store.py
+++ b/radishstile/platform/store.py
@@ -98,13 +98,18 @@
             )
         )
 
-    async def watch(self, name: str, after: int) -> StoredObject | None:
+    async def watch(
+        self, name: str, after: int, wait_s: float | None = None
+    ) -> StoredObject | None:
         """Return the object once its version is above `after`.
 
-        Returns None at the end of one long poll, and raises
-        `StoreUnavailableError` at once if the store does not answer.
+        Returns None at the end of one long poll of `wait_s` seconds, by
+        default that of the settings. Raises `StoreUnavailableError` at once
+        if the store does not answer.
         """
-        answer = await self._transport.watch(name, after)
+        if wait_s is None:
+            wait_s = self._settings.watch_wait_s
+        answer = await self._transport.watch(name, after, wait_s)
         _check_answered(answer)
         found = answer.found
         if found is None:
--- a/radishstile/platform/transport.py
+++ b/radishstile/platform/transport.py
@@ -8,6 +8,10 @@
 import aiohttp
 
 from radishstile.errors import PlatformError, StoreUnavailableError
+from radishstile.http.resending import (
+    ConnectionLostError,
+    forbid_resending,
+)
 from radishstile.platform.answer import (
     Absent,
     Conflict,
@@ -26,10 +30,6 @@
 _SERVER_ERROR = 500
 
 
-class _LostAnswerError(Exception):
-    """The connection ended before the answer was complete."""
-
-
 class _Reply:
     """Status and decoded body of one HTTP answer."""
 
@@ -54,7 +54,7 @@
         """Open the pool of connections."""
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
-            middlewares=(_forbid_resending,),
+            middlewares=(forbid_resending,),
         )
 
     async def close(self) -> None:
@@ -93,10 +93,9 @@
         )
 
     async def watch(
-        self, name: str, after: int
+        self, name: str, after: int, wait_s: float
     ) -> StoredObject | Absent | Refused | Lost:
         """Wait for a version above `after`, for one long poll."""
-        wait_s = self._settings.watch_wait_s
         return await self._ask(
             _decode_read,
             CallKind.WATCH,
@@ -141,7 +140,7 @@
         except StoreUnavailableError as error:
             self.calls.fail()
             return Refused(str(error))
-        except (_LostAnswerError, KeyError, TypeError, ValueError) as error:
+        except (ConnectionLostError, KeyError, TypeError, ValueError) as error:
             self.calls.fail()
             return Lost(f"lost answer: {error}")
         self.calls.end(began_at)
@@ -163,20 +162,7 @@
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError("can't connect") from error
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise _LostAnswerError(type(error).__name__) from error
-
-
-async def _forbid_resending(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # aiohttp sends GET, PUT and DELETE again by itself on a lost connection,
-    # which would hide from a write that its first try may have been applied.
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _LostAnswerError(type(error).__name__) from error
+            raise ConnectionLostError(type(error).__name__) from error
 
 
 def _check_status(status: int) -> None:
@@ -185,7 +171,7 @@
     if status in _NO_EFFECT_STATUSES:
         raise StoreUnavailableError(f"store answered {status}")
     if status >= _SERVER_ERROR:
-        raise _LostAnswerError(f"store answered {status}")
+        raise ConnectionLostError(f"store answered {status}")
     raise PlatformError(f"store answered {status}")
 
 
--- a/radishstile/wire/messages/fleet.py
+++ b/radishstile/wire/messages/fleet.py
@@ -20,32 +20,67 @@
 
 
 class ClaimRight(Message):
-    """Asks the home of a resource for a right."""
+    """Tells the home of a resource what a holder has and could use.
+
+    `claim` is `Claim.to_record()`.
+    """
 
     __slots__ = ("claim",)
 
-    claim: dict
+    claim: list | dict
 
 
 class GrantRight(Message):
-    """Tells a holder its allotment of a resource."""
+    """Carries a home's allotments and inquiries to one holder.
 
-    __slots__ = ("allotment",)
+    `allotments` and `inquiries` hold their `to_record()` lists.
+    """
 
-    allotment: dict
+    __slots__ = ("allotments", "inquiries")
 
+    allotments: list | dict
+    inquiries: list | dict
 
-class ConfigurationPush(Message):
-    """Carries a version of the configuration and its history entry.
 
-    `document` and `entry` are JSON.
-    """
+class LoadQuery(Message):
+    """Asks a home for the load of the upstream groups it dispatches to."""
+
+    __slots__ = ()
+
+
+class LoadReply(Message):
+    """Answers with a row for each group and zone, as `TargetHint` fields."""
+
+    __slots__ = ("rows",)
+
+    rows: list | dict
+
+
+class MoveReport(Message):
+    """Tells a move's home what one host saw of it, as `MoveHint` fields."""
 
-    __slots__ = ("version", "document", "entry")
+    __slots__ = ("rows",)
 
+    rows: list | dict
+
+
+class MovePush(Message):
+    """Carries a version of a move's published progress as JSON."""
+
+    __slots__ = ("name", "version", "record")
+
+    name: str
     version: int
-    document: bytes
-    entry: bytes
+    record: bytes
+
+
+class ConfigurationPush(Message):
+    """Carries a revision of the configuration as JSON."""
+
+    __slots__ = ("version", "revision")
+
+    version: int
+    revision: bytes
 
 
 class RosterPush(Message):
@@ -72,18 +107,11 @@
 
 
 class StateReply(Message):
-    """Answers with the configuration and roster as JSON."""
-
-    __slots__ = (
-        "configuration_version",
-        "document",
-        "roster_version",
-        "roster",
-    )
-
-    configuration_version: int
-    document: bytes
-    roster_version: int
+    """Answers with the newest revision and roster as JSON, if known."""
+
+    __slots__ = ("revision", "roster")
+
+    revision: bytes
     roster: bytes
 
 
--- a/radishstile/wire/messages/run.py
+++ b/radishstile/wire/messages/run.py
@@ -76,49 +76,69 @@
     __slots__ = ()
 
 
-class CancelRun(Message):
-    """Cancels a request that the caller no longer waits for."""
+class RunStarted(Message):
+    """Says that a slot was taken and the request is being sent."""
 
-    __slots__ = ("request_id",)
+    __slots__ = ("request_id", "upstream")
 
     request_id: str
+    upstream: str
 
 
 class RecordRun(Message):
-    """Asks the journal's home to record a run before it starts."""
+    """Asks the journal's home to record a run before it is sent.
 
-    __slots__ = ("workspace", "idempotency_key", "fingerprint", "attempt_id")
+    `key` and `fingerprint` are digests; `wait_ms` is what remains of the
+    request's time.
+    """
 
-    workspace: str
-    idempotency_key: str
-    fingerprint: str
-    attempt_id: str
+    __slots__ = ("partition", "key", "fingerprint", "attempt", "wait_ms")
+
+    partition: int
+    key: bytes
+    fingerprint: bytes
+    attempt: str
+    wait_ms: int
+
+
+class AwaitRun(Message):
+    """Asks the journal's home for the end of another attempt."""
 
+    __slots__ = ("partition", "key", "wait_ms")
 
-class RunRecorded(Message):
-    """Answers whether the run is recorded and may start."""
+    partition: int
+    key: bytes
+    wait_ms: int
 
-    __slots__ = ("status", "detail")
 
-    status: str
-    detail: str
+class RunKnown(Message):
+    """Answers with a verdict, and the kept status and answer if it ran."""
+
+    __slots__ = ("verdict", "status", "has_answer", "answer")
+
+    verdict: str
+    status: int
+    has_answer: bool
+    answer: bytes
 
 
 class FinishRun(Message):
-    """Records the outcome of a run, with its HTTP status and answer."""
+    """Reports the end of an attempt to the journal's home."""
 
     __slots__ = (
-        "workspace",
-        "idempotency_key",
-        "attempt_id",
-        "outcome",
+        "partition",
+        "key",
+        "attempt",
+        "state",
         "status",
+        "has_answer",
         "answer",
     )
 
-    workspace: str
-    idempotency_key: str
-    attempt_id: str
-    outcome: str
+    partition: int
+    key: bytes
+    attempt: str
+    state: int
     status: int
+    has_answer: bool
     answer: bytes
--- a/radishstile/wire/settings.py
+++ b/radishstile/wire/settings.py
@@ -2,45 +2,49 @@
 
 PART_LIMIT_BYTES = 65_536
 
-_DEFAULTS = {
-    "connect_timeout_s": 3.0,
-    "handshake_timeout_s": 5.0,
-    "backoff_min_s": 0.1,
-    "backoff_max_s": 5.0,
-    "stop_timeout_s": 30.0,
-    "credit_parts": 16,
-    "part_bytes": PART_LIMIT_BYTES,
-    "exchange_limit": 4096,
-}
-
 
 class WireSettings:
     """The fleet's secret, time limits and windows of peer streams.
 
-    `credit_parts` is the number of unread parts that an exchange may hold,
-    `part_bytes` the size that bodies are cut to, and `exchange_limit` the
-    number of handlers that one connection may have running.
+    Times are in seconds. `credit_parts` is the number of unread parts that
+    an exchange may hold, `part_bytes` the size that bodies are cut to, and
+    `exchange_limit` the number of handlers that one connection may have
+    running.
     """
 
-    __slots__ = ("fleet_secret", *_DEFAULTS)
-
-    fleet_secret: bytes
-    connect_timeout_s: float
-    handshake_timeout_s: float
-    backoff_min_s: float
-    backoff_max_s: float
-    stop_timeout_s: float
-    credit_parts: int
-    part_bytes: int
-    exchange_limit: int
-
-    def __init__(self, fleet_secret: bytes, **values):
-        unknown = values.keys() - _DEFAULTS.keys()
-        if unknown:
-            raise TypeError(f"unknown wire settings: {sorted(unknown)}")
-        self.fleet_secret = fleet_secret
-        for name, default in _DEFAULTS.items():
-            setattr(self, name, values.get(name, default))
+    __slots__ = (
+        "fleet_secret",
+        "connect_timeout_s",
+        "handshake_timeout_s",
+        "backoff_min_s",
+        "backoff_max_s",
+        "stop_timeout_s",
+        "credit_parts",
+        "part_bytes",
+        "exchange_limit",
+    )
+
+    def __init__(
+        self,
+        fleet_secret: str,
+        connect_timeout_s: float = 3.0,
+        handshake_timeout_s: float = 5.0,
+        backoff_min_s: float = 0.1,
+        backoff_max_s: float = 5.0,
+        stop_timeout_s: float = 30.0,
+        credit_parts: int = 16,
+        part_bytes: int = PART_LIMIT_BYTES,
+        exchange_limit: int = 4096,
+    ):
+        self.fleet_secret = fleet_secret.encode()
+        self.connect_timeout_s = connect_timeout_s
+        self.handshake_timeout_s = handshake_timeout_s
+        self.backoff_min_s = backoff_min_s
+        self.backoff_max_s = backoff_max_s
+        self.stop_timeout_s = stop_timeout_s
+        self.credit_parts = credit_parts
+        self.part_bytes = part_bytes
+        self.exchange_limit = exchange_limit
 
     def __repr__(self) -> str:
         return f"WireSettings(credit_parts={self.credit_parts})"
--- a/test/wire/_common.py
+++ b/test/wire/_common.py
@@ -13,14 +13,14 @@
 from test._common import PausedTestCase
 
 POLL_S = 0.01
-SECRET = b"fleet secret of the tests"
+SECRET = "fleet secret of the tests"
 
 
 def make_member(host: str, port: int = 0, incarnation: int = 1) -> Member:
     return Member(host, incarnation, "akl-a", "akl", "127.0.0.1", port, 0)
 
 
-def make_settings(secret: bytes = SECRET, **values) -> WireSettings:
+def make_settings(secret: str = SECRET, **values) -> WireSettings:
     return WireSettings(secret, **values)
 
 
--- a/test/wire/test_codec.py
+++ b/test/wire/test_codec.py
@@ -12,7 +12,7 @@
 from radishstile.wire.codec import Envelope, decode, encode
 from radishstile.wire.frames import FRAME_LIMIT_BYTES, build_frame, read_frame
 from radishstile.wire.messages.base import Headers, PartData
-from radishstile.wire.messages.run import AnswerPart, CancelRun
+from radishstile.wire.messages.run import AnswerPart, RunStarted
 from radishstile.wire.registry import MESSAGE_TYPES
 
 SAMPLES = {
@@ -72,15 +72,15 @@
                     decode(content)
 
     def test_malformed_envelopes_are_refused(self):
-        good = encode(Envelope(1, 1, CancelRun(request_id="r")))
+        good = encode(Envelope(1, 1, RunStarted(request_id="r", upstream="u")))
         cases = {
             "not valid msgpack": [good + b"\x00", good[:-1], b"\xc1"],
             "list of four": [msgpack.packb(v) for v in (1, [], [1, 2, 3])],
             "type 999 is unknown": [msgpack.packb([1, 1, 999, []])],
             "incarnation": [msgpack.packb([True, 1, 56, ["r"]])],
             "exchange": [msgpack.packb([1, -1, 56, ["r"]])],
-            "needs 1 fields": [
-                msgpack.packb([1, 1, 56, v]) for v in ([], ["r", 1], {}, None)
+            "needs 2 fields": [
+                msgpack.packb([1, 1, 56, v]) for v in ([], ["r"], {}, None)
             ],
         }
         for text, contents in cases.items():
--- a/test/wire/test_handshake.py
+++ b/test/wire/test_handshake.py
@@ -117,7 +117,7 @@
             await self.check_refused(reader, frames=count)
 
     async def test_dialler_with_wrong_secret_never_connects(self):
-        stranger = self.start_client(self.server.port, secret=b"guess")
+        stranger = self.start_client(self.server.port, secret="guess")
         with self.assertRaises(TimeoutError):
             await stranger.wait_connected(1)
         self.assertIsNone(stranger.peer_member)
