--- a/test/wire/_common.py
+++ b/test/wire/_common.py
@@ -14,6 +14,7 @@
 
 POLL_S = 0.01
 SECRET = "fleet secret of the tests"
+SECRET_BYTES = SECRET.encode()
 
 
 def make_member(host: str, port: int = 0, incarnation: int = 1) -> Member:
--- a/test/wire/test_handshake.py
+++ b/test/wire/test_handshake.py
@@ -8,7 +8,7 @@
 from radishstile.wire.frames import FRAME_LIMIT_BYTES, build_frame, read_frame
 from radishstile.wire.messages.control import Hello, Proof
 from radishstile.wire.messages.fleet import Heartbeat, HeartbeatReply
-from test.wire._common import SECRET.encode(), PeerTestCase, make_member
+from test.wire._common import SECRET_BYTES, PeerTestCase, make_member
 
 
 async def echo(message, exchange):
@@ -38,7 +38,7 @@
         mine = make_hello()
         writer.write(make_frame(mine))
         theirs = decode_message(await read_frame(reader))
-        proof = proof or handshake.sign(SECRET.encode(), "dialler", mine, theirs)
+        proof = proof or handshake.sign(SECRET_BYTES, "dialler", mine, theirs)
         writer.write(make_frame(Proof(digest=proof)))
         return mine, theirs
 
@@ -78,7 +78,7 @@
         mine = make_hello()
         writer.write(make_frame(mine))
         theirs = decode_message(await read_frame(reader))
-        proof = handshake.sign(SECRET.encode(), "listener", mine, theirs)
+        proof = handshake.sign(SECRET_BYTES, "listener", mine, theirs)
         writer.write(make_frame(Proof(digest=proof)))
         await self.check_refused(reader, handshakes=1)
 
