--- a/radishstile/configuration/document.py
+++ b/radishstile/configuration/document.py
@@ -196,12 +196,14 @@
         """Return the names of the upstream groups."""
         return list(self.document.get("groups", {}))
 
-    def list_group(self, group: str, zone: str) -> list[UpstreamEntry]:
-        """Return the upstreams of `group` that are in `zone`."""
+    def list_upstreams(
+        self, group: str, zone: str | None = None
+    ) -> list[UpstreamEntry]:
+        """Return the upstreams of `group`, of one zone where it is given."""
         return [
             upstream
             for upstream in self.upstreams.values()
-            if upstream.group == group and upstream.zone == zone
+            if upstream.group == group and zone in (None, upstream.zone)
         ]
 
 
--- a/radishstile/configuration/schema.py
+++ b/radishstile/configuration/schema.py
@@ -1,13 +1,14 @@
 """JSON Schema of the configuration document."""
 
 _NAME = {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"}
+_KEY_ID = {"type": "string", "pattern": "^[A-Za-z0-9_-]{1,64}$"}
 _PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
 
 
-def _map_of(item: dict) -> dict:
+def _map_of(item: dict, name: dict = _NAME) -> dict:
     return {
         "type": "object",
-        "propertyNames": _NAME,
+        "propertyNames": name,
         "additionalProperties": item,
     }
 
@@ -30,7 +31,7 @@
 )
 WORKSPACE = _record(
     {"rate_per_s": _POSITIVE, "burst": _COUNT},
-    {"weight": _POSITIVE, "keys": _map_of(KEY)},
+    {"weight": _POSITIVE, "keys": _map_of(KEY, _KEY_ID)},
 )
 ROUTE = _record(
     {
--- /dev/null
+++ b/radishstile/daemon/choice.py
@@ -0,0 +1,95 @@
+"""Where a request may run: the zones of its group, in order."""
+
+from radishstile.call import Call
+from radishstile.configuration.document import Route
+from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.peers import Peers
+from radishstile.daemon.resources import SlotsResource
+from radishstile.lookup.address import ClientAddress
+from radishstile.member import Member
+from radishstile.route.choice import (
+    Candidate,
+    Place,
+    ZoneHint,
+    order_candidates,
+)
+from radishstile.route.settings import ChoiceSettings
+
+_UNKNOWN_DELAY_S = 0.1
+
+
+class Target:
+    """A home to send to, for one zone."""
+
+    __slots__ = ("zone", "region", "home")
+
+    def __init__(self, zone: str, region: str, home: Member):
+        self.zone = zone
+        self.region = region
+        self.home = home
+
+
+class Chooser:
+    """Orders the homes of a group's slots for one request."""
+
+    __slots__ = ("_node", "_peers", "_homes", "_steering", "_settings")
+
+    def __init__(self, node: Node, peers: Peers, homes, steering):
+        self._node = node
+        self._peers = peers
+        self._homes = homes
+        self._steering = steering
+        self._settings = ChoiceSettings()
+
+    def choose(self, call: Call, route: Route) -> list[Target]:
+        """Return the homes to try, the first to try first."""
+        now = read_clock()
+        targets = self._list_targets(route.group)
+        client = ClientAddress.parse(call.client_address)
+        steer = self._steering.steer(route.name, client, now)
+        candidates = [
+            self._make_candidate(target, route.group, now)
+            for target in targets.values()
+            if target.region not in steer.barred_regions
+        ]
+        me = self._node.me
+        ordered = order_candidates(
+            self._settings,
+            Place(me.region, me.zone),
+            candidates,
+            now,
+            self._node.random,
+            steer.region,
+        )
+        return [targets[candidate.zone] for candidate in ordered]
+
+    def _list_targets(self, group: str) -> dict[str, Target]:
+        node = self._node
+        targets = {}
+        for zone in node.list_zones(group):
+            home = node.fleet.find_home(SlotsResource(group, zone).name)
+            if home is not None:
+                targets[zone] = Target(zone, node.find_region(zone), home)
+        return targets
+
+    def _make_candidate(
+        self, target: Target, group: str, now: float
+    ) -> Candidate:
+        hint = self.find_hint(group, target.zone, now)
+        delay_s = self._peers.find_delay(target.home)
+        return Candidate(
+            target.region,
+            target.zone,
+            _UNKNOWN_DELAY_S if delay_s is None else delay_s,
+            hint=hint,
+        )
+
+    def find_hint(self, group: str, zone: str, now: float) -> ZoneHint | None:
+        """Return what is known of the room for `group` in `zone`."""
+        resource = SlotsResource(group, zone).name
+        home = self._node.fleet.find_home(resource)
+        if home is None:
+            return None
+        if home == self._node.me:
+            return self._homes.make_hint(resource, now)
+        return self._peers.find_hint(home, resource)
--- /dev/null
+++ b/radishstile/daemon/execution.py
@@ -0,0 +1,287 @@
+"""Runs one order: on an upstream of this host, or through a peer.
+
+Both kinds are used the same way: `start` takes a slot, after which the
+request may have reached an upstream; `open_answer` returns the answer;
+leaving the context gives the slot back and cancels what still runs.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+
+import aiohttp
+
+from radishstile.call import Answer
+from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.order import Order
+from radishstile.daemon.peers import Peers
+from radishstile.daemon.tracing import make_traceparent
+from radishstile.errors import (
+    FrameError,
+    PeerLostError,
+    RefusalError,
+    WireError,
+)
+from radishstile.http import headers as names
+from radishstile.http.resending import ConnectionLostError
+from radishstile.http.upstream import UpstreamRequest
+from radishstile.member import Member
+from radishstile.outcome import Outcome, Reason
+from radishstile.upstream.dispatcher import Dispatcher
+from radishstile.upstream.slot import (
+    Broken,
+    Cancelled,
+    Completed,
+    Errored,
+    Shed,
+    SlotLease,
+    SlotResult,
+    TimedOut,
+    Unreachable,
+)
+from radishstile.wire.exchange import Exchange
+from radishstile.wire.messages.base import Message
+from radishstile.wire.messages.run import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    BodyEnd,
+    BodyPart,
+    RunStarted,
+)
+from radishstile.wire.parts import PartAssembly, PartSequence
+from radishstile.wire.refusals import raise_refusal
+
+_CONNECT_WAIT_S = 1.0
+_SERVER_ERROR = 500
+_UNAVAILABLE = 503
+_SHED_RETRY_S = 1.0
+_LOST_ERRORS = (aiohttp.ClientError, ConnectionLostError)
+
+
+class LocalExecution:
+    """Runs an order on an upstream that this host dispatches to."""
+
+    __slots__ = (
+        "_node",
+        "_dispatcher",
+        "_order",
+        "_lease",
+        "_result",
+        "_sent_at",
+        "_span",
+        "_stack",
+    )
+
+    def __init__(self, node: Node, dispatcher: Dispatcher, order: Order):
+        self._node = node
+        self._dispatcher = dispatcher
+        self._order = order
+        self._lease: SlotLease | None = None
+        self._result: SlotResult | None = None
+        self._sent_at = 0.0
+        self._span = node.tracing.start_span("dispatch", order.traceparent)
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> "LocalExecution":
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        try:
+            await self._stack.aclose()
+        finally:
+            if self._lease is not None:
+                result = self._result or Cancelled(is_over=True)
+                self._dispatcher.release(self._lease, result)
+                self._span.set_attribute("result", type(result).__name__)
+            self._span.end()
+
+    async def start(self) -> str:
+        """Wait for a slot and return its upstream's name."""
+        order = self._order
+        self._lease = await self._dispatcher.acquire(
+            order.workspace,
+            order.weight,
+            order.route,
+            order.deadline,
+            order.excluded,
+        )
+        self._span.set_attribute("upstream", self._lease.upstream)
+        self._span.set_attribute("workspace", order.workspace)
+        self._sent_at = read_clock()
+        return self._lease.upstream
+
+    async def open_answer(self) -> Answer:
+        """Send the request and return the answer's head and parts."""
+        lease = self._lease
+        try:
+            answer = await self._stack.enter_async_context(
+                self._node.upstreams.send(
+                    lease.address, lease.port, self._make_request()
+                )
+            )
+        except aiohttp.ClientConnectorError as error:
+            self._result = Unreachable()
+            raise self._lose(Outcome.NOT_RUN) from error
+        except _LOST_ERRORS as error:
+            self._result = Broken(is_over=True)
+            raise self._lose(Outcome.UNKNOWN) from error
+        except TimeoutError as error:
+            self._result = TimedOut(is_over=True)
+            raise RefusalError(Reason.DEADLINE, Outcome.UNKNOWN) from error
+        self._check_shed(answer)
+        answer.upstream = lease.upstream
+        answer.parts = self._read_parts(answer.status, answer.parts)
+        return answer
+
+    def _lose(self, outcome: Outcome) -> RefusalError:
+        detail = f"the connection to {self._lease.upstream} was lost"
+        return RefusalError(Reason.UPSTREAM_LOST, outcome, detail=detail)
+
+    def _check_shed(self, answer: Answer) -> None:
+        said = dict((n.lower(), v) for n, v in answer.headers)
+        outcome = said.get(names.UPSTREAM_OUTCOME.lower())
+        is_shed = answer.status == _UNAVAILABLE
+        if is_shed and outcome == Outcome.NOT_RUN.value:
+            self._result = Shed()
+            raise RefusalError(
+                Reason.UPSTREAM_SHED, Outcome.NOT_RUN, _SHED_RETRY_S
+            )
+
+    async def _read_parts(
+        self, status: int, parts: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        try:
+            async for part in parts:
+                yield part
+        except _LOST_ERRORS as error:
+            self._result = Broken(is_over=True)
+            raise self._lose(Outcome.RAN) from error
+        except TimeoutError as error:
+            self._result = TimedOut(is_over=True)
+            raise RefusalError(Reason.DEADLINE, Outcome.RAN) from error
+        if status >= _SERVER_ERROR:
+            self._result = Errored()
+            return
+        self._result = Completed(read_clock() - self._sent_at)
+
+    def _make_request(self) -> UpstreamRequest:
+        order = self._order
+        return UpstreamRequest(
+            order.method,
+            order.target,
+            order.headers,
+            order.body,
+            order.workspace,
+            max(0.0, order.deadline - read_clock()),
+            make_traceparent(self._span),
+        )
+
+
+class RemoteExecution:
+    """Runs an order through the home of its slots, over a peer stream."""
+
+    __slots__ = (
+        "_node",
+        "_peers",
+        "_home",
+        "_order",
+        "_exchange",
+        "_is_started",
+        "_assembly",
+    )
+
+    def __init__(self, node: Node, peers: Peers, home: Member, order: Order):
+        self._node = node
+        self._peers = peers
+        self._home = home
+        self._order = order
+        self._exchange: Exchange | None = None
+        self._is_started = False
+        self._assembly = PartAssembly(order.request_id, node.wire)
+
+    async def __aenter__(self) -> "RemoteExecution":
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        if self._exchange is not None:
+            self._exchange.close()
+
+    async def start(self) -> str:
+        """Send the order and wait until the home has a slot for it."""
+        try:
+            await self._send_order()
+        except (PeerLostError, WireError) as error:
+            raise self._lose(error) from error
+        message = await self._receive()
+        if type(message) is not RunStarted:
+            raise self._lose(FrameError("the home sent no start"))
+        self._is_started = True
+        return message.upstream
+
+    async def open_answer(self) -> Answer:
+        """Return the answer's head and parts."""
+        message = await self._receive()
+        if type(message) is not AnswerHead:
+            raise self._lose(FrameError("the home sent no head"))
+        headers = [(name, value) for name, value in message.headers]
+        return Answer(
+            message.status, headers, self._read_parts(), message.upstream
+        )
+
+    async def _send_order(self) -> None:
+        client = await self._peers.connect(self._home, _CONNECT_WAIT_S)
+        order = self._order
+        message = order.to_message(read_clock())
+        self._exchange = await client.open(message)
+        part_bytes = self._node.settings.wire.part_bytes
+        sequence = PartSequence(order.request_id, part_bytes)
+        for part in sequence.cut(order.body, BodyPart):
+            await self._exchange.send(part)
+        await self._exchange.send(sequence.end(BodyEnd))
+
+    async def _receive(self) -> Message:
+        left_s = self._order.deadline - read_clock()
+        try:
+            message = await self._exchange.receive(max(0.0, left_s))
+            raise_refusal(message)
+        except WireError as error:
+            raise self._lose(error) from error
+        except TimeoutError as error:
+            raise RefusalError(Reason.DEADLINE, Outcome.UNKNOWN) from error
+        return message
+
+    async def _read_parts(self) -> AsyncIterator[bytes]:
+        while not self._assembly.is_whole:
+            message = await self._receive()
+            if type(message) is AnswerEnd:
+                self._finish(message)
+                return
+            data = self._accept(message)
+            if data is not None:
+                yield data
+
+    def _accept(self, message: Message) -> bytes | None:
+        if type(message) is not AnswerPart:
+            raise self._lose(FrameError("the home sent no part"))
+        try:
+            return self._assembly.accept(message)
+        except FrameError as error:
+            raise self._lose(error) from error
+
+    def _finish(self, end: AnswerEnd) -> None:
+        try:
+            self._assembly.finish(end)
+        except FrameError as error:
+            raise self._lose(error) from error
+        if not self._assembly.is_whole:
+            raise self._lose(FrameError("the answer has a foreign end"))
+
+    def _lose(self, error: WireError) -> RefusalError:
+        """Return the refusal for a lost home, with what is known.
+
+        An order that was never sent has not run; later the home may have
+        passed it on although the answer is lost.
+        """
+        was_sent = self._exchange is not None and self._exchange.is_sent
+        outcome = Outcome.UNKNOWN if was_sent else Outcome.NOT_RUN
+        return RefusalError(Reason.PEER_LOST, outcome, detail=str(error))
--- /dev/null
+++ b/radishstile/daemon/homes.py
@@ -0,0 +1,238 @@
+"""What this host is home of, opened and closed as the roster says."""
+
+import asyncio
+import logging
+from functools import singledispatchmethod
+
+from radishstile.daemon.hint import make_hint, read_hint
+from radishstile.daemon.journals import JournalKeeper
+from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.peers import Peers
+from radishstile.daemon.resources import (
+    JournalResource,
+    MoveResource,
+    RateResource,
+    Resource,
+    SlotsResource,
+    parse_resource,
+)
+from radishstile.daemon.rights import RightsHome
+from radishstile.daemon.slots import SlotsHome
+from radishstile.errors import PeerLostError
+from radishstile.fleet.allotment import Allotment, Claim, Inquiry
+from radishstile.fleet.home import Home
+from radishstile.fleet.roster import HomeEntry
+from radishstile.route.choice import ZoneHint
+from radishstile.shift.guard import size_burst
+
+_LOG = logging.getLogger("radishstile.homes")
+
+
+class OpenHome:
+    """A resource that this host serves, under one epoch."""
+
+    __slots__ = ("resource", "epoch", "service", "task")
+
+    def __init__(self, resource: Resource, epoch: int, service, task):
+        self.resource = resource
+        self.epoch = epoch
+        self.service = service
+        self.task = task
+
+
+class Homes:
+    """Opens a service for each resource that the roster gives this host."""
+
+    __slots__ = ("_node", "_peers", "lanes", "_open", "_leaving")
+
+    def __init__(self, node: Node, peers: Peers):
+        self._node = node
+        self._peers = peers
+        self.lanes = None
+        self._open: dict[str, OpenHome] = {}
+        self._leaving: frozenset[str] = frozenset()
+
+    async def sync(self, group: asyncio.TaskGroup) -> None:
+        """Open, update and close services after a change of versions."""
+        entries = self._list_entries()
+        for name in list(self._open):
+            entry = entries.get(name)
+            if entry is None or entry.epoch != self._open[name].epoch:
+                self._close(name)
+        for name, entry in entries.items():
+            if name in self._open:
+                await self._update(self._open[name].resource, name)
+            else:
+                self._open_home(name, entry, group)
+
+    def list_names(self) -> list[str]:
+        """Return the names of the resources that are served here."""
+        return list(self._open)
+
+    def list_slots(self) -> list[SlotsHome]:
+        """Return the homes of slots that are served here."""
+        return [
+            home.service
+            for home in self._open.values()
+            if type(home.resource) is SlotsResource
+        ]
+
+    def make_hints(self) -> dict[str, list[int]]:
+        """Return what heartbeats tell of the slots served here."""
+        return {
+            slots.resource.name: make_hint(slots.dispatcher)
+            for slots in self.list_slots()
+        }
+
+    def make_hint(self, name: str, now: float) -> ZoneHint | None:
+        """Return the room of one resource as it is now."""
+        service = self.find_service(name)
+        if service is None:
+            return None
+        return read_hint(make_hint(service.dispatcher), now)
+
+    def find_service(self, name: str):
+        """Return the service of a resource, or None if it is not here."""
+        home = self._open.get(name)
+        return None if home is None else home.service
+
+    async def receive_claim(self, claim: Claim) -> list[Allotment | Inquiry]:
+        """Take in a claim; raises `PeerLostError` where it is not here."""
+        service = self.find_service(claim.resource)
+        if service is None:
+            raise PeerLostError(f"{claim.resource} is not served here")
+        return await service.receive(claim)
+
+    def apply_leaving(self, names: frozenset[str]) -> None:
+        """Take the platform's list of upstreams that leave or are gone."""
+        if names == self._leaving:
+            return
+        self._leaving = names
+        for slots in self.list_slots():
+            slots.apply_leaving(names)
+
+    async def release_all(self) -> None:
+        """Let what runs finish, and hand every resource back."""
+        for slots in self.list_slots():
+            slots.dispatcher.close()
+        for name, home in list(self._open.items()):
+            await self._drain(home.resource, home.service)
+            self._node.fleet.release(name)
+
+    def _list_entries(self) -> dict[str, HomeEntry]:
+        fleet = self._node.fleet
+        return {
+            name: entry
+            for name, entry in fleet.roster.homes.items()
+            if entry.identity == self._node.me.identity and fleet.is_home(name)
+        }
+
+    def _open_home(
+        self, name: str, entry: HomeEntry, group: asyncio.TaskGroup
+    ) -> None:
+        resource = parse_resource(name)
+        service = self._make_service(resource, entry)
+        if service is None:
+            return
+        task = group.create_task(self._run(name, service))
+        self._open[name] = OpenHome(resource, entry.epoch, service, task)
+        _LOG.info("homes: Serving %s, epoch %d.", name, entry.epoch)
+
+    async def _run(self, name: str, service) -> None:
+        try:
+            await service.run()
+        except Exception:
+            # One resource must not end the others; the next change of
+            # versions opens it again.
+            _LOG.exception("homes: Service of %s failed.", name)
+            self._open.pop(name, None)
+
+    def _close(self, name: str) -> None:
+        home = self._open.pop(name)
+        self._stop(home.resource, home.service)
+        home.task.cancel()
+        _LOG.info("homes: No longer serving %s.", name)
+
+    @singledispatchmethod
+    def _make_service(self, resource: Resource | None, entry: HomeEntry):
+        return None
+
+    @_make_service.register
+    def _(self, resource: RateResource, entry: HomeEntry):
+        workspace = self._node.configuration.workspaces.get(resource.workspace)
+        if workspace is None:
+            return None
+        return self._make_rights(
+            resource.name, entry, workspace.rate_per_s, workspace.burst
+        )
+
+    @_make_service.register
+    def _(self, resource: MoveResource, entry: HomeEntry):
+        move = self._node.configuration.moves.get(resource.move)
+        if move is None:
+            return None
+        burst = int(size_burst(move, self._node.settings.moves))
+        return self._make_rights(resource.name, entry, move.cap_per_s, burst)
+
+    @_make_service.register
+    def _(self, resource: SlotsResource, entry: HomeEntry):
+        home = SlotsHome(resource, self._node, entry.may_be_occupied)
+        home.apply_leaving(self._leaving)
+        return home
+
+    @_make_service.register
+    def _(self, resource: JournalResource, entry: HomeEntry):
+        return JournalKeeper(resource.partition, self._node)
+
+    def _make_rights(
+        self, name: str, entry: HomeEntry, rate: float, burst: int
+    ) -> RightsHome:
+        members = self._node.fleet.roster.identities
+        home = Home(name, entry.epoch, rate, burst, members, read_clock())
+        return RightsHome(home, self._node, self._peers, self.lanes)
+
+    @singledispatchmethod
+    async def _update(self, resource: Resource, name: str) -> None:
+        """Tell a service about a new configuration."""
+
+    @_update.register
+    async def _(self, resource: RateResource, name: str) -> None:
+        workspace = self._node.configuration.workspaces.get(resource.workspace)
+        if workspace is not None:
+            await self.find_service(name).set_limit(
+                workspace.rate_per_s, workspace.burst
+            )
+
+    @_update.register
+    async def _(self, resource: MoveResource, name: str) -> None:
+        move = self._node.configuration.moves.get(resource.move)
+        if move is not None:
+            burst = int(size_burst(move, self._node.settings.moves))
+            await self.find_service(name).set_limit(move.cap_per_s, burst)
+
+    @_update.register
+    async def _(self, resource: SlotsResource, name: str) -> None:
+        self.find_service(name).apply_configuration()
+
+    @singledispatchmethod
+    def _stop(self, resource: Resource, service) -> None:
+        """Let a service that is no longer home give out nothing more."""
+
+    @_stop.register(RateResource)
+    @_stop.register(MoveResource)
+    def _(self, resource: Resource, service: RightsHome) -> None:
+        service.close()
+
+    @_stop.register
+    def _(self, resource: SlotsResource, service: SlotsHome) -> None:
+        service.dispatcher.close()
+
+    @singledispatchmethod
+    async def _drain(self, resource: Resource, service) -> None:
+        """Wait until nothing is owed of a resource that is given up."""
+        self._stop(resource, service)
+
+    @_drain.register
+    async def _(self, resource: SlotsResource, service: SlotsHome) -> None:
+        service.dispatcher.close()
+        await service.dispatcher.drained()
--- a/radishstile/daemon/logs.py
+++ b/radishstile/daemon/logs.py
@@ -1,4 +1,7 @@
-"""Log lines: human text or JSON, a fixed prefix for each part."""
+"""Log lines: human text or JSON.
+
+Messages begin with the fixed prefix of their part, as in `peers: `.
+"""
 
 import json
 import logging
@@ -10,7 +13,7 @@
 
 
 class PrefixFormatter(logging.Formatter):
-    """Formats `TIME LEVEL HOST PART: sentence`."""
+    """Formats time, level, host and the message with its prefix."""
 
     def __init__(self, host: str):
         super().__init__()
@@ -19,9 +22,7 @@
     def format(self, record: logging.LogRecord) -> str:
         """Return one line of text."""
         time = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
-        part = _name_part(record)
-        line = f"{time} {record.levelname} {self._host} {part}: "
-        line += record.getMessage()
+        line = f"{time} {record.levelname} {self._host} {record.getMessage()}"
         if record.exc_info:
             line += "\n" + self.formatException(record.exc_info)
         return line
@@ -36,22 +37,19 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Return one line of JSON."""
+        part, _, sentence = record.getMessage().partition(": ")
         fields = {
             "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
             "level": record.levelname,
             "host": self._host,
-            "part": _name_part(record),
-            "message": record.getMessage(),
+            "part": part,
+            "message": sentence,
         }
         if record.exc_info:
             fields["error"] = self.formatException(record.exc_info)
         return json.dumps(fields)
 
 
-def _name_part(record: logging.LogRecord) -> str:
-    return record.name.removeprefix(ROOT_LOGGER + ".")
-
-
 def set_up_logs(settings: LogSettings, host: str) -> None:
     """Send the package's log lines to standard error."""
     handler = logging.StreamHandler(sys.stderr)
@@ -61,8 +59,3 @@
     logger.handlers = [handler]
     logger.setLevel(settings.level)
     logger.propagate = False
-
-
-def get_logger(part: str) -> logging.Logger:
-    """Return the logger of one part of the daemon."""
-    return logging.getLogger(f"{ROOT_LOGGER}.{part}")
--- /dev/null
+++ b/radishstile/daemon/node.py
@@ -0,0 +1,93 @@
+"""What all parts of one daemon share."""
+
+import asyncio
+import random
+
+from radishstile.configuration.document import Configuration
+from radishstile.configuration.entry import HistoryEntry, Revision
+from radishstile.configuration.ledger import FIRST_VERSION, Ledger
+from radishstile.daemon.metrics import Metrics
+from radishstile.daemon.settings import DaemonSettings
+from radishstile.daemon.tracing import Tracing
+from radishstile.fleet.fleet import Fleet
+from radishstile.http.upstream import UpstreamClient
+from radishstile.member import Member
+from radishstile.platform.store import StoreClient
+from radishstile.route.match import RouteTable
+from radishstile.wire.counters import WireCounters
+
+
+class Node:
+    """The host's identity, aggregates and connections to the outside.
+
+    `revision` and `configuration` are the newest in force; version 0 is the
+    empty document.
+    """
+
+    __slots__ = (
+        "settings",
+        "me",
+        "fleet",
+        "store",
+        "ledger",
+        "upstreams",
+        "tracing",
+        "metrics",
+        "wire",
+        "random",
+        "revision",
+        "configuration",
+        "routes",
+        "_zones",
+        "is_stopping",
+    )
+
+    def __init__(self, settings: DaemonSettings, incarnation: int):
+        host = settings.host
+        self.settings = settings
+        self.me = Member(
+            host.name,
+            incarnation,
+            host.zone,
+            host.region,
+            host.address,
+            host.peer_port,
+            host.http_port,
+        )
+        self.fleet = Fleet(self.me, settings.fleet)
+        self.random = random.Random()
+        self.store = StoreClient(settings.platform, self.random)
+        self.ledger = Ledger(self.store)
+        self.upstreams = UpstreamClient()
+        self.tracing = Tracing(settings.tracing, host.name)
+        self.metrics = Metrics()
+        self.wire = WireCounters()
+        self.is_stopping = False
+        entry = HistoryEntry(FIRST_VERSION, "", "", FIRST_VERSION, {})
+        self.put_in_force(Revision(entry, {}))
+
+    def put_in_force(self, revision: Revision) -> None:
+        """Use `revision` from now on."""
+        configuration = Configuration(revision.version, revision.document)
+        self.revision = revision
+        self.configuration = configuration
+        self.routes = RouteTable(configuration.routes)
+        self._zones = {
+            group: sorted(
+                {u.zone for u in configuration.list_upstreams(group)}
+            )
+            for group in configuration.groups
+        }
+
+    def list_zones(self, group: str) -> list[str]:
+        """Return the zones that have upstreams of `group`."""
+        return self._zones[group]
+
+    def find_region(self, zone: str) -> str:
+        """Return the region of a configured zone."""
+        return self.configuration.zones[zone]
+
+
+def read_clock() -> float:
+    """Return the time of the running event loop, in seconds."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/radishstile/daemon/order.py
@@ -0,0 +1,105 @@
+"""A request on its way from an entry host to an upstream."""
+
+import math
+
+from radishstile.wire.messages.run import RunRequest
+
+_MS_PER_S = 1000
+
+
+class Order:
+    """What a home needs to run one request; `deadline` is loop time.
+
+    `headers` and `body` are as the upstream sees them, without the caller's
+    key. `excluded` names upstreams that must not be tried again.
+    """
+
+    __slots__ = (
+        "request_id",
+        "workspace",
+        "weight",
+        "route",
+        "group",
+        "zone",
+        "method",
+        "target",
+        "headers",
+        "body",
+        "deadline",
+        "is_idempotent",
+        "traceparent",
+        "excluded",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        workspace: str,
+        weight: float,
+        route: str,
+        group: str,
+        zone: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        deadline: float,
+        is_idempotent: bool,
+        traceparent: str,
+        excluded: frozenset[str],
+    ):
+        self.request_id = request_id
+        self.workspace = workspace
+        self.weight = weight
+        self.route = route
+        self.group = group
+        self.zone = zone
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.deadline = deadline
+        self.is_idempotent = is_idempotent
+        self.traceparent = traceparent
+        self.excluded = excluded
+
+    def to_message(self, now: float) -> RunRequest:
+        """Return the order without its body as a message."""
+        left_s = max(0.0, self.deadline - now)
+        return RunRequest(
+            request_id=self.request_id,
+            workspace=self.workspace,
+            weight=self.weight,
+            route=self.route,
+            group=self.group,
+            zone=self.zone,
+            method=self.method,
+            path=self.target,
+            headers=[list(pair) for pair in self.headers],
+            deadline_ms=math.floor(left_s * _MS_PER_S),
+            is_idempotent=self.is_idempotent,
+            traceparent=self.traceparent,
+            excluded=sorted(self.excluded),
+        )
+
+    @classmethod
+    def from_message(
+        cls, message: RunRequest, body: bytes, now: float
+    ) -> "Order":
+        """Return the order that a message and its body describe."""
+        return cls(
+            message.request_id,
+            message.workspace,
+            message.weight,
+            message.route,
+            message.group,
+            message.zone,
+            message.method,
+            message.path,
+            [(name, value) for name, value in message.headers],
+            body,
+            now + message.deadline_ms / _MS_PER_S,
+            message.is_idempotent,
+            message.traceparent,
+            frozenset(message.excluded),
+        )
--- /dev/null
+++ b/radishstile/daemon/peers.py
@@ -0,0 +1,229 @@
+"""The peers that this host dials, one task for each."""
+
+import asyncio
+import logging
+
+from radishstile.daemon.hint import read_hint
+from radishstile.daemon.node import read_clock
+from radishstile.daemon.parts import Parts
+from radishstile.errors import PeerLostError, RefusalError, WireError
+from radishstile.fleet.statement import Statement
+from radishstile.member import Member
+from radishstile.route.choice import ZoneHint
+from radishstile.wire.client import PeerClient
+from radishstile.wire.messages.base import Message
+from radishstile.wire.messages.fleet import Heartbeat
+from radishstile.wire.refusals import raise_refusal
+
+_LOG = logging.getLogger("radishstile.peers")
+_USE_S = 30.0
+_CONNECT_WAIT_S = 1.0
+
+
+class Peer:
+    """One peer: its stream, what it last stated, and what it is owed.
+
+    `configuration_version` and `roster_version` are the newest that the
+    peer is known to have; `used_until` is when an unused link is dropped.
+    """
+
+    __slots__ = (
+        "client",
+        "task",
+        "changed",
+        "configuration_version",
+        "roster_version",
+        "used_until",
+        "heard_at",
+        "hints",
+        "delay_s",
+        "move_versions",
+    )
+
+    def __init__(self, client: PeerClient):
+        self.client = client
+        self.task: asyncio.Task | None = None
+        self.changed = asyncio.Event()
+        self.configuration_version = 0
+        self.roster_version = 0
+        self.used_until = 0.0
+        self.heard_at = float("-inf")
+        self.hints: dict[str, list[int]] = {}
+        self.delay_s: float | None = None
+        self.move_versions: dict[str, int] = {}
+
+    @property
+    def member(self) -> Member:
+        """Return the member that this host dials."""
+        return self.client.peer
+
+
+class Peers:
+    """Keeps a link to each neighbour and to each home in use."""
+
+    __slots__ = ("_node", "_parts", "_group", "_by_host")
+
+    def __init__(self, parts: Parts):
+        self._node = parts.node
+        self._parts = parts
+        self._group: asyncio.TaskGroup | None = None
+        self._by_host: dict[str, Peer] = {}
+
+    async def run(self) -> None:
+        """Dial neighbours and drop those that ended or are not needed."""
+        async with asyncio.TaskGroup() as group:
+            self._group = group
+            while True:
+                self._dial_neighbours()
+                self._drop_unneeded()
+                await asyncio.sleep(self._node.settings.fleet.heartbeat_s)
+
+    def list_connected(self) -> list[Peer]:
+        """Return the peers with a live stream."""
+        return [
+            peer for peer in self._by_host.values() if peer.client.is_connected
+        ]
+
+    def list_versions(self) -> dict[str, int]:
+        """Return the newest configuration that each peer is known to have."""
+        return {
+            host: peer.configuration_version
+            for host, peer in self._by_host.items()
+            if peer.client.is_connected
+        }
+
+    def notify(self) -> None:
+        """Let each peer's task send what the peer does not have yet."""
+        for peer in self._by_host.values():
+            peer.changed.set()
+
+    def use(self, member: Member) -> Peer:
+        """Return the link to `member`, dialled if need be."""
+        peer = self._by_host.get(member.host)
+        if peer is None or peer.member != member:
+            peer = self._dial(member)
+        peer.used_until = read_clock() + _USE_S
+        return peer
+
+    def find_delay(self, member: Member) -> float | None:
+        """Return the measured one-way delay to `member`, in seconds."""
+        if member == self._node.me:
+            return 0.0
+        return self.use(member).delay_s
+
+    def find_hint(self, member: Member, resource: str) -> ZoneHint | None:
+        """Return what `member` last told of a resource's room."""
+        peer = self.use(member)
+        record = peer.hints.get(resource)
+        return None if record is None else read_hint(record, peer.heard_at)
+
+    async def ask(
+        self, member: Member, message: Message, timeout_s: float
+    ) -> Message:
+        """Ask `member`; raises `PeerLostError` and `TimeoutError`."""
+        client = await self.connect(member, min(timeout_s, _CONNECT_WAIT_S))
+        return await client.ask(message, timeout_s)
+
+    async def tell(self, member: Member, message: Message) -> None:
+        """Tell `member` where it is connected; a loss is not reported."""
+        peer = self.use(member)
+        try:
+            await peer.client.tell(message)
+        except PeerLostError:
+            _LOG.debug("peers: %s is away.", member.host)
+
+    async def connect(self, member: Member, timeout_s: float) -> PeerClient:
+        """Return a connected stream; raises `PeerLostError`."""
+        client = self.use(member).client
+        if not client.is_connected:
+            try:
+                await client.wait_connected(timeout_s)
+            except TimeoutError as error:
+                raise PeerLostError(f"{member.host} is away") from error
+        return client
+
+    def _dial(self, member: Member) -> Peer:
+        known = self._by_host.get(member.host)
+        if known is not None:
+            known.task.cancel()
+        node = self._node
+        client = PeerClient(
+            node.me, member, node.settings.wire, node.wire, node.random
+        )
+        peer = Peer(client)
+        self._by_host[member.host] = peer
+        peer.task = self._group.create_task(self._run_peer(peer))
+        return peer
+
+    def _dial_neighbours(self) -> None:
+        now = read_clock()
+        for member in self._node.fleet.list_heartbeat_peers(now):
+            known = self._by_host.get(member.host)
+            if known is None or known.member != member:
+                self._dial(member)
+            self._by_host[member.host].used_until = now + _USE_S
+
+    def _drop_unneeded(self) -> None:
+        now = read_clock()
+        fleet = self._node.fleet
+        for host, peer in list(self._by_host.items()):
+            is_ended = fleet.find_evidence(peer.member.identity) is not None
+            if is_ended or peer.used_until < now:
+                peer.task.cancel()
+                del self._by_host[host]
+
+    async def _run_peer(self, peer: Peer) -> None:
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(peer.client.run())
+                while True:
+                    await self._beat(peer)
+                    await self._wait_beat(peer)
+        except Exception:
+            # One peer must not end the others; it is dialled again.
+            _LOG.exception("peers: Task of %s failed.", peer.member.host)
+            peer.used_until = 0.0
+
+    async def _wait_beat(self, peer: Peer) -> None:
+        peer.changed.clear()
+        try:
+            async with asyncio.timeout(self._node.settings.fleet.heartbeat_s):
+                await peer.changed.wait()
+        except TimeoutError:
+            return
+
+    async def _beat(self, peer: Peer) -> None:
+        """Send what is owed, then one heartbeat, and take in its reply."""
+        if not peer.client.is_connected:
+            self._note_refused(peer)
+            return
+        timeout_s = self._node.settings.fleet.suspect_after_s
+        try:
+            await self._parts.replication.push_to(peer)
+            await self._parts.moves.push_to(peer)
+            asked_at = read_clock()
+            reply = await peer.client.ask(Heartbeat(statement=[]), timeout_s)
+            raise_refusal(reply)
+            statement = Statement.from_record(reply.statement)
+        except (WireError, RefusalError, TimeoutError) as error:
+            _LOG.info("peers: No heartbeat of %s: %s", peer.member.host, error)
+            return
+        except (TypeError, ValueError) as error:
+            _LOG.warning("peers: %s sent nonsense: %s", peer.member, error)
+            return
+        self._hear(peer, statement, asked_at)
+        await self._parts.replication.pull_from(peer)
+
+    def _hear(self, peer: Peer, statement: Statement, asked_at: float) -> None:
+        now = read_clock()
+        self._node.fleet.hear(statement, asked_at, now)
+        peer.heard_at = now
+        peer.hints = statement.hints
+        peer.delay_s = (now - asked_at) / 2
+        peer.configuration_version = statement.configuration_version
+        peer.roster_version = statement.roster_version
+
+    def _note_refused(self, peer: Peer) -> None:
+        if peer.client.last_refused_at is not None:
+            identity = peer.member.identity
+            self._node.fleet.note_refused(identity, read_clock())
--- /dev/null
+++ b/radishstile/daemon/purchases.py
@@ -0,0 +1,184 @@
+"""Non-idempotent requests: recorded first, run at most once."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+
+from radishstile.call import Answer, Call
+from radishstile.daemon.journals import JournalClient
+from radishstile.daemon.order import Order
+from radishstile.errors import RefusalError
+from radishstile.outcome import Outcome, Reason
+from radishstile.run.fingerprint import hash_key, hash_request
+from radishstile.run.record import RunAnswer, RunReport, RunState, Verdict
+
+_LOG = logging.getLogger("radishstile.purchases")
+ANSWER_LIMIT_BYTES = 16 * 1_048_576
+_RETRY_AFTER_S = 1.0
+
+_STATES = {
+    Outcome.NOT_RUN: RunState.NOT_RUN,
+    Outcome.RAN: RunState.RAN,
+    Outcome.UNKNOWN: RunState.UNKNOWN,
+}
+_REFUSALS = {
+    Verdict.RAN: (Reason.DUPLICATE, Outcome.RAN),
+    Verdict.RUNNING: (Reason.DUPLICATE, Outcome.UNKNOWN),
+    Verdict.UNKNOWN: (Reason.DUPLICATE, Outcome.UNKNOWN),
+    Verdict.MISMATCH: (Reason.BAD_REQUEST, Outcome.NOT_RUN),
+    Verdict.UNAVAILABLE: (Reason.RECORD_UNAVAILABLE, Outcome.NOT_RUN),
+    Verdict.NOT_HOME: (Reason.RECORD_UNAVAILABLE, Outcome.NOT_RUN),
+    Verdict.NOT_RUN: (Reason.DUPLICATE, Outcome.NOT_RUN),
+}
+_DETAILS = {
+    Verdict.RAN: "a request with this idempotency key has run",
+    Verdict.RUNNING: "a request with this idempotency key is running",
+    Verdict.UNKNOWN: "a request with this idempotency key may have run",
+    Verdict.MISMATCH: "this idempotency key was used for another request",
+    Verdict.UNAVAILABLE: "the run can't be recorded now",
+    Verdict.NOT_HOME: "the run can't be recorded now",
+    Verdict.NOT_RUN: "a request with this idempotency key did not run",
+}
+
+
+class Purchases:
+    """Serves non-idempotent requests, each in a task of its own.
+
+    A purchase that has started outlives its caller's connection, so that its
+    end is known when the caller sends it again.
+    """
+
+    __slots__ = ("_journal", "_group", "_running", "_idle")
+
+    def __init__(self, journal: JournalClient):
+        self._journal = journal
+        self._group: asyncio.TaskGroup | None = None
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def open(self, group: asyncio.TaskGroup) -> None:
+        """Run purchases in `group` from now on."""
+        self._group = group
+
+    async def drain(self) -> None:
+        """Wait until no purchase runs."""
+        await self._idle.wait()
+
+    async def serve(self, session, call: Call, order: Order) -> Answer:
+        """Run a call unless its key has run; raises `RefusalError`."""
+        if not call.idempotency_key:
+            raise RefusalError(
+                Reason.KEY_REQUIRED,
+                detail="this route needs an Idempotency-Key header",
+            )
+        key = hash_key(order.workspace, call.idempotency_key)
+        work = self._group.create_task(self._serve(session, order, key))
+        try:
+            result = await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if session.is_withdrawn and not session.is_started:
+                work.cancel()
+            raise
+        if isinstance(result, RefusalError):
+            raise result
+        return result
+
+    async def _serve(
+        self, session, order: Order, key: bytes
+    ) -> Answer | RefusalError:
+        self._running += 1
+        self._idle.clear()
+        try:
+            return await self._record_and_run(session, order, key)
+        except RefusalError as refusal:
+            # A task group ends with the first error of a task, so a
+            # refusal is returned and raised by the caller's side.
+            return refusal
+        except Exception:
+            _LOG.exception("purchases: %s failed.", order.request_id)
+            return RefusalError(Reason.INTERNAL, Outcome.UNKNOWN)
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
+
+    async def _record_and_run(
+        self, session, order: Order, key: bytes
+    ) -> Answer:
+        fingerprint = hash_request(order.method, order.target, order.body)
+        attempt = order.request_id
+        known = await self._record(key, fingerprint, attempt, order)
+        if known.verdict is Verdict.RECORDED:
+            return await self._run(session, order, key, attempt)
+        if known.verdict is Verdict.RAN and known.answer is not None:
+            return Answer(known.status, [], _iterate(known.answer))
+        raise make_refusal(known)
+
+    async def _record(
+        self, key: bytes, fingerprint: bytes, attempt: str, order: Order
+    ) -> RunAnswer:
+        """Record the attempt, after the end of another one if there is."""
+        record = self._journal.record
+        known = await record(key, fingerprint, attempt, order.deadline)
+        if known.verdict is not Verdict.RUNNING:
+            return known
+        known = await self._journal.wait_end(key, order.deadline)
+        if known.verdict is not Verdict.NOT_RUN:
+            return known
+        return await record(key, fingerprint, attempt, order.deadline)
+
+    async def _run(
+        self, session, order: Order, key: bytes, attempt: str
+    ) -> Answer:
+        state = RunState.UNKNOWN
+        status = 0
+        body = None
+        try:
+            async with AsyncExitStack() as stack:
+                answer = await session.run(order, stack)
+                status = answer.status
+                body = await _collect(answer)
+            state = RunState.RAN
+        except RefusalError as refusal:
+            state = _STATES[refusal.outcome]
+            raise
+        except asyncio.CancelledError:
+            if not session.is_started:
+                state = RunState.NOT_RUN
+            raise
+        finally:
+            report = RunReport(key, attempt, state, status, body)
+            await self._journal.finish(report)
+        answer.parts = _iterate(body)
+        return answer
+
+
+async def _collect(answer: Answer) -> bytes:
+    body = bytearray()
+    async for part in answer.parts:
+        body += part
+        if len(body) > ANSWER_LIMIT_BYTES:
+            raise RefusalError(
+                Reason.INTERNAL,
+                Outcome.RAN,
+                detail="the answer is too large for this route",
+            )
+    return bytes(body)
+
+
+async def _iterate(body: bytes) -> AsyncIterator[bytes]:
+    yield body
+
+
+def make_refusal(known: RunAnswer) -> RefusalError:
+    """Return the refusal that tells a caller what is known of its key."""
+    reason, outcome = _REFUSALS[known.verdict]
+    has_wait = reason is Reason.RECORD_UNAVAILABLE
+    return RefusalError(
+        reason,
+        outcome,
+        _RETRY_AFTER_S if has_wait else None,
+        _DETAILS[known.verdict],
+    )
--- /dev/null
+++ b/radishstile/daemon/replication.py
@@ -0,0 +1,242 @@
+"""Brings new versions from the store to the zone, and from peer to peer."""
+
+import asyncio
+import json
+import logging
+
+from radishstile.configuration.entry import Revision
+from radishstile.configuration.ledger import OBJECT
+from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.resources import list_wanted
+from radishstile.errors import (
+    ConfigurationError,
+    PlatformError,
+    VersionConflictError,
+)
+from radishstile.fleet.roster import Roster
+from radishstile.member import Member
+from radishstile.platform.answer import StoredObject
+from radishstile.wire.client import PeerClient
+from radishstile.wire.messages.fleet import (
+    ConfigurationPush,
+    RosterPush,
+    StateQuery,
+    StateReply,
+)
+from radishstile.wire.refusals import raise_refusal
+
+ROSTER = "roster"
+_LOG = logging.getLogger("radishstile.replication")
+_CONFIGURATION_WAIT_S = 3.0
+_ROSTER_WAIT_S = 30.0
+_DUTY_CHECK_S = 0.5
+_RETRY_S = 1.0
+_PUSH_TIMEOUT_S = 5.0
+_SEED_TIMEOUT_S = 2.0
+
+
+class Replication:
+    """Watches the store if this host has that duty, and exchanges versions.
+
+    A version, once seen, is never undercut. `is_changed` is set whenever
+    the configuration or the roster was replaced.
+    """
+
+    __slots__ = ("_node", "is_changed", "_stored_versions", "_newest")
+
+    def __init__(self, node: Node):
+        self._node = node
+        self.is_changed = asyncio.Event()
+        self._stored_versions = {OBJECT: 0, ROSTER: 0}
+        # The newest version that the store showed, in force here or not.
+        self._newest = 0
+
+    async def load(self) -> None:
+        """Read what the store holds; raises `PlatformError`."""
+        started_at = read_clock()
+        for name in (OBJECT, ROSTER):
+            self._take_stored(name, await self._node.store.read(name))
+        self._note_reached(started_at)
+
+    # Watching the store
+
+    async def watch_configuration(self) -> None:
+        """Watch the configuration while this host is one of the watchers."""
+        await self._watch(OBJECT, _CONFIGURATION_WAIT_S)
+
+    async def watch_roster(self) -> None:
+        """Watch the roster while this host is one of the watchers."""
+        await self._watch(ROSTER, _ROSTER_WAIT_S)
+
+    async def _watch(self, name: str, wait_s: float) -> None:
+        while True:
+            if not self._node.fleet.is_watcher(read_clock()):
+                await asyncio.sleep(_DUTY_CHECK_S)
+                continue
+            started_at = read_clock()
+            after = self._stored_versions[name]
+            try:
+                stored = await self._node.store.watch(name, after, wait_s)
+            except PlatformError as error:
+                self._node.fleet.note_store_failed(read_clock())
+                _LOG.warning("replication: No watch of %s: %s", name, error)
+                await asyncio.sleep(_RETRY_S)
+                continue
+            self._take_stored(name, stored)
+            if name == OBJECT:
+                # An empty answer also says that nothing changed in the wait.
+                waited_s = wait_s if stored is None else 0.0
+                self._note_reached(started_at + waited_s)
+
+    def _note_reached(self, confirmed_at: float) -> None:
+        now = read_clock()
+        self._node.fleet.note_store_reached(
+            min(confirmed_at, now), now, self._newest
+        )
+
+    def _take_stored(self, name: str, stored: StoredObject | None) -> None:
+        if stored is None:
+            return
+        if stored.version <= self._stored_versions[name]:
+            return
+        self._stored_versions[name] = stored.version
+        if name == ROSTER:
+            self.take_roster(Roster.from_record(stored.value))
+            return
+        revision = Revision.from_record(stored.value)
+        self._newest = revision.version
+        self.take_revision(revision)
+
+    # Planning the roster
+
+    async def plan_rosters(self) -> None:
+        """Write the next roster whenever this host should and can."""
+        while True:
+            await asyncio.sleep(_DUTY_CHECK_S)
+            if self._node.fleet.is_planner(read_clock()):
+                await self._plan_roster()
+
+    async def _plan_roster(self) -> None:
+        node = self._node
+        wanted = list_wanted(node.configuration, node.settings.runs)
+        registered = [node.me, *node.fleet.list_unregistered()]
+        planned = node.fleet.plan_roster(wanted, registered, read_clock())
+        if planned is None:
+            return
+        try:
+            await self._write_roster(planned)
+        except PlatformError as error:
+            _LOG.info("replication: Roster not written: %s", error)
+            await asyncio.sleep(_RETRY_S)
+
+    async def _write_roster(self, planned: Roster) -> None:
+        expected = self._stored_versions[ROSTER]
+        store = self._node.store
+        try:
+            version = await store.update(ROSTER, planned.to_record(), expected)
+        except VersionConflictError:
+            self._take_stored(ROSTER, await store.read(ROSTER))
+            return
+        self._stored_versions[ROSTER] = version
+        self.take_roster(planned)
+        _LOG.info("replication: Wrote roster %d.", planned.version)
+
+    # Taking versions in
+
+    def take_revision(self, revision: Revision) -> bool:
+        """Put a newer revision in force; return whether it was newer."""
+        node = self._node
+        if revision.version <= node.revision.version:
+            return False
+        try:
+            node.put_in_force(revision)
+        except ConfigurationError as error:
+            _LOG.error("replication: Revision can't be used: %s", error)
+            return False
+        node.fleet.note_configuration(revision.version, read_clock())
+        _LOG.info("replication: Configuration %d in force.", revision.version)
+        self.is_changed.set()
+        return True
+
+    def take_roster(self, roster: Roster) -> bool:
+        """Use a newer roster; return whether it was newer."""
+        if not self._node.fleet.note_roster(roster, read_clock()):
+            return False
+        self.is_changed.set()
+        return True
+
+    # Between peers
+
+    async def push_to(self, peer) -> None:
+        """Send a peer the versions that it does not have."""
+        revision = self._node.revision
+        roster = self._node.fleet.roster
+        if peer.configuration_version < revision.version:
+            push = ConfigurationPush(
+                version=revision.version,
+                revision=_encode(revision.to_record()),
+            )
+            reply = await peer.client.ask(push, _PUSH_TIMEOUT_S)
+            raise_refusal(reply)
+            peer.configuration_version = reply.version
+        if peer.roster_version < roster.version:
+            push = RosterPush(
+                version=roster.version, record=_encode(roster.to_record())
+            )
+            reply = await peer.client.ask(push, _PUSH_TIMEOUT_S)
+            raise_refusal(reply)
+            peer.roster_version = reply.version
+
+    async def pull_from(self, peer) -> None:
+        """Fetch from a peer the versions that this host does not have."""
+        is_behind = (
+            peer.configuration_version > self._node.revision.version
+            or peer.roster_version > self._node.fleet.roster.version
+        )
+        if not is_behind or not peer.client.is_connected:
+            return
+        reply = await peer.client.ask(StateQuery(), _PUSH_TIMEOUT_S)
+        raise_refusal(reply)
+        self.take_state(reply)
+
+    async def learn_from(self, seed: Member) -> None:
+        """Fetch what a seed knows; raises `PeerLostError`.
+
+        The seed's identity is not known yet, so the link is its own.
+        """
+        node = self._node
+        client = PeerClient(
+            node.me, seed, node.settings.wire, node.wire, node.random
+        )
+        link = asyncio.create_task(client.run())
+        try:
+            await client.wait_connected(_SEED_TIMEOUT_S)
+            node.fleet.note_connected(client.peer_member, read_clock())
+            reply = await client.ask(StateQuery(), _PUSH_TIMEOUT_S)
+            raise_refusal(reply)
+            self.take_state(reply)
+        finally:
+            link.cancel()
+
+    def make_state(self) -> StateReply:
+        """Return the newest revision and roster as a message."""
+        revision = self._node.revision
+        roster = self._node.fleet.roster
+        return StateReply(
+            revision=_encode(revision.to_record()),
+            roster=_encode(roster.to_record()),
+        )
+
+    def take_state(self, reply: StateReply) -> None:
+        """Take in a peer's newest revision and roster."""
+        self.take_revision(decode_revision(reply.revision))
+        self.take_roster(Roster.from_record(json.loads(reply.roster)))
+
+
+def decode_revision(data: bytes) -> Revision:
+    """Return the revision that JSON bytes describe."""
+    return Revision.from_record(json.loads(data))
+
+
+def _encode(record: dict) -> bytes:
+    return json.dumps(record, separators=(",", ":")).encode()
--- /dev/null
+++ b/radishstile/daemon/resources.py
@@ -0,0 +1,96 @@
+"""The fleet's resources by kind, and which ones a configuration needs."""
+
+from radishstile.configuration.document import Configuration
+from radishstile.run.partition import name_resource as name_journal
+from radishstile.run.settings import RunSettings
+
+
+class RateResource:
+    """The rate and burst of one workspace."""
+
+    __slots__ = ("workspace",)
+
+    def __init__(self, workspace: str):
+        self.workspace = workspace
+
+    @property
+    def name(self) -> str:
+        """Return the resource's name in the roster."""
+        return f"rate/{self.workspace}"
+
+
+class MoveResource:
+    """The cap of one planned move."""
+
+    __slots__ = ("move",)
+
+    def __init__(self, move: str):
+        self.move = move
+
+    @property
+    def name(self) -> str:
+        """Return the resource's name in the roster."""
+        return f"move/{self.move}"
+
+
+class SlotsResource:
+    """The slots of a group's upstreams in one zone."""
+
+    __slots__ = ("group", "zone")
+
+    def __init__(self, group: str, zone: str):
+        self.group = group
+        self.zone = zone
+
+    @property
+    def name(self) -> str:
+        """Return the resource's name in the roster."""
+        return f"slots/{self.group}/{self.zone}"
+
+
+class JournalResource:
+    """One partition of the journal of non-idempotent runs."""
+
+    __slots__ = ("partition",)
+
+    def __init__(self, partition: int):
+        self.partition = partition
+
+    @property
+    def name(self) -> str:
+        """Return the resource's name in the roster."""
+        return name_journal(self.partition)
+
+
+Resource = RateResource | MoveResource | SlotsResource | JournalResource
+
+
+def parse_resource(name: str) -> Resource | None:
+    """Return the resource of that name, or None for an unknown kind."""
+    kind, _, rest = name.partition("/")
+    if kind == "rate":
+        return RateResource(rest)
+    if kind == "move":
+        return MoveResource(rest)
+    if kind == "slots":
+        return SlotsResource(*rest.split("/"))
+    if kind == "journal":
+        return JournalResource(int(rest))
+    return None
+
+
+def list_wanted(
+    configuration: Configuration, runs: RunSettings
+) -> dict[str, str | None]:
+    """Return each resource's name with its preferred zone, or None."""
+    wanted: dict[str, str | None] = {}
+    for workspace in configuration.workspaces:
+        wanted[RateResource(workspace).name] = None
+    for upstream in configuration.upstreams.values():
+        resource = SlotsResource(upstream.group, upstream.zone)
+        wanted[resource.name] = upstream.zone
+    for move in configuration.moves:
+        wanted[MoveResource(move).name] = None
+    for partition in range(runs.partitions):
+        wanted[name_journal(partition)] = None
+    return wanted
--- a/radishstile/daemon/settings.py
+++ b/radishstile/daemon/settings.py
@@ -11,7 +11,7 @@
 from radishstile.shift.settings import ShiftSettings
 from radishstile.upstream.settings import UpstreamSettings
 from radishstile.wire.settings import WireSettings
-from radishstile.workspace.settings import LimitSettings
+from radishstile.workspace.settings import AdmissionSettings
 
 _KINDS = {bool: "boolean", int: "integer", float: "number", str: "string"}
 _PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
@@ -121,7 +121,7 @@
     "fleet": FleetSettings,
     "wire": WireSettings,
     "platform": PlatformSettings,
-    "limits": LimitSettings,
+    "limits": AdmissionSettings,
     "lookup": LookupSettings,
     "runs": RunSettings,
     "upstreams": UpstreamSettings,
--- /dev/null
+++ b/radishstile/daemon/steering.py
@@ -0,0 +1,155 @@
+"""Where callers are sent: look-ups, client regions and planned moves."""
+
+from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.resources import MoveResource
+from radishstile.errors import RefusalError
+from radishstile.lookup.address import ClientAddress
+from radishstile.lookup.answer import LookupQuery, make
+from radishstile.lookup.directory import Directory
+from radishstile.lookup.location import Locator
+from radishstile.lookup.table import BlockTable
+from radishstile.outcome import Reason
+from radishstile.shift.driver import publish_shares
+from radishstile.shift.guard import MoveGuard
+from radishstile.shift.measures import MoveHint
+from radishstile.shift.progress import MoveProgress
+from radishstile.shift.share import Placement
+from radishstile.workspace.gate import Gate
+
+
+class LaneBudget:
+    """The units of one move's cap that this host holds."""
+
+    __slots__ = ("_gate", "_resource")
+
+    def __init__(self, gate: Gate, move: str):
+        self._gate = gate
+        self._resource = MoveResource(move).name
+
+    def try_take(self, now: float) -> bool:
+        """Spend one unit; return False where there is none."""
+        return self._gate.try_take(self._resource, now)
+
+
+class Steer:
+    """What moves say of one request.
+
+    `region` is the region to prefer, or None; `barred_regions` must not run
+    it, since their share of a move is spent.
+    """
+
+    __slots__ = ("region", "barred_regions")
+
+    def __init__(
+        self,
+        region: str | None = None,
+        barred_regions: frozenset[str] = frozenset(),
+    ):
+        self.region = region
+        self.barred_regions = barred_regions
+
+
+class PublishedProgress:
+    """A move's progress and the store's version of it."""
+
+    __slots__ = ("progress", "version")
+
+    def __init__(self, progress: MoveProgress, version: int):
+        self.progress = progress
+        self.version = version
+
+
+class Steering:
+    """Answers look-ups and says which region a request belongs to."""
+
+    __slots__ = (
+        "_node",
+        "_gate",
+        "_published",
+        "_locator",
+        "_placement",
+        "_budgets",
+        "_guard",
+        "_directory",
+    )
+
+    def __init__(self, node: Node, gate: Gate):
+        self._node = node
+        self._gate = gate
+        self._published: dict[str, PublishedProgress] = {}
+        self._directory = Directory(node.settings.lookup, node.me.region)
+        self._placement = Placement([], {})
+        self._budgets: dict[str, LaneBudget] = {}
+        self._guard = MoveGuard(self._placement, self._budgets, 0.0)
+        self._locator = Locator([], BlockTable.build([]), [])
+
+    def apply_configuration(self) -> None:
+        """Take the blocks and moves of the configuration in force."""
+        configuration = self._node.configuration
+        self._locator = Locator(configuration.blocks, BlockTable.build([]), [])
+        self._place_blocks()
+
+    def refresh_members(self) -> None:
+        """Name in look-ups the members that take new work now."""
+        members = self._node.fleet.list_entry_members(read_clock())
+        self._directory.replace_members(members)
+
+    def take_progress(self, progress: MoveProgress, version: int) -> bool:
+        """Use a newer progress of a move; return whether it was newer."""
+        known = self._published.get(progress.name)
+        if known is not None and version <= known.version:
+            return False
+        self._published[progress.name] = PublishedProgress(progress, version)
+        self._place_blocks()
+        return True
+
+    def list_progress(self) -> list[PublishedProgress]:
+        """Return the progress of each configured move that is known."""
+        moves = self._node.configuration.moves
+        return [p for name, p in self._published.items() if name in moves]
+
+    def take_hints(self, now: float) -> list[MoveHint]:
+        """Return what this host saw of each move since the last call."""
+        return self._guard.take_hints(self._node.me.host, now)
+
+    def look_up(self, route: str, client: str) -> dict:
+        """Return the answer to a look-up; raises `RefusalError`."""
+        if route not in self._node.configuration.routes:
+            detail = f"no route {route!r}"
+            raise RefusalError(Reason.UNKNOWN_ROUTE, detail=detail)
+        query = LookupQuery(ClientAddress.parse(client), route)
+        answer = make(query, self._locator, self._placement, self._directory)
+        hosts = [
+            {
+                "host": member.host,
+                "address": member.address,
+                "port": member.http_port,
+                "zone": member.zone,
+            }
+            for member in answer.hosts
+        ]
+        return {"hosts": hosts, "ttl_s": answer.ttl_s}
+
+    def steer(self, route: str, client: ClientAddress, now: float) -> Steer:
+        """Return what the moves say of one request, and count it."""
+        region = self._locator.find_region(client) or self._node.me.region
+        place = self._guard.choose(route, region, client.block, now)
+        if place.move is None:
+            return Steer()
+        if place.region != region:
+            return Steer(place.region)
+        target = self._node.configuration.moves[place.move].to_region
+        return Steer(region, frozenset([target]))
+
+    def _place_blocks(self) -> None:
+        moves = self._node.configuration.moves
+        progresses = {
+            name: published.progress
+            for name, published in self._published.items()
+        }
+        shares = publish_shares(moves.values(), progresses)
+        self._placement = Placement(moves.values(), shares)
+        self._budgets.clear()
+        for name in moves:
+            self._budgets[name] = LaneBudget(self._gate, name)
+        self._guard.replace_placement(self._placement, read_clock())
--- a/radishstile/fleet/fleet.py
+++ b/radishstile/fleet/fleet.py
@@ -342,6 +342,17 @@
         """Return the evidence of an incarnation's end, if there is any."""
         return self.directory.find_evidence(identity)
 
+    def find_member(self, identity: tuple[str, int]) -> Member | None:
+        """Return the member with exactly this identity, if known."""
+        if identity == self.me.identity:
+            return self.me
+        known = self.directory.find(identity)
+        return None if known is None else known.member
+
+    def list_unregistered(self) -> list[Member]:
+        """Return the members that are heard but not in the roster."""
+        return self.directory.list_unregistered(self.roster.identities)
+
     def list_ended(self) -> list[EndRecord]:
         """Return the evidence of ends that this host knows."""
         return self.directory.list_ends()
--- a/radishstile/fleet/roster.py
+++ b/radishstile/fleet/roster.py
@@ -1,6 +1,7 @@
 """The registered members and the home of each resource, by version."""
 
 from collections import Counter
+from collections.abc import Iterable
 
 import xxhash
 
@@ -11,15 +12,23 @@
 class HomeEntry:
     """The incarnation that owns a resource's whole limit.
 
-    `epoch` is the roster version that assigned it.
+    `epoch` is the roster version that assigned it. `may_be_occupied` tells
+    that a former home gave nothing back and may still use the resource.
     """
 
-    __slots__ = ("host", "incarnation", "epoch")
+    __slots__ = ("host", "incarnation", "epoch", "may_be_occupied")
 
-    def __init__(self, host: str, incarnation: int, epoch: int):
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        epoch: int,
+        may_be_occupied: bool = False,
+    ):
         self.host = host
         self.incarnation = incarnation
         self.epoch = epoch
+        self.may_be_occupied = may_be_occupied
 
     @property
     def identity(self) -> tuple[str, int]:
@@ -33,23 +42,34 @@
 
     def to_record(self) -> list:
         """Return the entry as a JSON array."""
-        return [self.host, self.incarnation, self.epoch]
+        return [
+            self.host,
+            self.incarnation,
+            self.epoch,
+            self.may_be_occupied,
+        ]
 
 
 class Roster:
-    """One version of the roster; never changed after it was made."""
+    """One version of the roster; never changed after it was made.
 
-    __slots__ = ("version", "members", "homes")
+    `unclean` names the resources without a home whose last one did not
+    release them.
+    """
+
+    __slots__ = ("version", "members", "homes", "unclean")
 
     def __init__(
         self,
         version: int = 0,
         members: dict[str, Member] | None = None,
         homes: dict[str, HomeEntry] | None = None,
+        unclean: Iterable[str] = (),
     ):
         self.version = version
         self.members = members or {}
         self.homes = homes or {}
+        self.unclean = frozenset(unclean)
 
     def to_record(self) -> dict:
         """Return the roster as a JSON object."""
@@ -63,6 +83,7 @@
                 resource: entry.to_record()
                 for resource, entry in sorted(self.homes.items())
             },
+            "unclean": sorted(self.unclean),
         }
 
     @classmethod
@@ -76,6 +97,7 @@
                 resource: HomeEntry(*row)
                 for resource, row in record["homes"].items()
             },
+            record.get("unclean", ()),
         )
 
     def find_home(self, resource: str) -> Member | None:
@@ -139,10 +161,12 @@
     version = roster.version + 1
     members = _register(roster, plan)
     homes = _keep_homes(roster, members, plan)
+    unclean = roster.unclean | _find_unclean(roster, homes, plan)
     pool = [m for m in members.values() if m.identity in plan.candidates]
-    _assign_homes(homes, pool, plan, version)
-    is_same = homes == roster.homes and members == roster.members
-    return None if is_same else Roster(version, members, homes)
+    _assign_homes(homes, pool, plan, version, unclean)
+    if homes == roster.homes and members == roster.members:
+        return None
+    return Roster(version, members, homes, unclean - homes.keys())
 
 
 def rank(key: str, host: str) -> int:
@@ -172,8 +196,23 @@
         if resource in plan.wanted
         and entry.host in members
         and members[entry.host].identity == entry.identity
-        and Release(*entry.identity, resource, entry.epoch)
-        not in plan.releases
+        and not _is_released(resource, entry, plan)
+    }
+
+
+def _is_released(resource: str, entry: HomeEntry, plan: Plan) -> bool:
+    release = Release(*entry.identity, resource, entry.epoch)
+    return release in plan.releases
+
+
+def _find_unclean(
+    roster: Roster, kept: dict[str, HomeEntry], plan: Plan
+) -> set[str]:
+    """Return the resources that lose a home which did not release them."""
+    return {
+        resource
+        for resource, entry in roster.homes.items()
+        if resource not in kept and not _is_released(resource, entry, plan)
     }
 
 
@@ -182,6 +221,7 @@
     pool: list[Member],
     plan: Plan,
     version: int,
+    unclean: frozenset[str],
 ) -> None:
     counts = Counter(entry.host for entry in homes.values())
     for resource in sorted(plan.wanted.keys() - homes.keys()):
@@ -191,7 +231,9 @@
             continue
         home = min(near, key=lambda m: _weigh(m, resource, counts))
         counts[home.host] += 1
-        homes[resource] = HomeEntry(home.host, home.incarnation, version)
+        homes[resource] = HomeEntry(
+            home.host, home.incarnation, version, resource in unclean
+        )
 
 
 def _weigh(member: Member, resource: str, counts: Counter) -> tuple[int, int]:
--- a/radishstile/fleet/settings.py
+++ b/radishstile/fleet/settings.py
@@ -5,7 +5,8 @@
     """Bounds of heartbeats and evidence; times are in seconds.
 
     `isolated_after_s` is how long keyed routes are served without evidence
-    that the configuration is current.
+    that the configuration is current, `list_lag_limit_s` the most that the
+    platform's list of machines lags.
     """
 
     __slots__ = (
@@ -15,6 +16,7 @@
         "watchers_per_zone",
         "neighbours_per_zone",
         "remote_neighbours",
+        "list_lag_limit_s",
     )
 
     def __init__(
@@ -25,6 +27,7 @@
         watchers_per_zone: int = 2,
         neighbours_per_zone: int = 6,
         remote_neighbours: int = 2,
+        list_lag_limit_s: float = 120.0,
     ):
         self.heartbeat_s = heartbeat_s
         self.suspect_after_s = suspect_after_s
@@ -32,3 +35,4 @@
         self.watchers_per_zone = watchers_per_zone
         self.neighbours_per_zone = neighbours_per_zone
         self.remote_neighbours = remote_neighbours
+        self.list_lag_limit_s = list_lag_limit_s
--- a/radishstile/http/caller.py
+++ b/radishstile/http/caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ipaddress
+import logging
 from typing import Protocol
 
 from aiohttp import web
@@ -11,8 +12,9 @@
 from radishstile.errors import RefusalError
 from radishstile.http import headers as names
 from radishstile.http.refusal import make_refusal
-from radishstile.outcome import Reason
+from radishstile.outcome import Outcome, Reason
 
+_LOG = logging.getLogger("radishstile.caller")
 LOOKUP_PATH = "/lookup"
 _READ_BYTES = 65_536
 
@@ -25,7 +27,7 @@
     async def serve(self, call: Call) -> Answer:
         """Return the answer, or raise `RefusalError`."""
 
-    def end(self, error: BaseException | None) -> None:
+    async def end(self, error: BaseException | None) -> None:
         """Note that the answer has been sent, or why it has not."""
 
 
@@ -42,12 +44,13 @@
 class CallerFront:
     """Translates between HTTP and typed calls; decides nothing."""
 
-    __slots__ = ("_service", "_settings", "_runner")
+    __slots__ = ("_service", "_settings", "_runner", "_is_leaving")
 
     def __init__(self, service: Service, settings: HttpSettings):
         self._service = service
         self._settings = settings
         self._runner: web.AppRunner | None = None
+        self._is_leaving = False
 
     async def start(self, address: str, port: int) -> None:
         """Listen for callers."""
@@ -68,6 +71,10 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, address, port).start()
 
+    def leave(self) -> None:
+        """Close each connection after its next answer from now on."""
+        self._is_leaving = True
+
     async def stop(self) -> None:
         """Stop to listen, and let open requests finish."""
         if self._runner is not None:
@@ -99,11 +106,16 @@
         except RefusalError as refusal:
             error = refusal
             return self._refuse(request, refusal, session.trace_id)
+        except Exception as fault:
+            _LOG.exception("caller: A request failed.")
+            error = RefusalError(Reason.INTERNAL, Outcome.UNKNOWN)
+            error.__cause__ = fault
+            return self._refuse(request, error, session.trace_id)
         except BaseException as other:
             error = other
             raise
         finally:
-            session.end(error)
+            await session.end(error)
 
     def _refuse(
         self, request: web.Request, refusal: RefusalError, trace_id: str
@@ -158,6 +170,8 @@
         self, request: web.Request, answer: Answer, trace_id: str
     ) -> web.StreamResponse:
         response = web.StreamResponse(status=answer.status)
+        if self._is_leaving:
+            response.force_close()
         for name, value in names.select_answer_headers(answer.headers):
             response.headers.add(name, value)
         response.headers[names.TRACE_ID] = trace_id
--- /dev/null
+++ b/radishstile/operation/executor.py
@@ -0,0 +1,238 @@
+"""Carries out operators' commands on one daemon."""
+
+import asyncio
+import json
+from functools import singledispatch
+
+from radishstile.configuration.document import Configuration
+from radishstile.configuration.patch import diff_documents
+from radishstile.daemon.node import read_clock
+from radishstile.daemon.parts import Parts
+from radishstile.errors import (
+    OperatorError,
+    RefusalError,
+    StaleVersionError,
+    WireError,
+)
+from radishstile.operation import command as commands
+from radishstile.operation.status import describe_status
+from radishstile.shift.drain import plan_drain
+from radishstile.shift.patch import check_patch
+from radishstile.wire.messages.fleet import TraceQuery
+from radishstile.wire.refusals import raise_refusal
+from radishstile.workspace.key import hash_secret, issue_key
+
+_EDIT_TRIES = 5
+_TRACE_TIMEOUT_S = 1.0
+
+
+class Executor:
+    """Carries out commands in the name of an operator."""
+
+    __slots__ = ("parts",)
+
+    def __init__(self, parts: Parts):
+        self.parts = parts
+
+    async def execute(
+        self, command: commands.Command, operator: str
+    ) -> object:
+        """Return a command's result as a JSON-compatible value."""
+        return await carry_out(command, operator, self.parts)
+
+
+@singledispatch
+async def carry_out(
+    command: commands.Command, operator: str, parts: Parts
+) -> object:
+    """Carry out one command; raises `RadishstileError`."""
+    raise TypeError(f"no such command: {type(command).__name__}")
+
+
+@carry_out.register
+async def _(command: commands.ShowConfiguration, operator, parts: Parts):
+    ledger = parts.node.ledger
+    if command.version:
+        revision = await ledger.read_version(command.version)
+    else:
+        revision = parts.node.revision
+    return revision.to_record()
+
+
+@carry_out.register
+async def _(command: commands.ListHistory, operator, parts: Parts):
+    entries = await parts.node.ledger.list_entries(0, command.limit)
+    return [entry.to_record() for entry in entries]
+
+
+@carry_out.register
+async def _(command: commands.DiffVersions, operator, parts: Parts):
+    ledger = parts.node.ledger
+    old = await ledger.read_version(command.old)
+    new = await ledger.read_version(command.new)
+    return diff_documents(old.document, new.document)
+
+
+@carry_out.register
+async def _(command: commands.SubmitPatch, operator, parts: Parts):
+    try:
+        return await _submit(
+            command.from_version, command.patch, operator, parts
+        )
+    except StaleVersionError as error:
+        raise await _explain_stale(error, parts) from error
+
+
+@carry_out.register
+async def _(command: commands.IssueKey, operator, parts: Parts):
+    key = issue_key()
+    record = {"hash": hash_secret(key.secret), "issued_by": operator}
+
+    def make_patch(configuration: Configuration) -> dict:
+        if command.workspace not in configuration.workspaces:
+            raise OperatorError(f"unknown workspace {command.workspace!r}")
+        return _patch_keys(command.workspace, {key.key_id: record})
+
+    result = await _edit(make_patch, operator, parts)
+    return {
+        **result,
+        "key": key.text,
+        "key_id": key.key_id,
+        "workspace": command.workspace,
+    }
+
+
+@carry_out.register
+async def _(command: commands.WithdrawKey, operator, parts: Parts):
+    def make_patch(configuration: Configuration) -> dict:
+        for workspace in configuration.workspaces.values():
+            if command.key_id in workspace.keys:
+                return _patch_keys(workspace.name, {command.key_id: None})
+        raise OperatorError(f"unknown key {command.key_id!r}")
+
+    return await _edit(make_patch, operator, parts)
+
+
+@carry_out.register
+async def _(command: commands.DrainUpstream, operator, parts: Parts):
+    def make_patch(configuration: Configuration) -> dict:
+        upstream = configuration.upstreams.get(command.upstream)
+        if upstream is None:
+            raise OperatorError(f"unknown upstream {command.upstream!r}")
+        state = "active" if command.undo else "draining"
+        upstreams = {"upstreams": {upstream.name: {"state": state}}}
+        return {"groups": {upstream.group: upstreams}}
+
+    return await _edit(make_patch, operator, parts)
+
+
+@carry_out.register
+async def _(command: commands.DrainRegion, operator, parts: Parts):
+    def make_patch(configuration: Configuration) -> dict:
+        moves = plan_drain(configuration, command.region, command.cap_per_s)
+        return {"moves": moves}
+
+    return await _edit(make_patch, operator, parts)
+
+
+@carry_out.register
+async def _(command: commands.MoveTraffic, operator, parts: Parts):
+    def make_patch(configuration: Configuration) -> dict:
+        if not command.cancel:
+            return {"moves": {command.name: _make_move(command)}}
+        if command.name not in configuration.moves:
+            raise OperatorError(f"unknown move {command.name!r}")
+        return {"moves": {command.name: None}}
+
+    return await _edit(make_patch, operator, parts)
+
+
+@carry_out.register
+async def _(command: commands.ShowStatus, operator, parts: Parts):
+    return describe_status(parts, read_clock())
+
+
+@carry_out.register
+async def _(command: commands.FindTrace, operator, parts: Parts):
+    try:
+        spans = parts.node.tracing.buffer.find(command.trace_id)
+    except ValueError as error:
+        raise OperatorError("a trace id is 32 hexadecimal digits") from error
+    asks = [
+        _ask_trace(member, command.trace_id, parts)
+        for member in parts.node.fleet.list_entry_members(read_clock())
+        if member != parts.node.me
+    ]
+    for found in await asyncio.gather(*asks):
+        spans += found
+    return sorted(spans, key=lambda span: span["started_ns"])
+
+
+async def _ask_trace(member, trace_id: str, parts: Parts) -> list[dict]:
+    query = TraceQuery(trace_id=trace_id)
+    try:
+        reply = await parts.peers.ask(member, query, _TRACE_TIMEOUT_S)
+        raise_refusal(reply)
+    except (WireError, RefusalError, TimeoutError):
+        return []
+    return json.loads(reply.spans)
+
+
+def _patch_keys(workspace: str, keys: dict) -> dict:
+    return {"workspaces": {workspace: {"keys": keys}}}
+
+
+def _make_move(command: commands.MoveTraffic) -> dict:
+    fields = ("route", "from_region", "to_region", "cap_per_s")
+    fields += ("target_share", "step", "pace_s")
+    return {name: getattr(command, name) for name in fields}
+
+
+async def _edit(make_patch, operator: str, parts: Parts) -> dict:
+    """Submit a patch from the current version, again if another came."""
+    for _ in range(_EDIT_TRIES):
+        current = await parts.node.ledger.read_current()
+        configuration = Configuration(current.version, current.document)
+        patch = make_patch(configuration)
+        try:
+            return await _submit(current.version, patch, operator, parts)
+        except StaleVersionError:
+            continue
+    raise OperatorError("other operators' patches keep coming; try again")
+
+
+async def _submit(
+    version: int, patch: object, operator: str, parts: Parts
+) -> dict:
+    fleet = parts.node.fleet
+    if not fleet.may_accept_patches(read_clock()):
+        raise OperatorError(
+            "this host can't accept patches now: it does not reach the store"
+            " or its peers; use another host"
+        )
+    moving = await _measure_moving(parts)
+
+    def check(old: Configuration, new: Configuration) -> None:
+        check_patch(old, new, moving)
+
+    revision = await parts.node.ledger.submit(version, patch, operator, check)
+    parts.replication.take_revision(revision)
+    return {"version": revision.version}
+
+
+async def _measure_moving(parts: Parts) -> dict[str, float]:
+    moves = parts.node.configuration.moves
+    return {name: await parts.moves.find_moved(name) for name in moves}
+
+
+async def _explain_stale(
+    error: StaleVersionError, parts: Parts
+) -> StaleVersionError:
+    """Say who changed what since the stated version."""
+    entries = await parts.node.ledger.list_entries(error.stated, 5)
+    since = "; ".join(
+        f"{e.version} by {e.operator}: {json.dumps(e.patch)}"
+        for e in reversed(entries)
+    )
+    error.args = (f"{error}; since then: {since}",)
+    return error
--- /dev/null
+++ b/radishstile/operation/status.py
@@ -0,0 +1,67 @@
+"""What one host knows of the fleet, for operators."""
+
+from radishstile.daemon.parts import Parts
+
+
+def describe_status(parts: Parts, now: float) -> dict:
+    """Return the fleet as this host sees it, as a JSON object."""
+    node = parts.node
+    fleet = node.fleet
+    reason = fleet.find_outdated_reason(now)
+    return {
+        "host": node.me.host,
+        "configuration_version": node.revision.version,
+        "roster_version": fleet.roster.version,
+        "current": "current" if reason is None else f"not current: {reason}",
+        "members": _describe_members(parts),
+        "homes": {
+            name: entry.host for name, entry in fleet.roster.homes.items()
+        },
+        "headroom": measure_headroom(parts, now),
+        "moves": [
+            {
+                "name": published.progress.name,
+                "state": published.progress.state,
+                "share": published.progress.share,
+                "reason": published.progress.reason,
+            }
+            for published in parts.steering.list_progress()
+        ],
+    }
+
+
+def measure_headroom(parts: Parts, now: float) -> dict[str, int]:
+    """Return the free slots of each region, as far as hints tell."""
+    node = parts.node
+    headroom: dict[str, int] = {}
+    for group in node.configuration.groups:
+        for zone in node.list_zones(group):
+            hint = parts.chooser.find_hint(group, zone, now)
+            region = node.find_region(zone)
+            free = 0 if hint is None else hint.free
+            headroom[region] = headroom.get(region, 0) + free
+    return headroom
+
+
+def _describe_members(parts: Parts) -> list[dict]:
+    fleet = parts.node.fleet
+    versions = parts.peers.list_versions()
+    versions[fleet.me.host] = parts.node.revision.version
+    rows = [
+        {
+            "host": known.member.host,
+            "zone": known.member.zone,
+            "state": known.state.name.lower(),
+            "configuration_version": versions.get(known.member.host),
+        }
+        for known in fleet.directory.list_present()
+    ]
+    rows.append(
+        {
+            "host": fleet.me.host,
+            "zone": fleet.me.zone,
+            "state": "leaving" if fleet.is_leaving else "live",
+            "configuration_version": parts.node.revision.version,
+        }
+    )
+    return sorted(rows, key=lambda row: row["host"])
--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -60,8 +60,9 @@
 class Dispatcher:
     """Owns the pool and the queue of one resource `slots/GROUP/ZONE`.
 
-    `run` must be running: it serves waiting requests when time alone opens
-    a slot. Everything else happens in the tasks that call.
+    `completed` counts answered requests. `run` must be running: it serves
+    waiting requests when time alone opens a slot. Everything else happens in
+    the tasks that call.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "_is_closed",
         "_changed",
         "_emptied",
+        "completed",
     )
 
     def __init__(self, name: str, pool: SlotPool, queue: FairQueue):
@@ -86,6 +88,7 @@
         self._is_closed = False
         self._changed = asyncio.Event()
         self._emptied = asyncio.Event()
+        self.completed = 0
 
     async def run(self) -> None:
         """Serve waiting requests whenever time alone opens a slot."""
--- a/radishstile/wire/messages/fleet.py
+++ b/radishstile/wire/messages/fleet.py
@@ -49,11 +49,15 @@
 
 
 class LoadReply(Message):
-    """Answers with a row for each group and zone, as `TargetHint` fields."""
+    """Answers with a row for each group and zone, as `TargetHint` fields.
 
-    __slots__ = ("rows",)
+    `moved` maps each move that the sender is home of to requests a second.
+    """
+
+    __slots__ = ("rows", "moved")
 
     rows: list | dict
+    moved: dict
 
 
 class MoveReport(Message):
--- a/radishstile/workspace/gate.py
+++ b/radishstile/workspace/gate.py
@@ -74,6 +74,10 @@
         """Close the lane of a workspace that is no longer configured."""
         self._lanes.pop(workspace, None)
 
+    def find_limiter(self, workspace: str) -> Limiter:
+        """Return the limiter of a lane that was added."""
+        return self._lanes[workspace].limiter
+
     def deliver(self, workspace: str, message: Allotment | Inquiry) -> None:
         """Take in a message that a home sent without being asked."""
         lane = self._lanes.get(workspace)
@@ -103,6 +107,19 @@
             raise _refuse(lane, now)
         return await self._wait(lane, deadline)
 
+    def try_take(self, workspace: str, now: float) -> bool:
+        """Spend a token at once, or return False where none is held.
+
+        Its demand makes this host's next claim ask for more.
+        """
+        lane = self._lanes.get(workspace)
+        if lane is None:
+            return False
+        lane.limiter.note_arrival(now)
+        reservation = lane.limiter.reserve(now)
+        _wake_claims(lane, now)
+        return reservation is not None and reservation.spend(now)
+
     async def run(self, workspace: str) -> None:
         """Send the claims of one workspace until its lane is closed."""
         lane = self._lanes[workspace]
--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -271,7 +271,8 @@
         if self._is_asked:
             return 0.0
         if claimed is None:
-            return 0.0 if self.waiting > 0 else math.inf
+            is_needed = self.waiting > 0 or self._demand > 0
+            return 0.0 if is_needed else math.inf
         if self._has_news(claimed):
             return self.settings.claim_spacing_s
         if self.waiting > self._credit:
--- /dev/null
+++ b/standin/demo.py
@@ -0,0 +1,77 @@
+"""Shows a fleet at work: 4 hosts in 2 regions, 6 upstreams and a store."""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from standin.demo_fleet import DemoFleet
+from standin.demo_steps import STEPS
+
+START_TIMEOUT_S = 25.0
+
+
+async def run_demo(folder: Path, keep: bool) -> int:
+    """Run every step and return the process's exit status."""
+    fleet = DemoFleet(folder)
+    failed = 0
+    try:
+        await fleet.start(START_TIMEOUT_S)
+        for step in STEPS:
+            failed += not await show_step(step, fleet)
+        if keep:
+            await wait_for_user(fleet)
+    finally:
+        failed += not await stop_fleet(fleet)
+    print(f"demo: {len(STEPS) + 1 - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+async def show_step(step, fleet: DemoFleet) -> bool:
+    """Run one step, print its line and return whether it passed."""
+    clock = asyncio.get_running_loop()
+    begun = clock.time()
+    try:
+        text = await step(fleet)
+        mark = "ok    "
+    except Exception as error:
+        text = f"{step.__doc__.rstrip('.')}: {error}"
+        mark = "FAILED"
+    elapsed_ms = (clock.time() - begun) * 1000
+    print(f"{mark} {elapsed_ms:8.1f} ms  {text}", flush=True)
+    return mark == "ok    "
+
+
+async def stop_fleet(fleet: DemoFleet) -> bool:
+    """Stop every process gracefully; return whether all ended cleanly."""
+    clock = asyncio.get_running_loop()
+    begun = clock.time()
+    unclean = await fleet.stop()
+    elapsed_ms = (clock.time() - begun) * 1000
+    mark = "FAILED" if unclean else "ok    "
+    text = f"stopped gracefully; unclean: {unclean or 'none'}"
+    print(f"{mark} {elapsed_ms:8.1f} ms  {text}", flush=True)
+    return not unclean
+
+
+async def wait_for_user(fleet: DemoFleet) -> None:
+    """Print commands to try and wait until interrupted."""
+    print(fleet.describe_commands(), flush=True)
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        print("demo: stopping")
+
+
+def main() -> int:
+    """Run the demo in a temporary folder."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--keep", action="store_true")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="radishstile-") as folder:
+        return asyncio.run(run_demo(Path(folder), options.keep))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standin/demo_steps.py
@@ -0,0 +1,144 @@
+"""The demo's steps: each returns its line, or raises what went wrong."""
+
+import asyncio
+
+import aiohttp
+
+from radishstile.cli.caller import CallerClient
+from radishstile.errors import OperatorError
+from standin.demo_fleet import HOSTS, DemoFleet
+
+WITHDRAW_BOUND_S = 2.0
+POLL_S = 0.02
+
+
+async def look_up(fleet: DemoFleet) -> str:
+    """Name hosts in the client's region to a look-up."""
+    caller = CallerClient(fleet.find_caller_url(HOSTS[0]))
+    found = await caller.look_up("slips", "10.1.2.3")
+    names = [host["host"] for host in found["hosts"]]
+    check(names[0].startswith("wlg"), f"named {names}")
+    return f"look-up for a client in wlg: {', '.join(names)}"
+
+
+async def serve(fleet: DemoFleet) -> str:
+    """Serve a request, with a span for each hop under one trace."""
+    caller = CallerClient(fleet.find_caller_url(HOSTS[0]))
+    sent = await caller.send("GET", "/payruns/7", fleet.keys["bureau"], "", "")
+    check(sent["status"] == 200, f"answered {sent}")
+    spans = await fleet.operate().execute("trace", trace_id=sent["trace"])
+    hops = [f"{s['host']} {s['name']} {s['duration_ms']} ms" for s in spans]
+    names = {span["name"] for span in spans}
+    check({"entry", "dispatch"} <= names, f"has only spans {names}")
+    return f"served /payruns/7; trace {sent['trace'][:8]}: {'; '.join(hops)}"
+
+
+async def run_once(fleet: DemoFleet) -> str:
+    """Run an order once that is sent twice."""
+    url = fleet.find_caller_url
+    key = fleet.keys["employer"]
+    first = CallerClient(url(HOSTS[0]))
+    second = CallerClient(url(HOSTS[3]))
+    body = "print batch 12"
+    one = await first.send("POST", "/batches", key, body, "batch-12")
+    two = await second.send("POST", "/batches", key, body, "batch-12")
+    check(one["status"] == 200, f"the first got {one}")
+    check(two["outcome"] == "ran", f"the second got {two}")
+    runs = await count_runs(fleet, "/batches")
+    check(runs == 1, f"it ran {runs} times")
+    return (
+        f"an order sent to two hosts ran once; the second got {two['status']}"
+    )
+
+
+async def refuse_stale(fleet: DemoFleet) -> str:
+    """Refuse a patch against a stale number."""
+    patch = {"workspaces": {"bureau": {"burst": 60}}}
+    client = fleet.operate(HOSTS[2])
+    try:
+        await client.execute("patch", from_version=1, patch=patch)
+    except OperatorError as error:
+        check("current is" in str(error), str(error))
+        return f"refused: {str(error)[:90]}"
+    raise AssertionError("the stale patch was accepted")
+
+
+async def withdraw_key(fleet: DemoFleet) -> str:
+    """Stop a withdrawn key on an open connection."""
+    client = fleet.operate()
+    issued = await client.execute("issue-key", workspace="bureau")
+    headers = {"Authorization": f"Bearer {issued['key']}"}
+    clock = asyncio.get_running_loop()
+    async with aiohttp.ClientSession(headers=headers) as session:
+        url = fleet.find_caller_url(HOSTS[3]) + "/slips/1"
+        await wait_status(session, url, 200)
+        await client.execute("withdraw-key", key_id=issued["key_id"])
+        begun = clock.time()
+        await wait_status(session, url, 401)
+    elapsed_s = clock.time() - begun
+    check(elapsed_s < WITHDRAW_BOUND_S, f"it took {elapsed_s:.1f} s")
+    return f"a key was refused {elapsed_s * 1000:.0f} ms after its withdrawal"
+
+
+async def drain_upstream(fleet: DemoFleet) -> str:
+    """Give no new work to a draining upstream."""
+    await fleet.operate().execute("drain-upstream", upstream="press-1")
+    await asyncio.sleep(2.0)
+    before = len(await fleet.read_records("press-1"))
+    caller = CallerClient(fleet.find_caller_url(HOSTS[0]))
+    for number in range(20):
+        path = f"/payruns/{number}"
+        sent = await caller.send("GET", path, fleet.keys["employer"], "", "")
+        check(sent["status"] == 200, f"answered {sent}")
+    after = len(await fleet.read_records("press-1"))
+    check(after == before, f"press-1 ran {after - before} more")
+    return "press-1 drained: 20 more requests, none of them there"
+
+
+async def hide_keys(fleet: DemoFleet) -> str:
+    """Show no key to any upstream or log."""
+    shown = fleet.read_logs()
+    for name in fleet.upstream_ports:
+        shown += str(await fleet.read_records(name))
+    secrets = [key.partition(".")[2] for key in fleet.keys.values()]
+    check(not any(s in shown for s in secrets), "a key is shown")
+    return f"{len(secrets)} keys, none in the upstreams' records or the logs"
+
+
+async def wait_status(
+    session: aiohttp.ClientSession, url: str, status: int
+) -> None:
+    """Send until the answer has the status; the bound is 10 s."""
+    async with asyncio.timeout(10):
+        while True:
+            async with session.get(url) as response:
+                await response.read()
+                if response.status == status:
+                    return
+            await asyncio.sleep(POLL_S)
+
+
+async def count_runs(fleet: DemoFleet, path: str) -> int:
+    """Return how often the upstreams ran a path."""
+    count = 0
+    for name in fleet.upstream_ports:
+        records = await fleet.read_records(name)
+        count += sum(record["path"].startswith(path) for record in records)
+    return count
+
+
+def check(is_right: bool, text: str) -> None:
+    """Raise `AssertionError` with `text` unless `is_right`."""
+    if not is_right:
+        raise AssertionError(text)
+
+
+STEPS = (
+    look_up,
+    serve,
+    run_once,
+    refuse_stale,
+    withdraw_key,
+    drain_upstream,
+    hide_keys,
+)
