Guard each rule of the peer streams by a test

The handshake tests now check the logged reason, an impostor answers the dialler, and floods of credit and messages are driven.

--- a/radishstile/wire/client.py
+++ b/radishstile/wire/client.py
@@ -99,7 +99,8 @@
     async def ask(self, message: Message, timeout_s: float) -> Message:
         """Send a message and return the one reply.
 
-        Raises `PeerLostError` and `TimeoutError`.
+        Raises `PeerLostError`, `TimeoutError`, and `WireError` when the
+        peer's handler ended without a reply.
         """
         async with asyncio.timeout(timeout_s):
             async with await self.open(message) as exchange:
@@ -114,9 +115,9 @@
         connection.write(0, message)
 
     async def open(self, message: Message) -> Exchange:
-        """Open an exchange with its first message.
+        """Open an exchange with its first message; the caller closes it.
 
-        Raises `PeerLostError`.
+        Raises `PeerLostError`, in which case nothing was sent.
         """
         exchange = Exchange(self._get_connection())
         await exchange.send(message)
--- a/radishstile/wire/server.py
+++ b/radishstile/wire/server.py
@@ -22,7 +22,8 @@
 class PeerServer:
     """Accepts peers and runs a handler for each exchange they open.
 
-    `handle` is cancelled when the peer closes the exchange or is lost.
+    `handle` is cancelled when the peer closes the exchange or is lost, so
+    work that must go on then runs under `asyncio.shield` or elsewhere.
     """
 
     __slots__ = (
--- a/test/wire/_common.py
+++ b/test/wire/_common.py
@@ -45,10 +45,12 @@
 class PeerTestCase(PausedTestCase):
     """Starts servers and clients and ends them after the test."""
 
-    async def start_server(self, handle, **values) -> PeerServer:
-        server = PeerServer(
-            make_member("b"), make_settings(**values), handle, WireCounters()
-        )
+    async def start_server(
+        self, handle, port: int = 0, incarnation: int = 1, **values
+    ) -> PeerServer:
+        member = make_member("b", port, incarnation)
+        settings = make_settings(**values)
+        server = PeerServer(member, settings, handle, WireCounters())
         await server.start()
         self.addAsyncCleanup(server.stop)
         return server
--- a/test/wire/test_handshake.py
+++ b/test/wire/test_handshake.py
@@ -1,6 +1,7 @@
 """Tests of what strangers and malformed peers are answered."""
 
 import asyncio
+from asyncio import wait_for
 from unittest.mock import patch
 
 from radishstile.wire import handshake
@@ -8,18 +9,26 @@
 from radishstile.wire.frames import FRAME_LIMIT_BYTES, build_frame, read_frame
 from radishstile.wire.messages.control import Hello, Proof
 from radishstile.wire.messages.fleet import Heartbeat, HeartbeatReply
+from radishstile.wire.peer import PeerClient
 from test.wire._common import SECRET, PeerTestCase, make_member
 
+LOGGER = "radishstile.wire.server.logger"
+
 
 async def echo(message, exchange):
+    if message.statement == ["slow"]:
+        await asyncio.sleep(4)
     await exchange.send(HeartbeatReply(statement=message.statement))
 
 
-def make_hello(protocol: int = handshake.PROTOCOL) -> Hello:
-    member = make_member("a").to_record()
-    return Hello(
-        protocol=protocol, member=member, nonce=bytes(32), credit_parts=16
-    )
+def make_hello(host: str = "a", **changes) -> Hello:
+    values = {
+        "protocol": handshake.PROTOCOL,
+        "member": make_member(host).to_record(),
+        "nonce": bytes(32),
+        "credit_parts": 16,
+    }
+    return Hello(**(values | changes))
 
 
 def make_frame(message, exchange: int = 0, incarnation: int = 1) -> bytes:
@@ -32,15 +41,16 @@
         self.counters = self.server._counters
 
     async def dial(self):
-        return await asyncio.open_connection("127.0.0.1", self.server.port)
+        streams = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(streams[1].close)
+        return streams
 
-    async def prove(self, reader, writer, proof: bytes | None = None):
+    async def prove(self, reader, writer):
         mine = make_hello()
         writer.write(make_frame(mine))
         theirs = decode_message(await read_frame(reader))
-        proof = proof or handshake.sign(SECRET, "dialler", mine, theirs)
+        proof = handshake.sign(SECRET, "dialler", mine, theirs)
         writer.write(make_frame(Proof(digest=proof)))
-        return mine, theirs
 
     async def check_refused(self, reader, handshakes=0, frames=0):
         """Check that the stream ended and that the other peer is well."""
@@ -60,44 +70,49 @@
         writer.write(make_frame(Heartbeat(statement=[5]), exchange=1))
         reply = decode_message(await read_frame(reader))
         self.assertEqual(reply.statement, [5])
-        writer.close()
 
-    async def test_wrong_protocol(self):
-        reader, writer = await self.dial()
-        writer.write(make_frame(make_hello(protocol=99)))
-        await self.check_refused(reader, handshakes=1)
+    async def test_strangers_are_refused_with_the_reason_logged(self):
+        cases = {
+            "speaks protocol 99": make_frame(make_hello(protocol=99)),
+            "sent a short nonce": make_frame(make_hello(nonce=b"n")),
+            "grants no credit": make_frame(make_hello(credit_parts=0)),
+            "malformed member": make_frame(make_hello(member={"host": "a"})),
+            "expected Hello": make_frame(Heartbeat(statement=[5]), 1),
+            "frame of 5000 bytes": (5000).to_bytes(4, "big"),
+            "not valid msgpack": build_frame(b"\xc1"),
+        }
+        for count, (reason, frame) in enumerate(cases.items(), 1):
+            with self.subTest(reason), patch(LOGGER) as logger:
+                reader, writer = await self.dial()
+                writer.write(frame)
+                await self.check_refused(reader, handshakes=count)
+                self.assertIn(reason, str(logger.warning.call_args.args[2]))
 
     async def test_wrong_proof_gets_no_proof(self):
-        reader, writer = await self.dial()
-        await self.prove(reader, writer, proof=bytes(32))
-        self.assertEqual(await reader.read(), b"")
-        await self.check_refused(reader, handshakes=1)
-
-    async def test_proof_of_the_listener_cannot_be_sent_back(self):
-        reader, writer = await self.dial()
         mine = make_hello()
-        writer.write(make_frame(mine))
-        theirs = decode_message(await read_frame(reader))
-        proof = handshake.sign(SECRET, "listener", mine, theirs)
-        writer.write(make_frame(Proof(digest=proof)))
-        await self.check_refused(reader, handshakes=1)
-
-    async def test_message_before_the_proof_is_not_heard(self):
+        for count, role in enumerate(("listener", "guess"), 1):
+            reader, writer = await self.dial()
+            writer.write(make_frame(mine))
+            theirs = decode_message(await read_frame(reader))
+            proof = handshake.sign(SECRET, role, mine, theirs)
+            writer.write(make_frame(Proof(digest=proof)))
+            self.assertEqual(await wait_for(reader.read(), 10), b"")
+            await self.check_refused(reader, handshakes=count)
+
+    async def test_handshake_during_stop_opens_no_session(self):
+        running = asyncio.create_task(
+            self.client.ask(Heartbeat(statement=["slow"]), 20)
+        )
         reader, writer = await self.dial()
+        await asyncio.sleep(1)
+        stopping = asyncio.create_task(self.server.stop())
+        await asyncio.sleep(1)
+        await self.prove(reader, writer)
+        await read_frame(reader)
         writer.write(make_frame(Heartbeat(statement=[5]), exchange=1))
-        await self.check_refused(reader, handshakes=1)
-
-    async def test_large_frame_before_the_proof(self):
-        reader, writer = await self.dial()
-        writer.write((5000).to_bytes(4, "big"))
-        await self.check_refused(reader, handshakes=1)
-
-    async def test_malformed_member(self):
-        hello = make_hello()
-        hello.member["peer_port"] = "80"
-        reader, writer = await self.dial()
-        writer.write(make_frame(hello))
-        await self.check_refused(reader, handshakes=1)
+        self.assertEqual(await wait_for(reader.read(), 10), b"")
+        await running
+        await stopping
 
     async def test_silent_stranger_is_closed_after_five_seconds(self):
         reader, _ = await self.dial()
@@ -132,10 +147,10 @@
 
     async def test_newer_incarnation_is_shown(self):
         await self.server.stop()
-        self.server._me = make_member("b", self.client.peer.peer_port, 2)
-        self.server._is_stopping = False
-        await self.server.start()
+        await self.wait_until(lambda: self.client.last_refused_at)
+        await self.start_server(echo, self.client.peer.peer_port, 2)
         await self.client.wait_connected(20)
+        self.assertIsNone(self.client.last_refused_at)
         self.assertEqual(self.client.peer.incarnation, 1)
         self.assertEqual(self.client.peer_incarnation, 2)
 
@@ -146,5 +161,37 @@
         self.assertLessEqual(logger.warning.call_count, 2)
 
 
+class ImpostorTest(PeerTestCase):
+    async def start_listener(self, role: str) -> PeerClient:
+        """Start a listener that proves `role`, then sends garbage."""
+
+        async def serve(reader, writer):
+            mine = make_hello("b", nonce=bytes(range(32)))
+            theirs = decode_message(await read_frame(reader))
+            writer.write(make_frame(mine))
+            await read_frame(reader)
+            proof = handshake.sign(SECRET, role, theirs, mine)
+            writer.write(make_frame(Proof(digest=proof)))
+            writer.write(build_frame(b"\xc1"))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        return self.start_client(server.sockets[0].getsockname()[1])
+
+    async def test_listener_that_returns_the_diallers_proof(self):
+        client = await self.start_listener("dialler")
+        await self.wait_until(lambda: client._counters.reconnects > 2)
+        self.assertIsNone(client.peer_member)
+        self.assertGreater(client._counters.refused_handshakes, 2)
+        self.assertEqual(client._counters.refused_frames, 0)
+
+    async def test_bad_frame_of_a_proved_listener_is_counted(self):
+        client = await self.start_listener("listener")
+        await self.wait_until(lambda: client._counters.refused_frames > 2)
+        self.assertEqual(client.peer_member.host, "b")
+        self.assertFalse(client.is_connected)
+
+
 def decode_message(content: bytes):
     return decode(content).message
--- a/test/wire/test_parts.py
+++ b/test/wire/test_parts.py
@@ -67,9 +67,3 @@
             with self.assertRaises(FrameError):
                 assembly.finish(end)
             self.assertFalse(assembly.is_whole)
-
-    def test_missing_last_part(self):
-        for part in self.parts[:-1]:
-            self.assembly.accept(part)
-        with self.assertRaises(FrameError):
-            self.assembly.finish(self.end)
--- a/test/wire/test_peer.py
+++ b/test/wire/test_peer.py
@@ -2,13 +2,14 @@
 
 import asyncio
 
-from radishstile.errors import (
-    PeerLostError,
-    RefusalError,
-    WireError,
-)
+from radishstile.errors import PeerLostError, RefusalError, WireError
 from radishstile.outcome import Outcome, Reason
-from radishstile.wire.messages.control import Acknowledged, Failed, Refused
+from radishstile.wire.messages.control import (
+    Acknowledged,
+    Credit,
+    Failed,
+    Refused,
+)
 from radishstile.wire.messages.fleet import Heartbeat, HeartbeatReply
 from radishstile.wire.messages.run import (
     AnswerEnd,
@@ -17,6 +18,7 @@
     BodyPart,
 )
 from radishstile.wire.parts import PartAssembly, PartSequence
+from radishstile.wire.refusals import raise_refusal
 from test.wire._common import PeerTestCase, make_request
 
 BLOCK = bytes(1000)
@@ -50,12 +52,6 @@
         numbers = [reply.statement for reply in replies]
         self.assertEqual(numbers, [[n] for n in range(10)])
 
-    async def test_peer_that_answered_is_shown(self):
-        client, _ = await self.connect(echo)
-        self.assertTrue(client.is_connected)
-        self.assertEqual(client.peer_member.host, "b")
-        self.assertEqual(client.peer_incarnation, 1)
-
     async def test_timeout_cancels_the_handler_and_leaks_nothing(self):
         ended = []
 
@@ -75,6 +71,19 @@
         (session,) = server._sessions
         self.assertEqual(session._connection.exchanges, {})
 
+    async def test_handler_goes_on_after_its_reply(self):
+        ended = []
+
+        async def work_after_reply(message, exchange):
+            await echo(message, exchange)
+            await asyncio.sleep(1)
+            ended.append(self.now)
+
+        client, _ = await self.connect(work_after_reply)
+        await client.ask(beat(1), 5)
+        self.assertEqual(ended, [])
+        await self.wait_until(lambda: ended)
+
     async def test_errors_of_handlers_become_messages(self):
         errors = {
             1: RefusalError(Reason.OVERLOADED, retry_after=2.0),
@@ -94,6 +103,12 @@
         self.assertEqual(refusal.retry_after, 2.0)
         self.assertEqual(failure, Failed(error="bad claim"))
         self.assertEqual(internal, Failed(error="internal error: KeyError"))
+        with self.assertRaises(RefusalError) as caught:
+            raise_refusal(refusal)
+        self.assertEqual(caught.exception.reason, Reason.OVERLOADED)
+        self.assertEqual(caught.exception.retry_after, 2.0)
+        with self.assertRaisesRegex(WireError, "bad claim"):
+            raise_refusal(failure)
 
     async def test_message_that_cant_be_sent_disturbs_nothing(self):
         client, _ = await self.connect(echo)
@@ -200,8 +215,8 @@
         await self.wait_until(lambda: "cancelled" in states)
         # An exchange that is closed before its handler starts ends as well.
         (await client.open(make_request("s"))).close()
-        (await client.open(make_request("t"))).close()
-        await self.wait_until(lambda: not client._connection.exchanges)
+        await asyncio.sleep(1)
+        self.assertEqual(states, ["started", "cancelled"])
 
     async def test_slow_receiver_holds_back_its_own_exchange_only(self):
         sent = []
@@ -225,15 +240,18 @@
                 self.assertEqual(part.number, number)
         self.assertEqual(len(sent), 40)
 
-    async def test_parts_without_credit_end_the_connection(self):
+    async def test_more_than_the_window_ends_the_connection(self):
         client, server = await self.connect(sleep_long)
-        exchange = await client.open(make_request("r"))
-        for number in range(17):
-            part = BodyPart(request_id="r", number=number, data=b"x")
-            client._connection.write(exchange.number, part)
-        with self.assertRaises(PeerLostError):
-            await exchange.receive(5)
-        self.assertEqual(server._counters.refused_frames, 1)
+        part = BodyPart(request_id="r", number=0, data=b"x")
+        floods = [[part] * 17, [Credit(parts=1)], [beat(1)] * 81]
+        for count, messages in enumerate(floods, 1):
+            await client.wait_connected(5)
+            exchange = await client.open(make_request("r"))
+            for message in messages:
+                client._connection.write(exchange.number, message)
+            with self.assertRaises(PeerLostError):
+                await exchange.receive(5)
+            self.assertEqual(server._counters.refused_frames, count)
 
     async def test_late_parts_of_a_closed_exchange_are_counted(self):
         async def answer_at_once(message, exchange):
@@ -286,7 +304,7 @@
         self.assertFalse(sending.done())
         client.drop()
         with self.assertRaises(PeerLostError):
-            await sending
+            await asyncio.wait_for(sending, 10)
 
     async def send_many(self, exchange):
         for number in range(100):
@@ -304,6 +322,16 @@
         await client.ask(beat(1), 5)
         self.assertEqual(client._counters.reconnects, 1)
 
+    async def test_connect_ends_the_back_off(self):
+        client, server = await self.connect(echo)
+        await server.stop()
+        await asyncio.sleep(60)
+        await self.start_server(echo, client.peer.peer_port)
+        await client.wait_connected(6)
+        client.drop()
+        await self.wait_until(lambda: not client.is_connected)
+        await client.wait_connected(0.2)
+
     async def test_refused_connections_back_off(self):
         server = await self.start_server(echo)
         port = server.port
@@ -329,6 +357,8 @@
         refusal = await client.ask(beat(2), 5)
         self.assertEqual(refusal.reason, Reason.STOPPING.value)
         self.assertEqual(refusal.outcome, Outcome.NOT_RUN.value)
+        await client.tell(beat(3))
+        await self.wait_until(lambda: server._counters.dropped_tells == 1)
         self.assertEqual((await running).statement, [1])
         await stopping
         self.assertLess(self.now, 5)
