--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -82,7 +82,8 @@
             shutdown_timeout=SHUTDOWN_S,
         )
         await self._runner.setup()
-        self._health = History(_now(), {"status": "ok", "since": _now()})
+        now = _now()
+        self._health = History(now, {"status": self._status, "since": now})
         await self._listen()
 
     async def stop(self) -> None:
@@ -96,13 +97,8 @@
     def set_faults(self, **switches) -> None:
         """Set the named switches; health follows them."""
         apply_switches(self.faults, switches)
-        status = "ok"
-        if self.faults.draining:
-            status = "draining"
-        if self.faults.down:
-            status = "down"
-        if status != self._health.current["status"]:
-            self._record_health(status)
+        if self._status != self._health.current["status"]:
+            self._record_health()
         log.info("upstream: %s has new faults.", self.settings.name)
 
     def crash(self) -> None:
@@ -119,7 +115,7 @@
 
     async def _listen(self) -> None:
         self._pool = SlotPool(self.settings, _now())
-        self._record_health("ok")
+        self._record_health()
         self._is_crashed = False
         self._site = web.TCPSite(
             self._runner, self.settings.address, self.port
@@ -198,9 +194,17 @@
         finally:
             pool.release()
 
-    def _record_health(self, status: str) -> None:
+    @property
+    def _status(self) -> str:
+        if self.faults.down:
+            return "down"
+        if self.faults.draining:
+            return "draining"
+        return "ok"
+
+    def _record_health(self) -> None:
         now = _now()
-        self._health.record(now, {"status": status, "since": now})
+        self._health.record(now, {"status": self._status, "since": now})
 
     async def _show_health(self, _: web.Request) -> web.Response:
         health = self._health.get(_now() - self.faults.lag_s)
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+from functools import partial
 
 from radishstile.errors import (
+    PlatformError,
     StoreUnavailableError,
     VersionConflictError,
     WriteDoubtError,
@@ -11,10 +13,44 @@
 from radishstile.platform.answer import MachineState
 from radishstile.platform.settings import PlatformSettings
 from radishstile.platform.store import StoreClient
+from standin.faults import StoreFaults
 from standin.settings import StoreSettings
-from standin.store import StoreServer
+from standin.store import VALUE_LIMIT_BYTES, StoreServer
 from test._common import PausedTestCase
 
+SEEDS = 12
+MARKS = 15
+
+
+def is_part(mark: str, marks: list[str]) -> bool:
+    """Return whether `mark` was appended to `marks`."""
+    return mark in marks
+
+
+async def append_marks(
+    client: StoreClient,
+    name: str,
+    reports: dict[str, Exception | None],
+    index: int,
+):
+    """Append marks to the object `name`, and note each one's outcome."""
+    for number in range(MARKS):
+        mark = f"{index}/{number}"
+        await asyncio.sleep(0.1)
+        try:
+            found = await client.read(name)
+        except StoreUnavailableError:
+            continue
+        marks = found.value if found else []
+        version = found.version if found else 0
+        reports[mark] = None
+        try:
+            await client.update(
+                name, [*marks, mark], version, partial(is_part, mark)
+            )
+        except PlatformError as error:
+            reports[mark] = error
+
 
 class StoreClientTest(PausedTestCase):
     async def asyncSetUp(self):
@@ -62,6 +98,8 @@
         await self.client.update("a", 1, 0)
         self.server.faults.lose_answers = 1
         self.assertEqual(await self.client.update("a", 2, 1), 2)
+        self.assertEqual(self.client.calls.writes, 2)
+        self.assertEqual(self.client.calls.reads, 1)
         self.assertEqual(self.server.calls.by_name["a"], 3)
 
     async def test_lost_answer_of_overwritten_write_is_in_doubt(self):
@@ -185,6 +223,49 @@
         machines = await self.client.list_machines()
         self.assertEqual(machines, {"m": MachineState.LEAVING})
 
+    async def test_refuses_value_above_limit(self):
+        value = "x" * (VALUE_LIMIT_BYTES - 2)
+        self.assertEqual(await self.client.update("a", value, 0), 1)
+        with self.assertRaises(PlatformError) as caught:
+            await self.client.update("a", value + "x", 1)
+        self.assertNotIsInstance(caught.exception, WriteDoubtError)
+        self.assertEqual(self.client.calls.writes, 2)
+
+    async def test_each_write_takes_effect_as_reported(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                await self.race(f"race/{seed}", random.Random(seed))
+
+    async def race(self, name: str, source: random.Random):
+        clients = [await self.open_and_keep() for _ in range(3)]
+        reports: dict[str, Exception | None] = {}
+        async with asyncio.TaskGroup() as group:
+            chaos = group.create_task(self.break_store(source))
+            appends = [
+                group.create_task(append_marks(client, name, reports, index))
+                for index, client in enumerate(clients)
+            ]
+            await asyncio.wait(appends)
+            chaos.cancel()
+        self.server.faults = StoreFaults()
+        await asyncio.sleep(10)
+        marks = await self.read_value(name) or []
+        self.assertEqual(len(marks), len(set(marks)))
+        for mark, error in reports.items():
+            if error is None:
+                self.assertIn(mark, marks)
+            elif not isinstance(error, WriteDoubtError):
+                self.assertNotIn(mark, marks)
+
+    async def break_store(self, source: random.Random):
+        while True:
+            faults = self.server.faults
+            faults.outage = source.random() < 0.2
+            faults.lose_answers = source.choice((0, 0, 1, 2))
+            faults.delay_s = source.choice((0, 0, 0.3, 2.2))
+            faults.read_lag_s = source.choice((0, 0.1, 3))
+            await asyncio.sleep(source.uniform(0.1, 3))
+
     async def test_refused_by_rate_cap(self):
         settings = PlatformSettings(self.settings.url, attempts=1)
         client = StoreClient(settings)
