Let delayed writes of callers that left take effect

Cause: the stand-in read a request's body after its delay; by then the caller was gone and reading failed, so no late first try ever arrived and the two tests of it could not fail. A mutation that lets a creation match a deleted name showed it.

The body is read before the delay, and both tests now state that the late try comes after the retry.

--- a/standin/store.py
+++ b/standin/store.py
@@ -115,6 +115,8 @@
             self.calls.refused += 1
             return _fail(429, "rate cap")
         self.calls.add(kind, name)
+        # A delayed call takes effect even if its caller has left by then.
+        await request.read()
         await asyncio.sleep(self.faults.delay_s)
         try:
             return await handler(name, request)
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -128,23 +128,25 @@
 
     async def test_late_first_try_is_harmless(self):
         await self.client.update("a", 1, 0)
-        self.server.faults.delay_s = 2.5
+        self.server.faults.delay_s = 6
         update = asyncio.create_task(self.client.update("a", 2, 1))
-        await asyncio.sleep(2.1)
+        await asyncio.sleep(1)
         self.server.faults.delay_s = 0
         self.assertEqual(await update, 2)
+        self.assertLess(self.now, 6)
         await self.client.update("a", 3, 2)
         await asyncio.sleep(5)
         found = await self.other.read("a")
         self.assertEqual((found.version, found.value), (3, 3))
 
     async def test_late_creation_does_not_undo_deletion(self):
-        self.server.faults.delay_s = 2.5
+        self.server.faults.delay_s = 6
         update = asyncio.create_task(self.client.update("a", 1, 0))
-        await asyncio.sleep(2.1)
+        await asyncio.sleep(1)
         self.server.faults.delay_s = 0
         await update
         await self.other.delete("a", 1)
+        self.assertLess(self.now, 6)
         await asyncio.sleep(5)
         self.assertIsNone(await self.read_value())
 
@@ -206,6 +208,7 @@
         await self.other.update("a", 1, 0)
         self.assertEqual((await watch).version, 1)
         self.assertLess(self.now, 10.1)
+        self.assertLess(self.client.last_reached_at, 0.1)
         self.assertIsNone(await self.client.watch("a", 1))
         self.assertGreaterEqual(self.now, 40)
         self.assertEqual(self.client.calls.watches, 2)
