--- a/radishstile/fleet/directory.py
+++ b/radishstile/fleet/directory.py
@@ -73,7 +73,7 @@
     def find(self, identity: tuple[str, int]) -> Membership | None:
         """Return the membership of exactly this incarnation, if known."""
         known = self._known.get(identity[0])
-        if known is None or known.member.identity != identity:
+        if known is None or known.identity != identity:
             return None
         return known
 
@@ -89,7 +89,8 @@
 
     def list_present(self) -> list[Membership]:
         """Return the other hosts' memberships without evidence of an end."""
-        return [known for known in self._known.values() if not known.is_gone]
+        gone = State.GONE
+        return [k for k in self._known.values() if k.state is not gone]
 
     def find_regions(self) -> dict[str, str]:
         """Return the region of each zone that a known member was in."""
@@ -100,7 +101,9 @@
         """Return the evidence of ends, oldest first."""
         return list(self._ends.values())
 
-    def forget_ends(self, before: float, kept: set[tuple[str, int]]) -> None:
+    def forget_ends(
+        self, before: float, kept: frozenset[tuple[str, int]]
+    ) -> None:
         """Drop evidence older than `before` of incarnations not in `kept`."""
         for identity, record in list(self._ends.items()):
             is_mine = identity == self.me.identity
@@ -151,29 +154,29 @@
         return 2 * heard >= len(neighbours)
 
     def list_unregistered(
-        self, registered: set[tuple[str, int]]
+        self, registered: frozenset[tuple[str, int]]
     ) -> list[Member]:
         """Return the members that are heard but not in the roster."""
         return [
             known.member
             for known in self.list_present()
-            if known.member.identity not in registered
+            if known.identity not in registered
         ]
 
     def list_remarks(self, now: float) -> list[Remark]:
         """Return what others should know of members' states."""
         remarks = []
-        for known in self.list_present():
-            if known.state not in (State.LEAVING, State.SUSPECTED):
+        notable = (State.LEAVING, State.SUSPECTED)
+        for known in self._known.values():
+            if known.state not in notable:
                 continue
             moment = now if known.is_leaving else known.doubted_at
             age_ms = to_age_ms(moment, now)
-            identity = known.member.identity
-            remarks.append(Remark(*identity, known.state, age_ms))
+            remarks.append(Remark(*known.identity, known.state, age_ms))
         return remarks
 
     def list_notices(
-        self, now: float, registered: set[tuple[str, int]]
+        self, now: float, registered: frozenset[tuple[str, int]]
     ) -> list[EndNotice]:
         """Return recent evidence, and what the roster has yet to follow."""
         return [
@@ -188,7 +191,7 @@
         self._ended = []
         told = {}
         for known in self.list_present():
-            identity = known.member.identity
+            identity = known.identity
             told[identity] = known.state
             kind = _EVENTS.get(known.state)
             if kind and self._told.get(identity) is not known.state:
--- a/radishstile/fleet/fleet.py
+++ b/radishstile/fleet/fleet.py
@@ -13,6 +13,7 @@
     MS_PER_S,
     Release,
     Statement,
+    pick_turn,
     to_age_ms,
 )
 from radishstile.fleet.topology import list_neighbours, list_watchers
@@ -81,12 +82,14 @@
             to_age_ms(freshness.store_failed_at, now),
             freshness.list_reports(now),
             dict(list((hints or {}).items())[:HINTS_LIMIT]),
-            _pick(
+            pick_turn(
                 directory.list_unregistered(registered), MEMBERS_LIMIT, turn
             ),
-            _pick(directory.list_remarks(now), REMARKS_LIMIT, turn),
-            _pick(directory.list_notices(now, registered), ENDED_LIMIT, turn),
-            _pick(list(self._releases), RELEASES_LIMIT, turn),
+            pick_turn(directory.list_remarks(now), REMARKS_LIMIT, turn),
+            pick_turn(
+                directory.list_notices(now, registered), ENDED_LIMIT, turn
+            ),
+            pick_turn(list(self._releases), RELEASES_LIMIT, turn),
         )
 
     def hear(self, statement: Statement, asked_at: float, now: float) -> None:
@@ -342,6 +345,11 @@
         """Return the evidence of an incarnation's end, if there is any."""
         return self.directory.find_evidence(identity)
 
+    def find_hints(self, identity: tuple[str, int]) -> dict[str, int]:
+        """Return a member's last heard free units by resource."""
+        known = self.directory.find(identity)
+        return {} if known is None else known.hints
+
     def list_ended(self) -> list[EndRecord]:
         """Return the evidence of ends that this host knows."""
         return self.directory.list_ends()
@@ -386,10 +394,3 @@
         """Say the last word: all that this incarnation held is released."""
         self.is_leaving = True
         self.directory.end(self.me.identity, Evidence.RELEASED, now)
-
-
-def _pick(items: list, limit: int, turn: int) -> list:
-    if len(items) <= limit:
-        return items
-    start = turn * limit % len(items)
-    return (items[start:] + items[:start])[:limit]
--- a/radishstile/fleet/freshness.py
+++ b/radishstile/fleet/freshness.py
@@ -34,15 +34,16 @@
         self.reached_at: float | None = None
         self.failed_at: float | None = None
 
-    def to_report(self, zone: str, now: float) -> ZoneReport:
-        """Return the evidence as ages at `now`."""
-        return ZoneReport(
-            zone,
-            self.version,
-            to_age_ms(self.confirmed_at, now),
-            to_age_ms(self.reached_at, now),
-            to_age_ms(self.failed_at, now),
+    def to_report(self, zone: str, now: float, oldest: float) -> ZoneReport:
+        """Return the evidence since `oldest` as ages at `now`."""
+        moments = (self.confirmed_at, self.reached_at, self.failed_at)
+        ages = (
+            to_age_ms(moment, now)
+            if moment is not None and moment >= oldest
+            else None
+            for moment in moments
         )
+        return ZoneReport(zone, self.version, *ages)
 
 
 class Freshness:
@@ -147,9 +148,13 @@
         }
 
     def list_reports(self, now: float) -> list[ZoneReport]:
-        """Return what this host knows of each zone, as ages."""
+        """Return what this host knows of each zone, as ages.
+
+        Evidence older than the bound decides nothing and is left out.
+        """
+        oldest = now - self._settings.isolated_after_s
         return [
-            evidence.to_report(zone, now)
+            evidence.to_report(zone, now, oldest)
             for zone, evidence in sorted(self._zones.items())
         ]
 
--- a/radishstile/fleet/membership.py
+++ b/radishstile/fleet/membership.py
@@ -37,6 +37,7 @@
     # transitions binds its triggers to the model as attributes.
     __slots__ = (
         "member",
+        "identity",
         "heard_at",
         "watched_at",
         "doubted_at",
@@ -46,6 +47,7 @@
 
     def __init__(self, member: Member, machine: Machine):
         self.member = member
+        self.identity = member.identity
         self.heard_at: float | None = None
         self.watched_at: float | None = None
         self.doubted_at: float | None = None
--- a/radishstile/fleet/roster.py
+++ b/radishstile/fleet/roster.py
@@ -37,9 +37,13 @@
 
 
 class Roster:
-    """One version of the roster; never changed after it was made."""
+    """One version of the roster; never changed after it was made.
 
-    __slots__ = ("version", "members", "homes")
+    `members` is by host, `homes` by resource; `identities` are those of all
+    members.
+    """
+
+    __slots__ = ("version", "members", "homes", "identities")
 
     def __init__(
         self,
@@ -50,6 +54,7 @@
         self.version = version
         self.members = members or {}
         self.homes = homes or {}
+        self.identities = frozenset(m.identity for m in self.members.values())
 
     def to_record(self) -> dict:
         """Return the roster as a JSON object."""
@@ -88,15 +93,9 @@
             return None
         return member
 
-    @property
-    def identities(self) -> set[tuple[str, int]]:
-        """Return the identities of all registered members."""
-        return {member.identity for member in self.members.values()}
-
     def is_registered(self, identity: tuple[str, int]) -> bool:
         """Return whether exactly this incarnation is registered."""
-        member = self.members.get(identity[0])
-        return member is not None and member.identity == identity
+        return identity in self.identities
 
 
 class Plan:
--- a/radishstile/fleet/statement.py
+++ b/radishstile/fleet/statement.py
@@ -17,6 +17,14 @@
     return max(0, -int((at - now) * MS_PER_S // 1))
 
 
+def pick_turn(items: list, limit: int, turn: int) -> list:
+    """Return the part of `items` that goes out in `turn`, `limit` at most."""
+    if len(items) <= limit:
+        return items
+    start = turn * limit % len(items)
+    return (items[start:] + items[:start])[:limit]
+
+
 def _to_row(item, kinds: tuple) -> list:
     values = [getattr(item, name) for name in item.__slots__]
     return [
--- a/test/fleet/test_fleet.py
+++ b/test/fleet/test_fleet.py
@@ -51,6 +51,22 @@
         self.fleet.tick(1)
         self.assertNotIn(MemberSuspected, self.list_kinds(60))
 
+    def test_old_reply_is_no_sign_of_life(self):
+        for now in range(9):
+            self.fleet.tick(now)
+        self.fleet.hear(say(self.near), 1, 9)
+        self.assertIs(self.find_state(self.near), State.SUSPECTED)
+
+    def test_suspicions_beyond_the_limit_take_turns(self):
+        members = build_members(["a1", "b1"], 122)
+        asker, answerer = (build_fleet(m, members) for m in members[:2])
+        remarks = [Remark(m.host, 1, State.SUSPECTED, 0) for m in members[2:]]
+        answerer.hear(say(members[2], remarks=remarks), 0, 0)
+        for now in range(5):
+            exchange(asker, answerer, now)
+        entries = {m.host for m in asker.list_entry_members(4)}
+        self.assertEqual(entries, {m.host for m in members[:3]})
+
     def test_suspicion_reaches_hosts_that_do_not_ask_the_member(self):
         members = build_members(ZONES, 450)
         fleet = build_fleet(members[0], members)
@@ -115,6 +131,18 @@
         self.assertTrue(self.fleet.note_roster(Roster(2, kept), 1))
         self.assert_ended(self.near, Evidence.DROPPED)
 
+    def test_evidence_spreads_until_the_roster_has_followed(self):
+        self.fleet.note_machines([MachineReport("a1-1", 1, True)], 1)
+        third = build_fleet(self.remote, self.members)
+        exchange(third, self.fleet, 3600)
+        self.assertEqual(len(third.list_ended()), 1)
+        self.fleet.note_roster(Roster(2, {self.me.host: self.me}), 3600)
+        fourth = build_fleet(self.members[3], self.members)
+        exchange(fourth, self.fleet, 7200)
+        self.assertEqual(fourth.list_ended(), [])
+        self.fleet.tick(100_000)
+        self.assertEqual(self.fleet.list_ended(), [])
+
     def test_delisting_an_old_incarnation_spares_the_new_one(self):
         newer = build_member("a1", 1, 2)
         self.fleet.note_connected(newer, 0)
@@ -163,6 +191,13 @@
         unheard = build_member("a1", 9)
         self.assertIsNone(self.fleet.plan_roster({}, [unheard], 1))
 
+    def test_hints_of_free_units_are_heard(self):
+        self.fleet.hear(say(self.near, hints={"rate/w": 7}), 1, 1)
+        hints = self.fleet.find_hints(self.near.identity)
+        self.assertEqual(hints, {"rate/w": 7})
+        record = self.fleet.make_statement(1, {"rate/x": 9}).hints
+        self.assertEqual(record, {"rate/x": 9})
+
     def test_lower_roster_versions_are_dropped(self):
         self.assertFalse(self.fleet.note_roster(Roster(1), 1))
         self.assertEqual(len(self.fleet.roster.members), 6)
@@ -199,6 +234,23 @@
         self.assertNotEqual(entry.host, self.near.host)
         self.assertEqual(entry.epoch, 3)
 
+    def test_new_home_is_live_and_not_leaving(self):
+        leaver = say(self.near, state=State.LEAVING)
+        silent = Remark("a1-2", 1, State.SUSPECTED, 0)
+        self.fleet.hear(leaver, 1, 1)
+        self.fleet.hear(say(self.remote, remarks=[silent]), 1, 1)
+        wanted = {f"rate/{i}": "a1" for i in range(9)}
+        homes = self.fleet.plan_roster(wanted, [], 1).homes
+        self.assertEqual({entry.host for entry in homes.values()}, {"a1-0"})
+
+    def test_release_heard_before_its_roster_counts(self):
+        behind = build_fleet(self.me, self.members)
+        self.home.leave()
+        self.home.release("rate/w")
+        exchange(behind, self.home, 1)
+        behind.note_roster(self.roster, 2)
+        self.assertIsNone(behind.find_home("rate/w"))
+
     def test_release_of_an_earlier_epoch_moves_nothing(self):
         release = Release("a1-1", 1, "rate/w", 1)
         self.fleet.hear(say(self.near, releases=[release]), 1, 1)
--- a/test/fleet/test_freshness.py
+++ b/test/fleet/test_freshness.py
@@ -3,8 +3,9 @@
 import unittest
 
 from radishstile.fleet.event import BecameCurrent, BecameOutdated
+from radishstile.fleet.fleet import Fleet
 from radishstile.fleet.state import MachineReport
-from test.fleet._common import build_fleet, build_member, exchange
+from test.fleet._common import SETTINGS, build_fleet, build_member, exchange
 
 # One host in each zone of three regions; the store is in region "a".
 ZONES = ["a1", "a2", "b1", "c1"]
@@ -89,10 +90,9 @@
         self.fleets["a1"].note_store_reached(0, 0, 4)
         for hop in range(3):
             answerer = self.fleets[chain[hop]]
-            statement = answerer.make_statement(2 * hop + 2)
-            self.fleets[chain[hop + 1]].hear(
-                statement, 2 * hop + 1.5, 2 * hop + 2.5
-            )
+            statement = answerer.make_statement(hop + 0.5)
+            asker = self.fleets[chain[hop + 1]]
+            asker.hear(statement, hop, hop + 0.75)
         # Each hop adds the half second between question and reply.
         self.assertTrue(self.fleets["c1"].is_current(4.5))
         self.assertFalse(self.fleets["c1"].is_current(4.6))
@@ -156,6 +156,18 @@
         self.assertTrue(self.fleets["a1"].is_current(19))
         self.assertFalse(self.fleets["a1"].may_accept_patches(19))
 
+    def test_patches_need_the_neighbours_of_the_own_zone(self):
+        members = [build_member("a1", i) for i in range(3)]
+        members += [build_member(zone, 0) for zone in ZONES[1:]]
+        fleet = build_fleet(members[0], members)
+        fleet.tick(0)
+        fleet.note_store_reached(0, 0, 4)
+        for member in members[3:]:
+            fleet.note_connected(member, 0)
+        self.assertFalse(fleet.may_accept_patches(0))
+        fleet.note_connected(members[1], 0)
+        self.assertTrue(fleet.may_accept_patches(0))
+
     def test_one_zone_fleet_needs_another_host_to_tell_an_outage(self):
         members = [build_member("a1", 0), build_member("a1", 1)]
         fleet, peer = (build_fleet(m, members) for m in members)
@@ -167,6 +179,14 @@
         exchange(fleet, peer, 2)
         self.assertTrue(fleet.is_current(2))
 
+    def test_host_outside_the_roster(self):
+        started = Fleet(build_member("a1", 9), SETTINGS)
+        started.note_store_failed(0)
+        self.assertIn("no roster", started.find_outdated_reason(0))
+        started.note_store_reached(1, 1, 0)
+        self.assertTrue(started.is_current(1))
+        self.assertFalse(started.may_accept_patches(1))
+
     def test_changes_are_told_once(self):
         fleet = self.fleets["a1"]
         fleet.note_store_reached(0, 0, 4)
