--- a/radishstile/fleet/roster.py
+++ b/radishstile/fleet/roster.py
@@ -53,11 +53,12 @@
 class Roster:
     """One version of the roster; never changed after it was made.
 
-    `unclean` names the resources without a home whose last one did not
-    release them.
+    `members` is by host, `homes` by resource; `identities` are those of all
+    members. `unclean` names the resources without a home whose last one did
+    not release them.
     """
 
-    __slots__ = ("version", "members", "homes", "unclean")
+    __slots__ = ("version", "members", "homes", "unclean", "identities")
 
     def __init__(
         self,
@@ -70,6 +71,7 @@
         self.members = members or {}
         self.homes = homes or {}
         self.unclean = frozenset(unclean)
+        self.identities = frozenset(m.identity for m in self.members.values())
 
     def to_record(self) -> dict:
         """Return the roster as a JSON object."""
@@ -110,15 +112,9 @@
             return None
         return member
 
-    @property
-    def identities(self) -> set[tuple[str, int]]:
-        """Return the identities of all registered members."""
-        return {member.identity for member in self.members.values()}
-
     def is_registered(self, identity: tuple[str, int]) -> bool:
         """Return whether exactly this incarnation is registered."""
-        member = self.members.get(identity[0])
-        return member is not None and member.identity == identity
+        return identity in self.identities
 
 
 class Plan:
