--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -240,6 +240,8 @@
         """Take in what an upstream's own endpoint said."""
         now = asyncio.get_running_loop().time()
         self._pool.note_report(name, report, now)
+        self._note_change()
+        self._serve()
 
     def take_probe(self, deadline: float) -> SlotLease | None:
         """Return a lease to probe a down upstream, if one is due."""
--- a/radishstile/upstream/pool.py
+++ b/radishstile/upstream/pool.py
@@ -79,6 +79,15 @@
         if self.health.state == COLD:
             self._restart(now)
 
+    def note_report(
+        self, report: HealthReport | LoadReport, now: float
+    ) -> None:
+        """Take in what the upstream's own endpoint said."""
+        # Time without reports must not count once they are back.
+        may_open = self.health.may_open(now)
+        self._warm_up.advance(now, self.entry.slots, may_open)
+        self.health.note_report(report, now)
+
     def count_open(self, now: float) -> int:
         """Return how many slots may be used now, occupied ones included."""
         if not self.health.is_working or now < self._shed_until:
@@ -349,7 +358,7 @@
         """Take in what an upstream's own endpoint said."""
         for upstream in self._upstreams.values():
             if upstream.entry.name == name:
-                upstream.health.note_report(report, now)
+                upstream.note_report(report, now)
 
     @property
     def upstreams(self) -> list[PooledUpstream]:
--- /dev/null
+++ b/test/workspace/test_queue.py
@@ -0,0 +1,110 @@
+"""Tests of the fair queue: who gets the next slot."""
+
+import unittest
+
+from radishstile.errors import RefusalError
+from radishstile.outcome import Reason
+from radishstile.upstream.settings import QueueSettings
+from radishstile.workspace.queue import FairQueue, SlotSupply
+
+
+class FairQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.queue = FairQueue(QueueSettings(workspace_limit=50))
+        self.requests = {}
+
+    def _admit(
+        self, workspace, route="view", weight=1.0, deadline=1e6, now=0.0
+    ):
+        supply = SlotSupply(4, 0, None)
+        return self.queue.admit(
+            workspace, weight, route, deadline, frozenset(), supply, now
+        )
+
+    def _serve(self, free=1, slots=4, now=0.0):
+        following = self.queue.list_next(SlotSupply(slots, free, None), now)
+        if not following:
+            return None
+        self.queue.start(following[0])
+        return following[0]
+
+    def _learn(self, route, cost_s):
+        request = self._admit("teacher", route)
+        self.queue.start(request)
+        self.queue.finish(request, cost_s, is_measured=True)
+
+    def _serve_in_turn(self, count):
+        """Serve one after the other, each for its expected time."""
+        served = []
+        for _ in range(count):
+            request = self._serve()
+            served.append(request)
+            self.queue.finish(request, request.cost_s, is_measured=False)
+        return served
+
+    def test_a_flood_waits_behind_the_others(self):
+        for _ in range(40):
+            self._admit("large")
+        self._serve_in_turn(10)
+        self._admit("small")
+        self.assertEqual(self._serve().workspace, "small")
+
+    def test_weights_set_the_shares(self):
+        for _ in range(30):
+            self._admit("heavy", weight=3.0)
+            self._admit("light", weight=1.0)
+        served = [each.workspace for each in self._serve_in_turn(20)]
+        self.assertAlmostEqual(served.count("heavy"), 15, delta=1)
+
+    def test_costs_count_and_not_requests(self):
+        self._learn("batch", 2.0)
+        self._learn("view", 0.02)
+        for _ in range(40):
+            self._admit("large", "batch")
+            self._admit("small", "view")
+        served = [each.workspace for each in self._serve_in_turn(41)]
+        self.assertLessEqual(served.count("large"), 2)
+
+    def test_routes_of_one_workspace_share_fairly(self):
+        self._learn("batch", 2.0)
+        self._learn("view", 0.02)
+        for _ in range(5):
+            self._admit("one", "batch")
+        first = self._admit("one", "view")
+        served = self._serve_in_turn(2)
+        self.assertIn(first.number, [each.number for each in served])
+
+    def test_over_share_leaves_a_slot_to_those_active(self):
+        self._admit("small")
+        self.queue.finish(self._serve(free=4), 0.1, is_measured=False)
+        for _ in range(10):
+            self._admit("large")
+        taken = [self._serve(free=free) for free in (4, 3, 2)]
+        self.assertNotIn(None, taken)
+        self.assertIsNone(self._serve(free=1))
+        self._admit("small")
+        self.assertEqual(self._serve(free=1).workspace, "small")
+        self.assertIsNotNone(self._serve(free=1, now=500.0))
+
+    def test_single_workspace_may_use_every_slot(self):
+        for _ in range(4):
+            self._admit("large")
+        for free in (4, 3, 2, 1):
+            self.assertIsNotNone(self._serve(free=free))
+
+    def test_bounded_length_per_workspace(self):
+        for _ in range(50):
+            self._admit("large")
+        with self.assertRaises(RefusalError) as caught:
+            self._admit("large")
+        self.assertEqual(caught.exception.reason, Reason.OVERLOADED)
+        self._admit("small")
+
+    def test_long_own_queue_refuses_only_its_workspace(self):
+        self._learn("batch", 2.0)
+        for _ in range(20):
+            self._admit("large", "batch")
+        with self.assertRaises(RefusalError) as caught:
+            self._admit("large", "batch", deadline=8.0)
+        self.assertAlmostEqual(caught.exception.retry_after, 10.0)
+        self._admit("small", "view", deadline=8.0)
