--- a/radishstile/workspace/queue.py
+++ b/radishstile/workspace/queue.py
@@ -11,6 +11,7 @@
 LOAD_WINDOW_S = 10.0
 IDLE_LOAD = 0.002
 RETRY_AFTER_MIN_S = 0.1
+LONG_RATIO = 4.0
 
 
 class SlotSupply:
@@ -87,6 +88,7 @@
         "routes",
         "queued",
         "queued_cost_s",
+        "mean_cost_s",
         "_virtual_time",
         "_load",
         "_load_at",
@@ -99,6 +101,7 @@
         self.routes: dict[str, RouteQueue] = {}
         self.queued = 0
         self.queued_cost_s = 0.0
+        self.mean_cost_s = 0.0
         self._virtual_time = 0.0
         self._load = 0.0
         self._load_at = 0.0
@@ -111,6 +114,9 @@
         queue.waiting[request.number] = request
         self.queued += 1
         self.queued_cost_s += request.cost_s
+        if not self.mean_cost_s:
+            self.mean_cost_s = request.cost_s
+        self.mean_cost_s += COST_GAIN * (request.cost_s - self.mean_cost_s)
         self._load = self.measure_load(now) + request.cost_s / LOAD_WINDOW_S
         self._load_at = now
 
@@ -154,10 +160,10 @@
 
     Workspaces are served by start-time fair queueing, weighted, at the
     expected service time of each request's route. A workspace that occupies
-    its fair share of slots comes after those that don't, and leaves some
-    slots free for those that were active recently: a running request can't
-    be interrupted, so a slot that a short request will need must not be
-    given to a long one.
+    its fair share of slots comes after those that don't. Its long requests
+    leave some slots free for workspaces with short ones that were active
+    recently: a running request can't be interrupted, so it must not take a
+    slot that many short ones will need.
     """
 
     __slots__ = (
@@ -290,20 +296,19 @@
                 continue
             share = supply.slots * queue.weight / weights
             is_over = queue.running >= share
-            reserved = self._count_reserved(name, active, supply, now)
-            if is_over and supply.free <= reserved:
-                continue
             ranked.append((is_over, queue.tag, name))
         ranked.sort()
         return [
             request
-            for _, _, name in ranked
+            for is_over, _, name in ranked
             for request in active[name].list_heads()
+            if not is_over
+            or supply.free > self._count_reserved(request, active, supply, now)
         ]
 
     def _count_reserved(
         self,
-        workspace: str,
+        request: QueuedRequest,
         active: dict[str, WorkspaceQueue],
         supply: SlotSupply,
         now: float,
@@ -311,7 +316,8 @@
         weights = sum(queue.weight for queue in active.values())
         reserved = 0
         for name, queue in active.items():
-            if name == workspace:
+            is_own = name == request.workspace
+            if is_own or request.cost_s < LONG_RATIO * queue.mean_cost_s:
                 continue
             load = queue.measure_load(now)
             share = supply.slots * queue.weight / weights
