Join chunks of the block table one by one

Joining all at once took 1.5 s without a pause and twice the table's memory. Chunks come in the order of addresses and are joined by whole arrays. Fall-back hosts are sampled, and equal weights are ordered by the hash alone.

--- a/radishstile/lookup/chunk.py
+++ b/radishstile/lookup/chunk.py
@@ -3,14 +3,14 @@
 import sys
 import zlib
 from array import array
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import msgpack
 import xxhash
 
 from radishstile.errors import ConfigurationError
 from radishstile.lookup.address import Family
-from radishstile.lookup.intervals import NO_SITE, Intervals
+from radishstile.lookup.intervals import Intervals
 
 MAX_INTERVALS = 49_152
 MAX_BODY_BYTES = 1_048_576
@@ -124,52 +124,65 @@
         column.byteswap()
 
 
-def join_bodies(bodies: Iterable[bytes]) -> dict[Family, Intervals]:
-    """Return the intervals of each family from the bodies of all chunks.
+class ChunkReader:
+    """Joins the chunks of a table one by one, in the order of addresses.
 
-    Raises `ConfigurationError` where a body is damaged or a range is missing
-    or given twice.
+    A caller on an event loop may wait between chunks.
     """
-    records = [_decode_body(body) for body in bodies]
-    records.sort(key=lambda record: (record["family"], record["start"]))
-    return {family: _join_family(family, records) for family in Family}
 
+    __slots__ = ("_intervals", "_expected")
 
-def _decode_body(body: bytes) -> dict:
+    def __init__(self):
+        self._intervals = {family: Intervals(family.bits) for family in Family}
+        self._expected = dict.fromkeys(Family, 0)
+
+    def add(self, body: bytes) -> None:
+        """Add the next chunk.
+
+        Raises `ConfigurationError` where it is damaged or out of order.
+        """
+        part = _decode_body(body)
+        expected = self._expected[part.family]
+        if part.start != expected:
+            raise ConfigurationError(f"block chunks: gap at {expected:#x}")
+        self._intervals[part.family].extend(part.intervals)
+        size = 1 << (part.family.bits - part.prefix_bits)
+        self._expected[part.family] += size
+
+    def finish(self) -> dict[Family, Intervals]:
+        """Return the intervals of each family.
+
+        Raises `ConfigurationError` where chunks are missing.
+        """
+        for family, expected in self._expected.items():
+            if expected != 1 << family.bits:
+                raise ConfigurationError(f"block chunks: gap at {expected:#x}")
+        return self._intervals
+
+
+class _Part:
+    """What the body of a chunk holds."""
+
+    __slots__ = ("family", "start", "prefix_bits", "intervals")
+
+    def __init__(self, record: dict):
+        self.family = Family(record["family"])
+        self.start = int.from_bytes(record["start"])
+        self.prefix_bits = record["prefix_bits"]
+        self.intervals = Intervals(self.family.bits)
+        _from_bytes(self.intervals.starts, record["starts"])
+        _from_bytes(self.intervals.lows, record["lows"])
+        self.intervals.sites.frombytes(record["sites"])
+        if len(self.intervals.starts) != len(self.intervals.sites):
+            raise ValueError("starts and sites differ in number")
+
+
+def _decode_body(body: bytes) -> _Part:
     try:
         reader = zlib.decompressobj()
         content = reader.decompress(body, MAX_BODY_BYTES)
         if reader.unconsumed_tail or not reader.eof:
             raise ValueError("not whole, or too large")
-        record = msgpack.unpackb(content)
-        record["start"] = int.from_bytes(record["start"])
-        return record
+        return _Part(msgpack.unpackb(content))
     except _DAMAGE as error:
         raise ConfigurationError(f"block chunk: {error}") from error
-
-
-def _join_family(family: Family, records: list[dict]) -> Intervals:
-    joined = Intervals(family.bits)
-    expected = 0
-    for record in records:
-        if record["family"] != family:
-            continue
-        if record["start"] != expected:
-            raise ConfigurationError(f"block chunks: gap at {expected:#x}")
-        part = Intervals(family.bits)
-        _from_bytes(part.starts, record["starts"])
-        _from_bytes(part.lows, record["lows"])
-        part.sites.frombytes(record["sites"])
-        for index, site in enumerate(part.sites):
-            joined.append(part.start_of(index), site)
-        expected += 1 << (family.bits - record["prefix_bits"])
-    if expected != 1 << family.bits:
-        raise ConfigurationError(f"block chunks: gap at {expected:#x}")
-    return joined
-
-
-def make_empty(family: Family) -> Intervals:
-    """Return the intervals of a family without any block."""
-    intervals = Intervals(family.bits)
-    intervals.append(0, NO_SITE)
-    return intervals
--- a/radishstile/lookup/directory.py
+++ b/radishstile/lookup/directory.py
@@ -38,6 +38,13 @@
         drawn = xxhash.xxh3_64_intdigest(key, self.seed)
         return -self.weight / math.log((drawn + 0.5) / _HASH_RANGE)
 
+    def draw(self, key: bytes) -> int:
+        """Return a score for `key` that orders hosts of equal weight.
+
+        It puts them in the same order as `score`, at a lower cost.
+        """
+        return xxhash.xxh3_64_intdigest(key, self.seed)
+
 
 class Directory:
     """Orders live entry hosts for each bucket of client blocks.
@@ -68,7 +75,7 @@
         self._distances_ms = distances_ms or {}
         self._candidates: dict[str, list[_Candidate]] = {}
         self._nearest: dict[str, list[str]] = {}
-        self._cache: dict[tuple[str, int], LookupAnswer] = {}
+        self._cache: dict[str, list[LookupAnswer | None]] = {}
         self._hot_hosts: frozenset[str] = frozenset()
         self._members: list[Member] = []
 
@@ -108,11 +115,13 @@
         """Return the hosts for a client block that is served in `region`."""
         digest = xxhash.xxh3_64_intdigest(block)
         bucket = digest % self._settings.buckets
-        key = (region, bucket)
-        answer = self._cache.get(key)
+        answers = self._cache.get(region)
+        if answers is None:
+            answers = [None] * self._settings.buckets
+            self._cache[region] = answers
+        answer = answers[bucket]
         if answer is None:
-            answer = self._make_answer(region, bucket)
-            self._cache[key] = answer
+            answer = answers[bucket] = self._make_answer(region, bucket)
         return answer
 
     def _make_answer(self, region: str, bucket: int) -> LookupAnswer:
@@ -128,7 +137,7 @@
     ) -> list[Member]:
         """Return hosts of other regions, one of each before a second one."""
         choices = [
-            self._pick_hosts(other, key, count)
+            self._sample_hosts(other, key, count)
             for other in self._list_nearest(region)
         ]
         ranked = [
@@ -141,20 +150,25 @@
 
     def _pick_hosts(self, region: str, key: bytes, count: int) -> list[Member]:
         """Return the best hosts of a region, the second from a new zone."""
+        candidates = self._candidates.get(region)
+        if not candidates:
+            return []
+        rank = _Candidate.score if self._hot_hosts else _Candidate.draw
         ranked = sorted(
-            self._candidates.get(region, ()),
-            key=lambda candidate: candidate.score(key),
+            candidates,
+            key=lambda candidate: rank(candidate, key),
             reverse=True,
         )
-        members = [candidate.member for candidate in ranked]
-        if not members:
-            return []
-        zone = members[0].zone
-        for index, member in enumerate(members):
-            if member.zone != zone:
-                members.insert(1, members.pop(index))
-                break
-        return members[:count]
+        return _spread_zones(ranked)[:count]
+
+    def _sample_hosts(
+        self, region: str, key: bytes, count: int
+    ) -> list[Member]:
+        """Return hosts of a region from a place that `key` chooses."""
+        candidates = self._candidates[region]
+        begin = xxhash.xxh3_64_intdigest(key) % len(candidates)
+        ranked = candidates[begin:] + candidates[:begin]
+        return _spread_zones(ranked)[:count]
 
     def _list_nearest(self, region: str) -> list[str]:
         nearest = self._nearest.get(region)
@@ -169,3 +183,14 @@
     def _rank_distance(self, region: str, other: str) -> tuple[float, str]:
         pair = (region, other)
         return self._distances_ms.get(pair, _UNKNOWN_DISTANCE), other
+
+
+def _spread_zones(ranked: list[_Candidate]) -> list[Member]:
+    """Return the members in order, the second one from another zone."""
+    members = [candidate.member for candidate in ranked]
+    zone = members[0].zone
+    for index, member in enumerate(members):
+        if member.zone != zone:
+            members.insert(1, members.pop(index))
+            break
+    return members
--- a/radishstile/lookup/intervals.py
+++ b/radishstile/lookup/intervals.py
@@ -57,6 +57,19 @@
             return
         self._push(start, site)
 
+    def extend(self, other: "Intervals") -> None:
+        """Add all intervals of `other`, which begin after the last one."""
+        if not other.sites:
+            return
+        self.append(other.start_of(0), other.sites[0])
+        if other.lows and not self.lows:
+            self.lows.extend(0 for _ in self.starts)
+        if self.lows:
+            zeros = array("Q", bytes(8 * len(other)))
+            self.lows.extend((other.lows or zeros)[1:])
+        self.starts.extend(other.starts[1:])
+        self.sites.extend(other.sites[1:])
+
     def _push(self, start: int, site: int) -> None:
         self.sites.append(site)
         if self.bits == 32:
--- a/radishstile/lookup/table.py
+++ b/radishstile/lookup/table.py
@@ -5,7 +5,7 @@
 
 from radishstile.errors import ConfigurationError
 from radishstile.lookup.address import Family
-from radishstile.lookup.chunk import Chunk, join_bodies, split_intervals
+from radishstile.lookup.chunk import Chunk, ChunkReader, split_intervals
 from radishstile.lookup.intervals import (
     NO_SITE,
     Intervals,
@@ -48,11 +48,19 @@
 
     @classmethod
     def from_chunks(cls, bodies: Iterable[bytes]) -> "BlockTable":
-        """Return the table whose chunks have these bodies, in any order.
+        """Return the table whose chunks have these bodies, in their order.
 
         Raises `ConfigurationError` where they don't make a whole table.
         """
-        intervals = join_bodies(bodies)
+        reader = ChunkReader()
+        for body in bodies:
+            reader.add(body)
+        return cls.from_reader(reader)
+
+    @classmethod
+    def from_reader(cls, reader: ChunkReader) -> "BlockTable":
+        """Return the table that `reader` has joined."""
+        intervals = reader.finish()
         return cls(intervals[Family.V4], intervals[Family.V6])
 
     def to_chunks(self) -> list[Chunk]:
