Measure moves on a model of load

A sample of free slots is full by chance in a group of nine slots, so moves stepped back without need: reports are now means, and a queue below one request is not hot. Measurements from before a step back led to further ones: the next needs a measurement taken after it.

--- /dev/null
+++ b/bench/model.py
@@ -0,0 +1,415 @@
+"""A small model of load that planned moves are measured on.
+
+Time goes in fixed ticks. Client blocks send requests at skewed rates, keep
+look-up answers for their TTL, and run on slots with a queue per region.
+"""
+
+import heapq
+import random
+from collections import deque
+
+from radishstile.configuration.document import Configuration
+from radishstile.shift.driver import (
+    MoveDriver,
+    StepInputs,
+    list_zones,
+    publish_shares,
+)
+from radishstile.shift.guard import MoveGuard, size_burst
+from radishstile.shift.measures import Measures, TargetHint
+from radishstile.shift.progress import MoveProgress
+from radishstile.shift.settings import ShiftSettings
+from radishstile.shift.share import Placement
+
+TICK_S = 0.05
+HINT_EVERY_S = 1.0
+HINT_LAG_S = 1.0
+SHARE_LAG_S = 1.0
+ENTRY_HOSTS = 21
+SERVICE_S = 0.1
+COLD_FACTOR = 3
+WARM_UP_REQUESTS = 20
+NO_CAP_PER_S = 1e9
+
+
+class Bucket:
+    """A budget that all hosts share: units a second, with a burst."""
+
+    __slots__ = ("rate_per_s", "burst", "_level", "_at")
+
+    def __init__(self, rate_per_s: float, burst: float):
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._level = burst
+        self._at = 0.0
+
+    def try_take(self, now: float) -> bool:
+        """Spend one unit; return False where there is none."""
+        gained = (now - self._at) * self.rate_per_s
+        self._level = min(self.burst, self._level + gained)
+        self._at = now
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+
+class CapCheck:
+    """Finds whether moved requests ever pass a cap and its burst.
+
+    `excess` is the largest number of requests above the cap in any window.
+    """
+
+    __slots__ = ("cap_per_s", "burst", "excess", "moved", "_level", "_at")
+
+    def __init__(self, cap_per_s: float, burst: float):
+        self.cap_per_s = cap_per_s
+        self.burst = burst
+        self.excess = 0.0
+        self.moved = 0
+        self._level = 0.0
+        self._at = 0.0
+
+    def add(self, now: float) -> None:
+        """Count one moved request."""
+        drained = (now - self._at) * self.cap_per_s
+        self._level = max(0.0, self._level - drained) + 1
+        self._at = now
+        self.moved += 1
+        self.excess = max(self.excess, self._level - self.burst)
+
+
+class Pool:
+    """The slots of one group in one region, with a bounded queue."""
+
+    __slots__ = (
+        "slots",
+        "refused",
+        "peak",
+        "finished",
+        "_sums",
+        "_ends",
+        "_queue",
+    )
+
+    def __init__(self, slots: int):
+        self.slots = slots
+        self.refused = 0
+        self.peak = 0.0
+        self.finished = 0
+        self._sums = [0, 0, 0]
+        self._ends: list[float] = []
+        self._queue: deque[float] = deque()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of slots in use."""
+        return len(self._ends)
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    def advance(self, now: float) -> None:
+        """Finish what ends by `now`, and start what waits."""
+        # Sums of ticks are not exact.
+        while self._ends and self._ends[0] <= now + TICK_S / 2:
+            end = heapq.heappop(self._ends)
+            self.finished += 1
+            if self._queue:
+                heapq.heappush(self._ends, end + self._queue.popleft())
+        self.peak = max(self.peak, (self.in_flight + self.queued) / self.slots)
+        self._sums[0] += self.in_flight
+        self._sums[1] += self.queued
+        self._sums[2] += 1
+
+    def take_means(self) -> tuple[float, float]:
+        """Return the mean slots in use and queue since the last call."""
+        used, queued, count = self._sums
+        self._sums = [0, 0, 0]
+        return used / count, queued / count
+
+    def offer(self, service_s: float, now: float) -> None:
+        """Run a request, let it wait, or refuse it where the queue is full."""
+        if self.in_flight < self.slots:
+            heapq.heappush(self._ends, now + service_s)
+        elif self.queued < self.slots:
+            self._queue.append(service_s)
+        else:
+            self.refused += 1
+
+
+class Caller:
+    """A client block of one route: its rate and the answer it keeps."""
+
+    __slots__ = (
+        "block",
+        "region",
+        "route",
+        "rate",
+        "credit",
+        "seen",
+        "host",
+        "expires_at",
+    )
+
+    def __init__(self, block: bytes, region: str, route: str, rate: float):
+        self.block = block
+        self.region = region
+        self.route = route
+        self.rate = rate
+        self.credit = 0.0
+        self.seen: dict[str, int] = {}
+        self.host = 0
+        self.expires_at = 0.0
+
+
+def make_callers(
+    configuration: Configuration,
+    load_per_s: dict[str, float],
+    blocks: int,
+    exponent: float,
+    rng: random.Random,
+) -> list[Caller]:
+    """Return `blocks` callers for each route and region.
+
+    `load_per_s` is a route's load in each region; the rates of its blocks
+    follow Zipf's law with `exponent`.
+    """
+    callers = []
+    for route, load in load_per_s.items():
+        for region in configuration.regions:
+            weights = [1 / (rank + 1) ** exponent for rank in range(blocks)]
+            total = sum(weights)
+            for weight in weights:
+                block = b"4" + rng.randbytes(3)
+                rate = load * weight / total
+                caller = Caller(block, region, route, rate)
+                caller.credit = rng.random()
+                callers.append(caller)
+    return callers
+
+
+class Store:
+    """The objects of moves, by conditional update."""
+
+    __slots__ = ("objects",)
+
+    def __init__(self):
+        self.objects: dict[str, tuple[dict, int]] = {}
+
+    def write(self, name: str, record: dict, expected: int) -> int | None:
+        """Write where `expected` is current; return the new version."""
+        current = self.objects.get(name, (None, 0))[1]
+        if current != expected:
+            return None
+        self.objects[name] = (record, current + 1)
+        return current + 1
+
+
+class Host:
+    """The driver process of all moves, with its own measurements."""
+
+    __slots__ = ("identity", "measures", "drivers", "settings", "store")
+
+    def __init__(self, identity: str, store: Store, settings: ShiftSettings):
+        self.identity = identity
+        self.store = store
+        self.settings = settings
+        self.measures = Measures(settings)
+        self.drivers: dict[str, MoveDriver] = {}
+
+    def drive(self, configuration: Configuration, now: float) -> None:
+        """Decide once for each move and publish by conditional update."""
+        inputs = StepInputs(configuration, self.measures, self.settings, now)
+        for name, move in configuration.moves.items():
+            driver = self.drivers.get(name)
+            if driver is None:
+                driver = MoveDriver(self.identity, move, now)
+                self.drivers[name] = driver
+                self._load(driver, name, now)
+            progress = driver.decide(inputs)
+            if progress is None:
+                continue
+            record = progress.to_record()
+            version = self.store.write(name, record, driver.version)
+            if version is None:
+                self._load(driver, name, now)
+                continue
+            driver.accept(progress, version)
+
+    def _load(self, driver: MoveDriver, name: str, now: float) -> None:
+        if name in self.store.objects:
+            record, version = self.store.objects[name]
+            driver.load(record, version, now)
+
+
+class Fleet:
+    """Callers, entry hosts, pools and a driver under one configuration."""
+
+    __slots__ = (
+        "configuration",
+        "callers",
+        "settings",
+        "now",
+        "store",
+        "host",
+        "is_measured",
+        "has_cap",
+        "checks",
+        "pools",
+        "_finished",
+        "_shares",
+        "_hints",
+        "_guards",
+        "_tick",
+    )
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        callers: list[Caller],
+        settings: ShiftSettings,
+        has_cap: bool = True,
+    ):
+        self.configuration = configuration
+        self.callers = callers
+        self.settings = settings
+        self.now = 0.0
+        self.store = Store()
+        self.host = Host("driver#0", self.store, settings)
+        self.is_measured = True
+        self.has_cap = has_cap
+        moves = configuration.moves.values()
+        self.checks = {
+            move.name: CapCheck(move.cap_per_s, size_burst(move, settings))
+            for move in moves
+        }
+        self.pools = self._make_pools()
+        self._finished: dict = {}
+        self._shares: deque = deque()
+        self._hints: deque = deque()
+        self._guards = self._make_guards()
+        self._tick = 0
+
+    def _make_pools(self) -> dict:
+        pools = {}
+        for upstream in self.configuration.upstreams.values():
+            region = self.configuration.zones[upstream.zone]
+            key = (region, upstream.group)
+            pools.setdefault(key, Pool(0)).slots += upstream.slots
+        return pools
+
+    def _make_guards(self) -> list[MoveGuard]:
+        moves = self.configuration.moves.values()
+        budgets = {
+            move.name: Bucket(
+                move.cap_per_s if self.has_cap else NO_CAP_PER_S,
+                size_burst(move, self.settings),
+            )
+            for move in moves
+        }
+        placement = Placement(moves, {})
+        return [MoveGuard(placement, budgets, 0.0) for _ in range(ENTRY_HOSTS)]
+
+    def replace_driver(self) -> None:
+        """Let the driver die and another host take over."""
+        number = int(self.host.identity.split("#")[1]) + 1
+        self.host = Host(f"driver#{number}", self.store, self.settings)
+
+    def publish(self, shares: dict[str, float]) -> None:
+        """Let entry hosts learn shares one after the other."""
+        moves = self.configuration.moves.values()
+        placement = Placement(moves, shares)
+        for number, guard in enumerate(self._guards):
+            lag_s = SHARE_LAG_S * number / ENTRY_HOSTS
+            self._shares.append((self.now + lag_s, guard, placement))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self.now < until - TICK_S / 2:
+            self._advance()
+
+    def _advance(self) -> None:
+        self._tick += 1
+        self.now = self._tick * TICK_S
+        for pool in self.pools.values():
+            pool.advance(self.now)
+        while self._shares and self._shares[0][0] <= self.now:
+            _, guard, placement = self._shares.popleft()
+            guard.replace_placement(placement, self.now)
+        for caller in self.callers:
+            caller.credit += caller.rate * TICK_S
+            while caller.credit >= 1:
+                caller.credit -= 1
+                self._request(caller)
+        if self._tick % round(HINT_EVERY_S / TICK_S) == 0:
+            self._measure()
+            self._drive()
+
+    def _request(self, caller: Caller) -> None:
+        # Each answer that a caller keeps names one entry host, which may
+        # know an older share than the others.
+        if self.now >= caller.expires_at:
+            caller.host = (caller.host + 1) % ENTRY_HOSTS
+            caller.expires_at = self.now + self.settings.answer_ttl_s
+        guard = self._guards[caller.host]
+        place = guard.choose(
+            caller.route, caller.region, caller.block, self.now
+        )
+        if place.region != caller.region:
+            self.checks[place.move].add(self.now)
+        group = self.configuration.routes[caller.route].group
+        seen = caller.seen.get(place.region, 0)
+        is_cold = place.region != caller.region and seen < WARM_UP_REQUESTS
+        caller.seen[place.region] = seen + 1
+        factor = COLD_FACTOR if is_cold else 1
+        service_s = SERVICE_S * factor
+        self.pools[place.region, group].offer(service_s, self.now)
+
+    def _measure(self) -> None:
+        hints = []
+        for (region, group), pool in self.pools.items():
+            done = pool.finished - self._finished.get((region, group), 0)
+            self._finished[region, group] = pool.finished
+            zones = list_zones(self.configuration, region, group)
+            parts = len(zones)
+            used, queued = pool.take_means()
+            used, queued = used / parts, queued / parts
+            free = pool.slots / parts - used
+            rate = done / HINT_EVERY_S / parts
+            for zone in zones:
+                hints.append(TargetHint(zone, group, free, used, queued, rate))
+        for number, guard in enumerate(self._guards):
+            hints.extend(guard.take_hints(f"entry-{number}", self.now))
+        for hint in hints:
+            hint.age_s = HINT_LAG_S
+        if self.is_measured:
+            self._hints.append((self.now + HINT_LAG_S, hints))
+
+    def _drive(self) -> None:
+        while self._hints and self._hints[0][0] <= self.now:
+            for hint in self._hints.popleft()[1]:
+                self.host.measures.add(hint, self.now)
+        before = dict(self.store.objects)
+        self.host.drive(self.configuration, self.now)
+        if self.store.objects == before:
+            return
+        self.publish(self.read_shares())
+
+    def read_shares(self) -> dict[str, float]:
+        """Return the published share of each move."""
+        progresses = {
+            name: MoveProgress.from_record(record, "", self.now)
+            for name, (record, _) in self.store.objects.items()
+        }
+        return publish_shares(self.configuration.moves.values(), progresses)
+
+    def read_states(self) -> dict[str, str]:
+        """Return the published state of each move."""
+        return {
+            name: record["state"]
+            for name, (record, _) in self.store.objects.items()
+        }
--- a/radishstile/shift/driver.py
+++ b/radishstile/shift/driver.py
@@ -13,6 +13,8 @@
 from radishstile.shift.progress import HoldReason, MoveProgress
 from radishstile.shift.settings import ShiftSettings
 
+MIN_HOT_QUEUE = 1.0
+
 
 class StepInputs:
     """What one decision goes by: the newest that the driver knows."""
@@ -144,7 +146,7 @@
         return events.Restarted(move)
     situation = _Situation(move, inputs)
     if _is_hot(situation.target, inputs.settings):
-        return _step_back(progress, move, inputs)
+        return _step_back(progress, situation, inputs.settings)
     if move.is_paused:
         return _hold(progress, events.Paused(), HoldReason.PAUSED)
     if situation.target is None or situation.load is None:
@@ -157,20 +159,22 @@
         return False
     if target.free < settings.hot_free * target.slots:
         return True
-    return target.queued > settings.hot_queue * target.slots
+    hot_queue = max(MIN_HOT_QUEUE, settings.hot_queue * target.slots)
+    return target.queued > hot_queue
 
 
 def _step_back(
-    progress: MoveProgress, move: Move, inputs: StepInputs
+    progress: MoveProgress, situation: _Situation, settings: ShiftSettings
 ) -> events.ShiftEvent | None:
     if progress.share == 0:
         return None
-    settings = inputs.settings
+    # A measurement from before the last step back took effect says nothing
+    # about it.
     is_held = progress.reason == HoldReason.HOT.value
-    waited_s = inputs.now - progress.since
-    if is_held and waited_s < settings.step_back_pace_s:
+    seen_s = situation.target.at - progress.since
+    if is_held and seen_s < settings.step_back_pace_s:
         return None
-    part = max(move.step, progress.share * settings.step_back)
+    part = max(situation.move.step, progress.share * settings.step_back)
     return events.TargetHot(max(0.0, progress.share - part))
 
 
--- a/radishstile/shift/measures.py
+++ b/radishstile/shift/measures.py
@@ -9,8 +9,10 @@
 class TargetHint:
     """What one availability zone of a region reports on an upstream group.
 
-    `free`, `in_flight` and `queued` are in requests, `rate_per_s` in
-    finished requests a second; `age_s` is the report's age when it arrived.
+    `free`, `in_flight` and `queued` are in requests, as means over the time
+    since the last report: a sample of few slots is often full by chance.
+    `rate_per_s` is in finished requests a second; `age_s` is the report's
+    age when it arrived.
     """
 
     __slots__ = (
--- a/radishstile/shift/settings.py
+++ b/radishstile/shift/settings.py
@@ -10,9 +10,10 @@
     `hot_free` the part below which the target is hot, `hot_queue` the queue
     in parts of the slots above which it is hot. `cold_factor` is how much
     longer a request takes on a cold target. A hot target is stepped back by
-    `step_back` of the share, at least by the move's step, each
-    `step_back_pace_s`. `min_step` is the smallest share worth a step.
-    `burst_s` is the burst of a move's budget in seconds of its cap.
+    `step_back` of the share, at least by the move's step, and again by a
+    measurement taken `step_back_pace_s` later. `min_step` is the smallest
+    share worth a step. `burst_s` is the burst of a move's budget in seconds
+    of its cap.
     """
 
     __slots__ = (
