--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,168 @@
+"""Parts of the model of load: budgets, slots and callers."""
+
+import heapq
+import random
+from collections import deque
+
+from radishstile.configuration.document import Configuration
+
+TICK_S = 0.05
+
+
+class Bucket:
+    """A budget that all hosts share: units a second, with a burst."""
+
+    __slots__ = ("rate_per_s", "burst", "_level", "_at")
+
+    def __init__(self, rate_per_s: float, burst: float):
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._level = burst
+        self._at = 0.0
+
+    def try_take(self, now: float) -> bool:
+        """Spend one unit; return False where there is none."""
+        gained = (now - self._at) * self.rate_per_s
+        self._level = min(self.burst, self._level + gained)
+        self._at = now
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+
+class CapCheck:
+    """Finds whether moved requests ever pass a cap and its burst.
+
+    `excess` is the largest number of requests above the cap in any window.
+    """
+
+    __slots__ = ("cap_per_s", "burst", "excess", "moved", "_level", "_at")
+
+    def __init__(self, cap_per_s: float, burst: float):
+        self.cap_per_s = cap_per_s
+        self.burst = burst
+        self.excess = 0.0
+        self.moved = 0
+        self._level = 0.0
+        self._at = 0.0
+
+    def add(self, now: float) -> None:
+        """Count one moved request."""
+        drained = (now - self._at) * self.cap_per_s
+        self._level = max(0.0, self._level - drained) + 1
+        self._at = now
+        self.moved += 1
+        self.excess = max(self.excess, self._level - self.burst)
+
+
+class Pool:
+    """The slots of one group in one region, with a bounded queue."""
+
+    __slots__ = (
+        "slots",
+        "refused",
+        "peak",
+        "finished",
+        "_sums",
+        "_ends",
+        "_queue",
+    )
+
+    def __init__(self, slots: int):
+        self.slots = slots
+        self.refused = 0
+        self.peak = 0.0
+        self.finished = 0
+        self._sums = [0, 0, 0]
+        self._ends: list[float] = []
+        self._queue: deque[float] = deque()
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of slots in use."""
+        return len(self._ends)
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    def advance(self, now: float) -> None:
+        """Finish what ends by `now`, and start what waits."""
+        # Sums of ticks are not exact.
+        while self._ends and self._ends[0] <= now + TICK_S / 2:
+            end = heapq.heappop(self._ends)
+            self.finished += 1
+            if self._queue:
+                heapq.heappush(self._ends, end + self._queue.popleft())
+        self.peak = max(self.peak, (self.in_flight + self.queued) / self.slots)
+        self._sums[0] += self.in_flight
+        self._sums[1] += self.queued
+        self._sums[2] += 1
+
+    def take_means(self) -> tuple[float, float]:
+        """Return the mean slots in use and queue since the last call."""
+        used, queued, count = self._sums
+        self._sums = [0, 0, 0]
+        return used / count, queued / count
+
+    def offer(self, service_s: float, now: float) -> None:
+        """Run a request, let it wait, or refuse it where the queue is full."""
+        if self.in_flight < self.slots:
+            heapq.heappush(self._ends, now + service_s)
+        elif self.queued < self.slots:
+            self._queue.append(service_s)
+        else:
+            self.refused += 1
+
+
+class Caller:
+    """A client block of one route: its rate and the answer it keeps."""
+
+    __slots__ = (
+        "block",
+        "region",
+        "route",
+        "rate",
+        "credit",
+        "seen",
+        "host",
+        "expires_at",
+    )
+
+    def __init__(self, block: bytes, region: str, route: str, rate: float):
+        self.block = block
+        self.region = region
+        self.route = route
+        self.rate = rate
+        self.credit = 0.0
+        self.seen: dict[str, int] = {}
+        self.host = 0
+        self.expires_at = 0.0
+
+
+def make_callers(
+    configuration: Configuration,
+    load_per_s: dict[str, float],
+    blocks: int,
+    exponent: float,
+    rng: random.Random,
+) -> list[Caller]:
+    """Return `blocks` callers for each route and region.
+
+    `load_per_s` is a route's load in each region; the rates of its blocks
+    follow Zipf's law with `exponent`.
+    """
+    callers = []
+    for route, load in load_per_s.items():
+        for region in configuration.regions:
+            weights = [1 / (rank + 1) ** exponent for rank in range(blocks)]
+            total = sum(weights)
+            for weight in weights:
+                block = b"4" + rng.randbytes(3)
+                rate = load * weight / total
+                caller = Caller(block, region, route, rate)
+                caller.credit = rng.random()
+                callers.append(caller)
+    return callers
