--- /dev/null
+++ b/bench/failures/caller.py
@@ -0,0 +1,208 @@
+"""Callers: they look up hosts, send requests and note what they got."""
+
+import asyncio
+import itertools
+import random
+
+import aiohttp
+
+from standin.process_fleet import ProcessFleet
+
+KEY_HEADER = "Authorization"
+OUTCOME_HEADER = "X-Radishstile-Outcome"
+REASON_HEADER = "X-Radishstile-Reason"
+REQUEST_HEADER = "X-Request"
+TRY_HEADER = "X-Try"
+PATIENCE_S = 40.0
+TRY_TIMEOUT_S = 35.0
+RETRY_S = 0.3
+LOOKUP_TIMEOUT_S = 2.0
+
+
+class Try:
+    """One sending of a request: to whom, when, and what came back.
+
+    `error` names a broken connection; `is_connected` tells whether the
+    request may have been sent at all.
+    """
+
+    __slots__ = (
+        "name",
+        "host",
+        "begun_at",
+        "ended_at",
+        "status",
+        "outcome",
+        "reason",
+        "error",
+        "is_connected",
+        "is_whole",
+    )
+
+    def __init__(self, name: str, host: str, begun_at: float):
+        self.name = name
+        self.host = host
+        self.begun_at = begun_at
+        self.ended_at = begun_at
+        self.status = 0
+        self.outcome = ""
+        self.reason = ""
+        self.error = ""
+        self.is_connected = False
+        self.is_whole = False
+
+
+class Request:
+    """One request of a caller and all the times it was sent."""
+
+    __slots__ = ("name", "workspace", "is_purchase", "path", "tries")
+
+    def __init__(
+        self, name: str, workspace: str, is_purchase: bool, path: str
+    ):
+        self.name = name
+        self.workspace = workspace
+        self.is_purchase = is_purchase
+        self.path = path
+        self.tries: list[Try] = []
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the caller has a whole answer."""
+        return bool(self.tries) and self.tries[-1].is_whole
+
+
+class Caller:
+    """Sends the requests of one workspace from one region."""
+
+    __slots__ = (
+        "workspace",
+        "requests",
+        "_fleet",
+        "_client",
+        "_session",
+        "_random",
+        "_hosts",
+        "_asked_at",
+        "_ttl_s",
+        "_numbers",
+    )
+
+    def __init__(
+        self,
+        fleet: ProcessFleet,
+        session: aiohttp.ClientSession,
+        workspace: str,
+        client: str,
+        seed: int,
+    ):
+        self.workspace = workspace
+        self.requests: list[Request] = []
+        self._fleet = fleet
+        self._client = client
+        self._session = session
+        self._random = random.Random(seed)
+        self._hosts: list[str] = []
+        self._asked_at = float("-inf")
+        self._ttl_s = 0.0
+        self._numbers = itertools.count(1)
+
+    async def run(
+        self, rate_per_s: float, purchase_share: float, stop: asyncio.Event
+    ) -> None:
+        """Send at a steady rate, whatever comes back, until `stop`."""
+        async with asyncio.TaskGroup() as group:
+            while not stop.is_set():
+                request = self._make_request(purchase_share)
+                self.requests.append(request)
+                group.create_task(self._send(request))
+                await asyncio.sleep(self._random.expovariate(rate_per_s))
+
+    def _make_request(self, purchase_share: float) -> Request:
+        name = f"{self.workspace}-{self._client}-{next(self._numbers)}"
+        if self._random.random() < purchase_share:
+            return Request(name, self.workspace, True, f"/batches/{name}")
+        path = self._random.choice(["/payruns/", "/slips/"]) + name
+        return Request(name, self.workspace, False, path)
+
+    async def _send(self, request: Request) -> None:
+        """Send until answered; a purchase again with the same key."""
+        clock = asyncio.get_running_loop()
+        deadline = clock.time() + PATIENCE_S
+        limit = 20 if request.is_purchase else 1
+        while clock.time() < deadline:
+            attempt = await self._send_once(request)
+            if attempt.is_whole or attempt.outcome == "ran":
+                return
+            if attempt.is_connected and len(request.tries) >= limit:
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def _send_once(self, request: Request) -> Try:
+        clock = asyncio.get_running_loop()
+        host = await self._find_host(len(request.tries))
+        name = f"{request.name}.{len(request.tries)}"
+        attempt = Try(name, host, clock.time())
+        request.tries.append(attempt)
+        try:
+            async with asyncio.timeout(TRY_TIMEOUT_S):
+                await self._exchange(request, attempt)
+        except aiohttp.ClientConnectorError as error:
+            attempt.error = type(error).__name__
+            self._asked_at = float("-inf")
+        except (aiohttp.ClientError, TimeoutError) as error:
+            attempt.is_connected = True
+            attempt.error = type(error).__name__
+        attempt.ended_at = clock.time()
+        return attempt
+
+    async def _exchange(self, request: Request, attempt: Try) -> None:
+        headers = {
+            KEY_HEADER: f"Bearer {self._fleet.keys[self.workspace]}",
+            REQUEST_HEADER: request.name,
+            TRY_HEADER: attempt.name,
+        }
+        method = "GET"
+        body = None
+        if request.is_purchase:
+            method = "POST"
+            body = request.name
+            headers["Idempotency-Key"] = request.name
+        url = self._fleet.find_caller_url(attempt.host) + request.path
+        async with self._session.request(
+            method, url, headers=headers, data=body
+        ) as response:
+            attempt.is_connected = True
+            attempt.status = response.status
+            attempt.outcome = response.headers.get(OUTCOME_HEADER, "")
+            attempt.reason = response.headers.get(REASON_HEADER, "")
+            text = await response.text()
+        if attempt.status == 200:
+            # The upstream's answer repeats the path, so a crossed or cut
+            # answer shows.
+            attempt.is_whole = request.path in text and text.endswith("}")
+
+    async def _find_host(self, tried: int) -> str:
+        """Return the host of the last look-up, the next one after a fault."""
+        now = asyncio.get_running_loop().time()
+        if now - self._asked_at > self._ttl_s:
+            await self._look_up()
+        if not self._hosts:
+            return self._random.choice(self._fleet.hosts)
+        return self._hosts[tried % len(self._hosts)]
+
+    async def _look_up(self) -> None:
+        host = self._random.choice(self._fleet.hosts)
+        query = {"route": "payruns", "client": self._client}
+        url = self._fleet.find_caller_url(host) + "/lookup"
+        try:
+            async with (
+                asyncio.timeout(LOOKUP_TIMEOUT_S),
+                self._session.get(url, params=query) as response,
+            ):
+                found = await response.json()
+        except (aiohttp.ClientError, TimeoutError):
+            return
+        self._hosts = [entry["host"] for entry in found.get("hosts", ())]
+        self._ttl_s = found.get("ttl_s", 0.0)
+        self._asked_at = asyncio.get_running_loop().time()
--- a/radishstile/daemon/replication.py
+++ b/radishstile/daemon/replication.py
@@ -54,8 +54,12 @@
     async def load(self) -> None:
         """Read what the store holds; raises `PlatformError`."""
         started_at = read_clock()
-        for name in (OBJECT, ROSTER):
-            self._take_stored(name, await self._node.store.read(name))
+        try:
+            for name in (OBJECT, ROSTER):
+                self._take_stored(name, await self._node.store.read(name))
+        except PlatformError:
+            self._node.fleet.note_store_failed(read_clock())
+            raise
         self._note_reached(started_at)
 
     # Watching the store
--- a/radishstile/operation/executor.py
+++ b/radishstile/operation/executor.py
@@ -205,6 +205,8 @@
     version: int, patch: object, operator: str, parts: Parts
 ) -> dict:
     fleet = parts.node.fleet
+    # Most hosts do not watch the store, so this one looks first.
+    await parts.replication.load()
     if not fleet.may_accept_patches(read_clock()):
         raise OperatorError(
             "this host can't accept patches now: it does not reach the store"
--- a/standin/demo_steps.py
+++ b/standin/demo_steps.py
@@ -6,7 +6,7 @@
 
 from radishstile.cli.caller import CallerClient
 from radishstile.errors import OperatorError
-from standin.demo_fleet import HOSTS, DemoFleet
+from standin.demo_fleet import DemoFleet
 
 WITHDRAW_BOUND_S = 2.0
 POLL_S = 0.02
@@ -14,7 +14,7 @@
 
 async def look_up(fleet: DemoFleet) -> str:
     """Name hosts in the client's region to a look-up."""
-    caller = CallerClient(fleet.find_caller_url(HOSTS[0]))
+    caller = CallerClient(fleet.find_caller_url(fleet.hosts[0]))
     found = await caller.look_up("slips", "10.1.2.3")
     names = [host["host"] for host in found["hosts"]]
     check(names[0].startswith("wlg"), f"named {names}")
@@ -23,7 +23,7 @@
 
 async def serve(fleet: DemoFleet) -> str:
     """Serve a request, with a span for each hop under one trace."""
-    caller = CallerClient(fleet.find_caller_url(HOSTS[0]))
+    caller = CallerClient(fleet.find_caller_url(fleet.hosts[0]))
     sent = await caller.send("GET", "/payruns/7", fleet.keys["bureau"], "", "")
     check(sent["status"] == 200, f"answered {sent}")
     spans = await fleet.operate().execute("trace", trace_id=sent["trace"])
@@ -37,8 +37,8 @@
     """Run an order once that is sent twice."""
     url = fleet.find_caller_url
     key = fleet.keys["employer"]
-    first = CallerClient(url(HOSTS[0]))
-    second = CallerClient(url(HOSTS[3]))
+    first = CallerClient(url(fleet.hosts[0]))
+    second = CallerClient(url(fleet.hosts[3]))
     body = "print batch 12"
     one = await first.send("POST", "/batches", key, body, "batch-12")
     two = await second.send("POST", "/batches", key, body, "batch-12")
@@ -54,7 +54,7 @@
 async def refuse_stale(fleet: DemoFleet) -> str:
     """Refuse a patch against a stale number."""
     patch = {"workspaces": {"bureau": {"burst": 60}}}
-    client = fleet.operate(HOSTS[2])
+    client = fleet.operate(fleet.hosts[2])
     try:
         await client.execute("patch", from_version=1, patch=patch)
     except OperatorError as error:
@@ -70,7 +70,7 @@
     headers = {"Authorization": f"Bearer {issued['key']}"}
     clock = asyncio.get_running_loop()
     async with aiohttp.ClientSession(headers=headers) as session:
-        url = fleet.find_caller_url(HOSTS[3]) + "/slips/1"
+        url = fleet.find_caller_url(fleet.hosts[3]) + "/slips/1"
         await wait_status(session, url, 200)
         await client.execute("withdraw-key", key_id=issued["key_id"])
         begun = clock.time()
@@ -85,7 +85,7 @@
     await fleet.operate().execute("drain-upstream", upstream="press-1")
     await asyncio.sleep(2.0)
     before = len(await fleet.read_records("press-1"))
-    caller = CallerClient(fleet.find_caller_url(HOSTS[0]))
+    caller = CallerClient(fleet.find_caller_url(fleet.hosts[0]))
     for number in range(20):
         path = f"/payruns/{number}"
         sent = await caller.send("GET", path, fleet.keys["employer"], "", "")
