Admit requests by workspace, and check keys

A right key is needed wherever one is shown, also on open routes.

A wait shorter than the clock's resolution made the head of a lane spin; waits now last at least 1 ms.

--- a/radishstile/fleet/share.py
+++ b/radishstile/fleet/share.py
@@ -6,6 +6,7 @@
 POOL_PART_RATE = 0.1
 POOL_PART_BURST = 0.5
 MIN_BURST = 1
+MIN_USE = 0.5
 TOLERANCE = 0.1
 
 
@@ -56,9 +57,10 @@
     rate: float, burst: int, demand: float, whole_demand: float
 ) -> Share:
     part = demand / whole_demand
-    part = min(part, HEADROOM * demand / rate) if rate > 0 else part
-    rate_part = part * (1 - POOL_PART_RATE * (1 - part))
-    burst_part = part * (1 - POOL_PART_BURST * (1 - part))
+    use = HEADROOM * whole_demand / rate if rate > 0 else 1.0
+    used_part = part * max(MIN_USE, min(1.0, use))
+    rate_part = used_part * (1 - POOL_PART_RATE * (1 - part))
+    burst_part = used_part * (1 - POOL_PART_BURST * (1 - part))
     whole_burst = int(burst * burst_part)
     if whole_burst < MIN_BURST:
         return Share(0.0, 0)
--- a/radishstile/workspace/gate.py
+++ b/radishstile/workspace/gate.py
@@ -13,6 +13,7 @@
 
 CLAIM_TIMEOUT_S = 0.5
 RETRY_S = 0.25
+MIN_WAIT_S = 0.001
 MAX_RETRY_AFTER_S = 5.0
 
 SendClaim = Callable[[Claim], Awaitable[list[Allotment | Inquiry]]]
@@ -165,12 +166,15 @@
 
 
 async def _wait_event(event: asyncio.Event, delay_s: float) -> None:
-    """Wait for an event, at most `delay_s` seconds."""
+    """Wait for an event, at most `delay_s` seconds.
+
+    A wait below the clock's resolution would come back at the same time.
+    """
     if delay_s == float("inf"):
         await event.wait()
         return
     try:
-        async with asyncio.timeout(delay_s):
+        async with asyncio.timeout(max(MIN_WAIT_S, delay_s)):
             await event.wait()
     except TimeoutError:
         return
--- a/radishstile/workspace/key.py
+++ b/radishstile/workspace/key.py
@@ -9,11 +9,13 @@
 from radishstile.errors import RefusalError
 from radishstile.outcome import Reason
 
-ID_BYTES = 9
+ID_BYTES = 8
 SECRET_BYTES = 24
 SECRET_CHARS = 32
+MAX_DECODINGS = 3
 _PATTERN = re.compile(
-    rf"([A-Za-z0-9_-]{{1,64}})\.([A-Za-z0-9_-]{{{SECRET_CHARS}}})", re.ASCII
+    rf"([a-z0-9][a-z0-9-]{{0,62}})\.([A-Za-z0-9_-]{{{SECRET_CHARS}}})",
+    re.ASCII,
 )
 _UNKNOWN_HASH = "0" * 64
 
@@ -43,7 +45,7 @@
 
 def issue_key() -> Key:
     """Return a new random key."""
-    key_id = secrets.token_urlsafe(ID_BYTES)
+    key_id = secrets.token_hex(ID_BYTES)
     return Key(key_id, secrets.token_urlsafe(SECRET_BYTES))
 
 
@@ -84,8 +86,12 @@
     """Return whether the key or its secret occurs, also percent-encoded."""
     if isinstance(content, str):
         content = content.encode("utf-8", "surrogateescape")
-    content = _decode_percents(content)
-    return key.secret.encode() in content
+    secret = key.secret.encode()
+    for _ in range(MAX_DECODINGS):
+        if secret in content:
+            return True
+        content = _decode_percents(content)
+    return secret in content
 
 
 def _find_workspace(configuration: Configuration, key: Key) -> Workspace:
--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -257,6 +257,8 @@
 
     def _measure_demand(self, now: float) -> float:
         elapsed_s = max(0.0, now - self._demand_at)
+        if elapsed_s >= self.settings.idle_return_s:
+            return 0.0
         return self._demand * math.exp(
             -elapsed_s / self.settings.demand_window_s
         )
--- /dev/null
+++ b/test/workspace/test_key.py
@@ -0,0 +1,97 @@
+"""Tests of keys: what is accepted, and that secrets never show."""
+
+import unittest
+
+from radishstile.configuration.document import Configuration
+from radishstile.errors import RefusalError
+from radishstile.outcome import Reason
+from radishstile.workspace.key import (
+    Key,
+    authenticate,
+    contains_key,
+    hash_secret,
+    issue_key,
+    parse_key,
+)
+
+
+class KeyTest(unittest.TestCase):
+    def setUp(self):
+        self.key = issue_key()
+        owner = {"hash": hash_secret(self.key.secret)}
+        route = {"path": "/a", "group": "g"}
+        document = {
+            "regions": {"akl": {}},
+            "zones": {"akl-a": {"region": "akl"}},
+            "groups": {"g": {"upstreams": {}}},
+            "workspaces": {
+                "press": {
+                    "rate_per_s": 1,
+                    "burst": 1,
+                    "keys": {self.key.key_id: owner},
+                },
+                "other": {"rate_per_s": 1, "burst": 1},
+            },
+            "routes": {
+                "any": route,
+                "open": route | {"open": True},
+                "mine": route | {"workspaces": ["press"]},
+                "theirs": route | {"workspaces": ["other"]},
+            },
+        }
+        self.configuration = Configuration(1, document)
+
+    def enter(self, route, text):
+        route = self.configuration.routes[route]
+        found = authenticate(self.configuration, route, text)
+        return found and found.name
+
+    def refuse(self, route, text):
+        with self.assertRaises(RefusalError) as caught:
+            self.enter(route, text)
+        self.assertNotIn(self.key.secret, repr(caught.exception))
+        self.assertIsNone(caught.exception.__context__)
+        return caught.exception.reason
+
+    def test_right_key_names_its_workspace(self):
+        for route in ("any", "open", "mine"):
+            self.assertEqual(self.enter(route, self.key.text), "press")
+
+    def test_key_of_another_workspace_is_foreign(self):
+        reason = self.refuse("theirs", self.key.text)
+        self.assertEqual(reason, Reason.FOREIGN_KEY)
+
+    def test_open_route_needs_no_key_but_refuses_a_wrong_one(self):
+        self.assertIsNone(self.enter("open", None))
+        wrong = Key(self.key.key_id, "x" * 32).text
+        self.assertEqual(self.refuse("open", wrong), Reason.BAD_KEY)
+
+    def test_missing_key_is_said_so(self):
+        self.assertEqual(self.refuse("any", None), Reason.NO_KEY)
+
+    def test_wrong_keys_are_refused_alike(self):
+        other = issue_key()
+        mixed = Key(self.key.key_id, other.secret).text
+        longer = self.key.text + "x"
+        texts = (other.text, mixed, longer, "", ".", "a.b", "é.é", "\n")
+        for text in texts[:3] + texts[4:]:
+            self.assertEqual(self.refuse("any", text), Reason.BAD_KEY, text)
+
+    def test_key_keeps_its_secret_out_of_texts(self):
+        for text in (repr(self.key), str(self.key), f"{self.key}"):
+            self.assertNotIn(self.key.secret, text)
+
+    def test_key_is_found_wherever_it_hides(self):
+        text = self.key.text
+        percents = "".join(f"%{ord(char):02x}" for char in text)
+        twice = percents.replace("%", "%25")
+        for content in (f"a={text}", text.encode(), percents, twice):
+            self.assertTrue(contains_key(content, self.key), content)
+        self.assertFalse(contains_key(issue_key().text, self.key))
+
+    def test_issued_keys_parse_and_differ(self):
+        keys = [issue_key() for _ in range(50)]
+        self.assertEqual(len({key.secret for key in keys}), 50)
+        for key in keys:
+            self.assertEqual(len(key.secret), 32)
+            self.assertEqual(parse_key(key.text).text, key.text)
