Hand slots over to the next home of a resource

Cause: a planned change of home held every slot for the longest deadline. The former home now tells what is in flight, as times left, and refuses what waits as not run; the next home lets requests wait for that message. What an earlier home left behind is passed on.

Ruled out: load reports of upstreams as evidence.

--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -18,7 +18,7 @@
 from radishstile.upstream.dispatcher import Dispatcher
 from radishstile.upstream.pool import SlotPool
 from radishstile.upstream.settings import QueueSettings, UpstreamSettings
-from radishstile.upstream.slot import Completed
+from radishstile.upstream.slot import Completed, SlotLease
 from radishstile.workspace.queue import FairQueue
 
 SEED = 7
@@ -34,6 +34,7 @@
 JOIN_WINDOW_S = 20.0
 DEATH_AT_S = 30.0
 LATE_S = 0.3
+MESSAGE_S = 0.005
 
 
 class ArrivalQueue(FairQueue):
@@ -138,11 +139,9 @@
     async def _request(self, load: Load, service_s: float) -> None:
         loop = asyncio.get_running_loop()
         begun_at = loop.time()
-        dispatcher = self.dispatcher
         try:
-            lease = await dispatcher.acquire(
-                load.workspace, 1.0, load.route, begun_at + DEADLINE_S
-            )
+            deadline = begun_at + DEADLINE_S
+            dispatcher, lease = await self._acquire(load, deadline)
         except RefusalError:
             self.samples.append(Sample(load.workspace, begun_at, None, None))
             return
@@ -154,6 +153,21 @@
             Sample(load.workspace, begun_at, wait_s, latency_s)
         )
 
+    async def _acquire(
+        self, load: Load, deadline: float
+    ) -> tuple[Dispatcher, SlotLease]:
+        dispatcher = self.dispatcher
+        try:
+            lease = await dispatcher.acquire(
+                load.workspace, 1.0, load.route, deadline
+            )
+            return dispatcher, lease
+        except RefusalError:
+            if dispatcher is self.dispatcher:
+                raise
+        # The home has changed, and this was refused as not run.
+        return await self._acquire(load, deadline)
+
     def find_worst(self, *but: str, begin=0.0, end=RUN_S) -> dict:
         """Return the worst p99 among workspaces, and what was refused."""
         kept = [
@@ -278,13 +292,16 @@
             return
         former = bench.dispatcher
         successor = make_dispatcher(FairQueue, make_entries(UPSTREAMS))
-        successor.take_over(max_deadline_s)
-        former.close()
+        if is_clean:
+            successor.await_handover(max_deadline_s)
+        else:
+            successor.take_over(max_deadline_s)
         bench.dispatcher = successor
+        deadlines = former.hand_over()
         runner = bench.group.create_task(successor.run())
         if is_clean:
-            await former.drained()
-            successor.note_released_clean()
+            await asyncio.sleep(MESSAGE_S)
+            successor.note_handover(deadlines)
         await asyncio.sleep(RUN_S)
         runner.cancel()
 
--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -71,6 +71,7 @@
         "_waiting",
         "_running",
         "_limit",
+        "_awaits_handover",
         "_is_closed",
         "_changed",
         "_emptied",
@@ -83,6 +84,7 @@
         self._waiting: dict[int, asyncio.Future] = {}
         self._running: dict[int, RunningRequest] = {}
         self._limit: int | None = None
+        self._awaits_handover = False
         self._is_closed = False
         self._changed = asyncio.Event()
         self._emptied = asyncio.Event()
@@ -161,14 +163,16 @@
             occupied = self._pool.count_occupied(now)
             free = max(0, min(free, self._limit - occupied))
         opening = self._pool.find_next_opening(now)
-        opens_in_s = None if opening is None else opening - now
+        is_known = opening is not None and not self._awaits_handover
+        opens_in_s = opening - now if is_known else None
         return SlotSupply(slots, free, opens_in_s)
 
     def _serve(self) -> None:
         while self._waiting and self._serve_one():
             pass
         if self._waiting and not self._pool.has_working():
-            self._refuse_waiting()
+            _LOG.warning("dispatcher: %s: No upstream works.", self._name)
+            self._refuse_waiting(Reason.NO_UPSTREAM)
 
     def _serve_one(self) -> bool:
         now = asyncio.get_running_loop().time()
@@ -186,11 +190,10 @@
             return True
         return False
 
-    def _refuse_waiting(self) -> None:
-        _LOG.warning("dispatcher: %s: No upstream works.", self._name)
+    def _refuse_waiting(self, reason: Reason) -> None:
         for future in self._waiting.values():
             if not future.done():
-                future.set_exception(self._refuse(Reason.NO_UPSTREAM))
+                future.set_exception(self._refuse(reason))
 
     def release(self, lease: SlotLease, result: SlotResult) -> None:
         """Give a lease back with its result; again does nothing."""
@@ -225,15 +228,45 @@
 
     def take_over(self, max_deadline_s: float) -> None:
         """Hold all slots until a former home's requests have ended."""
+        self._awaits_handover = False
         now = asyncio.get_running_loop().time()
         self._pool.take_over(now, max_deadline_s)
 
+    def await_handover(self, max_deadline_s: float) -> None:
+        """Hold all slots, as long as the former home can't be asked.
+
+        Unlike after `take_over`, requests wait and none is refused for the
+        time that the slots may be held.
+        """
+        self.take_over(max_deadline_s)
+        self._awaits_handover = True
+
     def note_released_clean(self) -> None:
         """Open the slots: the former home had nothing in flight."""
+        self._awaits_handover = False
         self._pool.note_released_clean()
         self._note_change()
         self._serve()
 
+    def note_handover(self, deadlines: dict[str, list[float]]) -> None:
+        """Hold only the slots that the former home had in flight."""
+        self._awaits_handover = False
+        now = asyncio.get_running_loop().time()
+        self._pool.note_handover(deadlines, now)
+        self._note_change()
+        self._serve()
+
+    def hand_over(self) -> dict[str, list[float]]:
+        """Stop sending, and return what is in flight for the successor.
+
+        Waiting requests are refused as not run, so that entry hosts send
+        them to the successor.
+        """
+        self.close()
+        self._refuse_waiting(Reason.STOPPING)
+        now = asyncio.get_running_loop().time()
+        return self._pool.list_deadlines(now)
+
     def note_report(
         self, name: str, report: HealthReport | LoadReport
     ) -> None:
--- /dev/null
+++ b/radishstile/upstream/pooled.py
@@ -0,0 +1,173 @@
+"""One upstream of a pool, with all that decides on its next request."""
+
+from functools import singledispatchmethod
+
+from radishstile.configuration.document import UpstreamEntry
+from radishstile.upstream.health import (
+    COLD,
+    FAILING,
+    HEALTHY,
+    WARMING,
+    Health,
+    HealthReport,
+    LoadReport,
+)
+from radishstile.upstream.settings import UpstreamSettings
+from radishstile.upstream.slot import (
+    Completed,
+    Shed,
+    SlotLease,
+    SlotResult,
+    SlotTable,
+)
+from radishstile.upstream.warmup import WarmUp
+
+
+class PooledUpstream:
+    """One upstream with its health, slow start and occupied slots."""
+
+    __slots__ = (
+        "entry",
+        "health",
+        "table",
+        "is_probing",
+        "_settings",
+        "_warm_up",
+        "_shed_until",
+    )
+
+    def __init__(
+        self,
+        settings: UpstreamSettings,
+        entry: UpstreamEntry,
+        now: float,
+        is_warm: bool,
+    ):
+        self.entry = entry
+        self.health = Health(settings, HEALTHY if is_warm else COLD)
+        self.table = SlotTable()
+        self.is_probing = False
+        self._settings = settings
+        level = float(entry.slots) if is_warm else 1.0
+        self._warm_up = WarmUp(settings, entry.slow_start_s, now, level)
+        self._shed_until = 0.0
+
+    def apply_entry(self, entry: UpstreamEntry, now: float) -> None:
+        """Take over a changed configuration of the same endpoint."""
+        grown = entry.slots > self.entry.slots
+        self.entry = entry
+        if entry.is_draining:
+            self.health.fire("drain")
+        elif not self.health.is_working:
+            self._reinstate(now)
+        if grown:
+            self.health.fire("back_off")
+
+    def _reinstate(self, now: float) -> None:
+        self.health.fire("reinstate")
+        if self.health.state == COLD:
+            self._restart(now)
+
+    def _restart(self, now: float) -> None:
+        self._warm_up = WarmUp(self._settings, self.entry.slow_start_s, now)
+
+    def note_probe(self, is_ok: bool, now: float) -> None:
+        """Take in the result of the probe that `take_probe` began."""
+        self.is_probing = False
+        self.health.note_probe(is_ok, now)
+        if self.health.state == COLD:
+            self._restart(now)
+
+    def note_report(
+        self, report: HealthReport | LoadReport, now: float
+    ) -> None:
+        """Take in what the upstream's own endpoint said."""
+        # Time without reports must not count once they are back.
+        may_open = self.health.may_open(now)
+        self._warm_up.advance(now, self.entry.slots, may_open)
+        self.health.note_report(report, now)
+
+    def count_open(self, now: float) -> int:
+        """Return how many slots may be used now, occupied ones included."""
+        if not self.health.is_working or now < self._shed_until:
+            return 0
+        if self.health.state == FAILING:
+            return min(1, self.entry.slots)
+        if self.health.state == HEALTHY:
+            return self.entry.slots
+        slots = self.entry.slots
+        self._warm_up.advance(now, slots, self.health.may_open(now))
+        return min(self._warm_up.count_open(slots), slots)
+
+    def count_free(self, now: float) -> int:
+        """Return how many slots a new request could take now."""
+        if self.table.is_closed(now):
+            return 0
+        return max(0, self.count_open(now) - self.table.count(now))
+
+    def count_occupied(self, now: float) -> int:
+        """Return the slots on which a request may be running."""
+        if self.table.is_closed(now):
+            return max(self.entry.slots, self.table.count(now))
+        return self.table.count(now)
+
+    def rank(self, now: float) -> tuple:
+        """Return a key that is lowest for the upstream to use next."""
+        busy_share = self.table.count(now) / max(1, self.count_open(now))
+        return (
+            self.health.state == FAILING,
+            self.health.is_suspect(now),
+            busy_share,
+            self.health.failed_at,
+            self.entry.name,
+        )
+
+    def note_result(
+        self, lease: SlotLease, result: SlotResult, now: float
+    ) -> None:
+        """Take in the result of a request that this upstream had."""
+        was_failing = self.health.state == FAILING
+        self.health.note_result(result, now)
+        if self.health.state == FAILING and not was_failing:
+            self._warm_up.back_off()
+        self._apply(result, lease, now)
+        if self.health.state != WARMING:
+            return
+        slots = self.entry.slots
+        self._warm_up.advance(now, slots, self.health.may_open(now))
+        if self._warm_up.is_complete(slots):
+            self.health.fire("complete")
+
+    @singledispatchmethod
+    def _apply(self, result: SlotResult, lease: SlotLease, now: float) -> None:
+        """Leave slow start as it is."""
+
+    @_apply.register
+    def _(self, result: Completed, lease: SlotLease, now: float) -> None:
+        if self._is_slow(result, lease) and self.health.state == WARMING:
+            self._warm_up.back_off()
+            return
+        self._warm_up.note_success()
+
+    @_apply.register
+    def _(self, result: Shed, lease: SlotLease, now: float) -> None:
+        self._shed_until = now + self._settings.shed_hold_s
+        self.health.fire("back_off")
+        self._warm_up.back_off()
+
+    def _is_slow(self, result: Completed, lease: SlotLease) -> bool:
+        if lease.expected_s is None:
+            return False
+        return result.service_s > lease.expected_s * self._settings.slow_ratio
+
+    def list_openings(self, now: float) -> list[float]:
+        """Return the times after `now` at which time alone opens slots."""
+        times = self.table.list_openings(now)
+        if now < self._shed_until:
+            times.append(self._shed_until)
+        if self.health.state != WARMING or not self.health.may_open(now):
+            return times
+        opening = self._warm_up.find_next_opening(self.entry.slots)
+        if opening is not None and opening > now:
+            times.append(opening)
+        return times
--- a/radishstile/upstream/slot.py
+++ b/radishstile/upstream/slot.py
@@ -152,6 +152,9 @@
         times = [*self._expiries.values(), self._closed_until]
         return [until for until in times if until > now]
 
-    def list_deadlines(self) -> list[float]:
-        """Return the time at which each occupied slot frees itself."""
-        return list(self._expiries.values())
+    def list_deadlines(self, now: float, slots: int) -> list[float]:
+        """Return when each occupied slot of all `slots` is surely free."""
+        times = [until for until in self._expiries.values() if until > now]
+        if self.is_closed(now):
+            times += [self._closed_until] * slots
+        return times
--- a/test/upstream/test_dispatcher.py
+++ b/test/upstream/test_dispatcher.py
@@ -127,3 +127,31 @@
         self.assertFalse(drained.done())
         self.dispatcher.release(await waiting, Completed(0.1))
         await drained
+
+    async def test_hand_over_moves_slots_and_waiting_requests(self):
+        self._start(slots=2)
+        former = self.dispatcher
+        await self._acquire(deadline=20.0)
+        running = await self._acquire(deadline=30.0)
+        waiting = await self._wait()
+        deadlines = former.hand_over()
+        with self.assertRaises(RefusalError) as caught:
+            await waiting
+        self.assertEqual(caught.exception.reason, Reason.STOPPING)
+        former.release(running, Completed(0.1))
+        self._start(slots=2)
+        self.dispatcher.take_over(max_deadline_s=60)
+        self.dispatcher.note_handover(deadlines)
+        await self._acquire()
+        self.assertEqual(self.now, 21)
+        await self._acquire()
+        self.assertEqual(self.now, 31)
+
+    async def test_nothing_is_refused_while_the_former_home_is_asked(self):
+        self._start()
+        self.dispatcher.await_handover(max_deadline_s=60)
+        waiting = await self._wait(deadline=30.0)
+        self.dispatcher.note_released_clean()
+        await waiting
+        self.dispatcher.take_over(max_deadline_s=60)
+        await self._expect_refusal(Reason.OVERLOADED, deadline=30.0)
--- a/test/upstream/test_pool.py
+++ b/test/upstream/test_pool.py
@@ -97,13 +97,24 @@
         self.assertEqual(pool.count_free(10), 6)
 
     def test_handover_holds_what_was_in_flight(self):
+        former = make_pool(1)
+        former.take(1000, 1014)
+        former.release(former.take(1000, 1019), TimedOut(is_over=False), 1010)
         pool = make_pool(1)
         pool.take_over(10, max_deadline_s=30)
-        pool.note_handover({"u0": [15.0, 20.0]})
+        pool.note_handover(former.list_deadlines(1010), 10)
         self.assertEqual(pool.count_free(10), 4)
         self.assertEqual(pool.count_free(15), 5)
         self.assertEqual(pool.count_free(20), 6)
 
+    def test_handover_passes_on_what_an_earlier_home_left(self):
+        former = make_pool(1)
+        former.take_over(0, max_deadline_s=30)
+        pool = make_pool(1)
+        pool.note_handover(former.list_deadlines(10), 110)
+        self.assertEqual(pool.count_free(130.9), 0)
+        self.assertEqual(pool.count_free(131), 6)
+
     def test_slots_are_never_exceeded_at_any_upstream(self):
         for seed in range(40):
             self._run_schedule(random.Random(seed))
