Prefer warm upstreams, and try the others once a second

Slots that slow start holds back now count as busy, and an idle upstream that is not healthy yet gets one request a second, also a failing one.

--- a/radishstile/upstream/pool.py
+++ b/radishstile/upstream/pool.py
@@ -143,17 +143,18 @@
         if not candidates:
             return None
         chosen = min(candidates, key=lambda upstream: upstream.rank(now))
-        return self._lease(chosen, deadline, expected_s)
+        return self._lease(chosen, now, deadline, expected_s)
 
     def _lease(
         self,
         upstream: PooledUpstream,
+        now: float,
         deadline: float,
         expected_s: float | None,
     ) -> SlotLease:
         self._number += 1
         until = deadline + self._settings.deadline_margin_s
-        upstream.table.occupy(self._number, until)
+        upstream.occupy(self._number, until, now)
         entry = upstream.entry
         return SlotLease(
             self._number,
@@ -188,7 +189,7 @@
             if upstream.count_occupied(now) >= upstream.entry.slots:
                 continue
             upstream.is_probing = True
-            return self._lease(upstream, deadline, None)
+            return self._lease(upstream, now, deadline, None)
         return None
 
     def release_probe(
--- a/radishstile/upstream/pooled.py
+++ b/radishstile/upstream/pooled.py
@@ -34,6 +34,7 @@
         "_settings",
         "_warm_up",
         "_shed_until",
+        "_taken_at",
     )
 
     def __init__(
@@ -51,6 +52,7 @@
         level = float(entry.slots) if is_warm else 1.0
         self._warm_up = WarmUp(settings, entry.slow_start_s, now, level)
         self._shed_until = 0.0
+        self._taken_at = now
 
     def apply_entry(self, entry: UpstreamEntry, now: float) -> None:
         """Take over a changed configuration of the same endpoint."""
@@ -112,9 +114,17 @@
         return self.table.count(now)
 
     def rank(self, now: float) -> tuple:
-        """Return a key that is lowest for the upstream to use next."""
-        busy_share = self.table.count(now) / max(1, self.count_open(now))
+        """Return a key that is lowest for the upstream to use next.
+
+        Slots that slow start holds back count as busy, so that warm
+        upstreams go first; others still get a request now and then, since
+        only results can show that they are ready.
+        """
+        slots = self.entry.slots
+        held_back = slots - self.count_open(now)
+        busy_share = (self.table.count(now) + held_back) / slots
         return (
+            not self._is_trial_due(now),
             self.health.state == FAILING,
             self.health.is_suspect(now),
             busy_share,
@@ -122,6 +132,16 @@
             self.entry.name,
         )
 
+    def _is_trial_due(self, now: float) -> bool:
+        if self.health.state == HEALTHY or self.table.count(now):
+            return False
+        return now - self._taken_at >= self._settings.trial_interval_s
+
+    def occupy(self, number: int, until: float, now: float) -> None:
+        """Occupy a slot for lease `number` until it is freed or `until`."""
+        self.table.occupy(number, until)
+        self._taken_at = now
+
     def note_result(
         self, lease: SlotLease, result: SlotResult, now: float
     ) -> None:
--- a/radishstile/upstream/settings.py
+++ b/radishstile/upstream/settings.py
@@ -5,6 +5,7 @@
 PROBE_INTERVAL_LIMIT_S = 30.0
 REPORT_MAX_AGE_S = 5.0
 SHED_HOLD_S = 0.25
+TRIAL_INTERVAL_S = 1.0
 DEADLINE_MARGIN_S = 1.0
 SLOW_RATIO = 3.0
 SUCCESSES_PER_SLOT = 2
@@ -19,6 +20,8 @@
     Times are in seconds. `slow_ratio` is the multiple of the expected
     service time from which an answer counts as slow; `successes_per_slot`
     is the number of answers that opens one more slot during slow start.
+    `trial_interval_s` is the time after which an idle upstream that is not
+    yet healthy goes before the healthy ones, for one request.
     """
 
     __slots__ = (
@@ -27,6 +30,7 @@
         "probe_interval_limit_s",
         "report_max_age_s",
         "shed_hold_s",
+        "trial_interval_s",
         "deadline_margin_s",
         "slow_ratio",
         "successes_per_slot",
@@ -39,6 +43,7 @@
         probe_interval_limit_s: float = PROBE_INTERVAL_LIMIT_S,
         report_max_age_s: float = REPORT_MAX_AGE_S,
         shed_hold_s: float = SHED_HOLD_S,
+        trial_interval_s: float = TRIAL_INTERVAL_S,
         deadline_margin_s: float = DEADLINE_MARGIN_S,
         slow_ratio: float = SLOW_RATIO,
         successes_per_slot: int = SUCCESSES_PER_SLOT,
@@ -48,6 +53,7 @@
         self.probe_interval_limit_s = probe_interval_limit_s
         self.report_max_age_s = report_max_age_s
         self.shed_hold_s = shed_hold_s
+        self.trial_interval_s = trial_interval_s
         self.deadline_margin_s = deadline_margin_s
         self.slow_ratio = slow_ratio
         self.successes_per_slot = successes_per_slot
--- a/test/upstream/test_dispatcher.py
+++ b/test/upstream/test_dispatcher.py
@@ -153,5 +153,6 @@
         waiting = await self._wait(deadline=30.0)
         self.dispatcher.note_released_clean()
         await waiting
+        self.dispatcher.await_handover(max_deadline_s=60)
         self.dispatcher.take_over(max_deadline_s=60)
         await self._expect_refusal(Reason.OVERLOADED, deadline=30.0)
--- a/test/upstream/test_pool.py
+++ b/test/upstream/test_pool.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from radishstile.upstream.health import HealthReport
 from radishstile.upstream.pool import SlotPool
 from radishstile.upstream.settings import UpstreamSettings
 from radishstile.upstream.slot import (
@@ -58,6 +59,15 @@
         pool.apply_leaving(set(), 3)
         self.assertEqual(pool.take(3, 9).upstream, "u0")
 
+    def test_removed_upstream_is_forgotten_when_it_has_ended(self):
+        pool = make_pool(1)
+        lease = pool.take(0, 9)
+        pool.apply_upstreams([], 1)
+        self.assertIsNone(pool.take(1, 9))
+        self.assertEqual(pool.count_occupied(1), 1)
+        pool.release(lease, Completed(1), 2)
+        self.assertEqual(pool.upstreams, [])
+
     def test_renaming_does_not_double_slots(self):
         pool = make_pool(1, slots=2)
         take_all(pool, 0)
@@ -171,6 +181,27 @@
         self.assertFalse(pool.has_working())
         self.assertIsNone(pool.take(0, 9))
 
+    def test_failing_upstream_gets_one_trial_a_second(self):
+        pool = make_pool(2, slots=1)
+        for _ in range(3):
+            pool.release(pool.take(0, 9, {"u1"}), Unreachable(), 0)
+        self.assertEqual(pool.take(0.9, 9).upstream, "u1")
+        self.assertEqual(pool.take(1, 9).upstream, "u0")
+        self.assertIsNone(pool.take(1, 9))
+
+    def test_recovered_upstream_opens_from_half(self):
+        pool = make_pool(1)
+        self._fail(pool, 3)
+        pool.release(pool.take(0, 9), Completed(0.1), 0)
+        self.assertEqual(pool.count_free(0), 3)
+
+    def test_bad_report_is_a_hint_until_it_is_too_old(self):
+        pool = make_pool(2)
+        pool.note_report("u0", HealthReport(is_ok=False), 0)
+        names = [pool.take(0, 99).upstream for _ in range(7)]
+        self.assertEqual(names, ["u1"] * 6 + ["u0"])
+        self.assertEqual(pool.take(6, 99).upstream, "u0")
+
     def test_success_between_failures_keeps_it(self):
         pool = make_pool(1)
         for _ in range(5):
--- a/test/upstream/test_warmup.py
+++ b/test/upstream/test_warmup.py
@@ -52,3 +52,20 @@
             self.pool.note_report("u0", HealthReport(is_ok=True), now)
             self.assertEqual(self.pool.count_free(now), 1)
             self.assertGreater(self.pool.count_free(now + 4), 1)
+
+    def _count_cold(self, now, count=4):
+        """Return how many of `count` requests at once the cold one gets."""
+        leases = [self.pool.take(now, now + 9) for _ in range(count)]
+        for lease in leases:
+            self.pool.release(lease, Completed(0.1), now)
+        return [lease.upstream for lease in leases].count("u1")
+
+    def test_warm_upstreams_go_first_but_a_cold_one_gets_trials(self):
+        self.pool = SlotPool(UpstreamSettings())
+        self.pool.apply_upstreams(make_entries(1), 0)
+        self.pool.apply_upstreams(make_entries(2), 0)
+        self.assertEqual(self._count_cold(now=0.5), 0)
+        self.assertEqual(self._count_cold(now=1), 1)
+        for second in range(2, 14):
+            self._count_cold(now=second)
+        self.assertEqual(self.pool.count_free(14), 12)
