--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -124,6 +124,7 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[request.number] = future
         self._serve()
+        self._note_change()
         try:
             async with asyncio.timeout_at(deadline):
                 return await future
@@ -162,11 +163,15 @@
             slots = min(slots, self._limit)
             occupied = self._pool.count_occupied(now)
             free = max(0, min(free, self._limit - occupied))
-        opening = self._pool.find_next_opening(now)
-        is_known = opening is not None and not self._awaits_handover
-        opens_in_s = opening - now if is_known else None
+        opens_in_s = None if slots else self._measure_opening(now)
         return SlotSupply(slots, free, opens_in_s)
 
+    def _measure_opening(self, now: float) -> float | None:
+        opening = self._pool.find_next_opening(now)
+        if opening is None or self._awaits_handover:
+            return None
+        return opening - now
+
     def _serve(self) -> None:
         while self._waiting and self._serve_one():
             pass
@@ -310,6 +315,8 @@
             await self._emptied.wait()
 
     def _note_change(self) -> None:
-        self._changed.set()
-        if not self._waiting and not self._running:
+        if self._waiting:
+            self._changed.set()
+            return
+        if not self._running:
             self._emptied.set()
--- a/radishstile/upstream/slot.py
+++ b/radishstile/upstream/slot.py
@@ -1,5 +1,7 @@
 """Slots of one upstream, leases of them and results of their requests."""
 
+import math
+
 
 class SlotLease:
     """The right to send one request to one upstream until `deadline`."""
@@ -116,15 +118,17 @@
     passed, because upstreams stop at the deadline that they were given.
     """
 
-    __slots__ = ("_expiries", "_closed_until")
+    __slots__ = ("_expiries", "_first_expiry", "_closed_until")
 
     def __init__(self):
         self._expiries: dict[int, float] = {}
+        self._first_expiry = math.inf
         self._closed_until = 0.0
 
     def occupy(self, number: int, until: float) -> None:
         """Occupy one slot for lease `number` until it is freed or `until`."""
         self._expiries[number] = until
+        self._first_expiry = min(self._first_expiry, until)
 
     def free(self, number: int) -> None:
         """Free the slot of lease `number`, if it is still occupied."""
@@ -136,11 +140,12 @@
 
     def count(self, now: float) -> int:
         """Return the slots occupied by leases."""
-        if not self._expiries:
-            return 0
+        if now < self._first_expiry:
+            return len(self._expiries)
         for number, until in list(self._expiries.items()):
             if until <= now:
                 del self._expiries[number]
+        self._first_expiry = min(self._expiries.values(), default=math.inf)
         return len(self._expiries)
 
     def is_closed(self, now: float) -> bool:
