--- /dev/null
+++ b/radishstile/run/fingerprint.py
@@ -0,0 +1,30 @@
+"""Fingerprints that tell requests and idempotency keys apart."""
+
+from hashlib import blake2b
+
+DIGEST_BYTES = 16
+
+
+def hash_key(workspace: str, key: str) -> bytes:
+    """Return the 16-byte digest that names a workspace's idempotency key."""
+    return _hash_parts(workspace.encode(), key.encode())
+
+
+def hash_request(method: str, path: str, body: bytes) -> bytes:
+    """Return the 16-byte digest of what a request asks for."""
+    return _hash_parts(method.encode(), path.encode(), body)
+
+
+def hash_harm(workspace: str, method: str, path: str, body: bytes) -> bytes:
+    """Return the 16-byte digest that names a possibly harmful request."""
+    return _hash_parts(
+        workspace.encode(), method.encode(), path.encode(), body
+    )
+
+
+def _hash_parts(*parts: bytes) -> bytes:
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/radishstile/run/journal.py
@@ -0,0 +1,348 @@
+"""The journal of one partition: its records and the next group to write."""
+
+import math
+
+from radishstile.run.partition import name_resource, name_segment
+from radishstile.run.record import (
+    RunAnswer,
+    RunRecord,
+    RunReport,
+    RunState,
+    Verdict,
+    describe_record,
+)
+from radishstile.run.segment import Head
+from radishstile.run.settings import RunSettings
+
+GROUP_LIMIT_BYTES = 262_144
+
+
+class Group:
+    """One conditional update of the head: what it holds and replaces."""
+
+    __slots__ = ("head", "expected_version", "changes")
+
+    def __init__(
+        self, head: Head, expected_version: int, changes: list[RunRecord]
+    ):
+        self.head = head
+        self.expected_version = expected_version
+        self.changes = changes
+
+
+class Seal:
+    """The open records on their way to a sealed segment."""
+
+    __slots__ = ("number", "name", "records")
+
+    def __init__(self, number: int, name: str, records: list[RunRecord]):
+        self.number = number
+        self.name = name
+        self.records = records
+
+
+class Journal:
+    """Decides which attempts may be sent, and what the store must hold.
+
+    One incarnation owns the partition at a time; the version of the head
+    object is the fence. The journal's clock counts the seconds that owners
+    have held it, hence never runs ahead of real time and needs no wall clock.
+    """
+
+    __slots__ = (
+        "partition",
+        "owner",
+        "settings",
+        "version",
+        "_epoch",
+        "_sequence",
+        "_clock_s",
+        "_clock_at",
+        "_records",
+        "_open",
+        "_open_bytes",
+        "_segments",
+        "_stored_segments",
+        "_places",
+        "_intents",
+        "_replaced",
+        "_changed",
+    )
+
+    def __init__(self, partition: int, owner: str, settings: RunSettings):
+        self.partition = partition
+        self.owner = owner
+        self.settings = settings
+        self.version = 0
+        self._epoch = 0
+        self._sequence = 0
+        self._clock_s = 0.0
+        self._clock_at = 0.0
+        self._records: dict[bytes, RunRecord] = {}
+        self._open: dict[bytes, RunRecord] = {}
+        self._open_bytes = 0
+        self._segments: dict[int, int] = {}
+        self._stored_segments: frozenset[int] = frozenset()
+        self._places: dict[int, list[bytes]] = {}
+        self._intents: dict[bytes, RunRecord] = {}
+        self._replaced: dict[bytes, RunRecord] = {}
+        self._changed: dict[bytes, float] = {}
+
+    @property
+    def name(self) -> str:
+        """Return the name of the head object."""
+        return name_resource(self.partition)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    # Opening
+
+    def plan_takeover(self, stored: Head | None) -> Head:
+        """Return the head by which this owner takes over from `stored`."""
+        if stored is None:
+            return Head(self.owner, 1, 0, 0.0, {}, [])
+        return Head(
+            self.owner,
+            stored.epoch + 1,
+            0,
+            stored.clock_s,
+            stored.segments,
+            stored.records,
+        )
+
+    def load(
+        self,
+        head: Head,
+        version: int,
+        segments: dict[int, list[RunRecord]],
+        now: float,
+    ) -> None:
+        """Take in what the store held when `head` was written.
+
+        Whether an attempt without an end has run is no longer known.
+        """
+        self.version = version
+        self._epoch = head.epoch
+        self._clock_s = head.clock_s
+        self._clock_at = now
+        self._segments = dict(head.segments)
+        self._stored_segments = frozenset(head.segments)
+        for number in head.segments:
+            self._load_segment(number, segments[number])
+        for record in head.records:
+            loaded = _doubt_running(record)
+            self._records[loaded.key] = loaded
+            self._open[loaded.key] = loaded
+            self._open_bytes += loaded.estimate_bytes()
+
+    def _load_segment(self, number: int, records: list[RunRecord]) -> None:
+        self._places[number] = [record.key for record in records]
+        for record in records:
+            loaded = _doubt_running(record)
+            loaded.segment = number
+            self._records[loaded.key] = loaded
+
+    # Requests
+
+    def record(
+        self, key: bytes, fingerprint: bytes, attempt: str
+    ) -> RunAnswer | None:
+        """Return the answer to an intent, or None while it must be written."""
+        record = self._records.get(key)
+        if record is None:
+            self._add_intent(RunRecord(key, fingerprint, attempt))
+            return None
+        if record.fingerprint != fingerprint:
+            return RunAnswer(Verdict.MISMATCH)
+        if record.attempt == attempt:
+            return self.answer_attempt(key, attempt)
+        if record.state is RunState.NOT_RUN:
+            self._replaced[key] = record
+            self._add_intent(RunRecord(key, fingerprint, attempt))
+            return None
+        return describe_record(record)
+
+    def _add_intent(self, record: RunRecord) -> None:
+        self._records[record.key] = record
+        self._intents[record.key] = record
+
+    def answer_attempt(self, key: bytes, attempt: str) -> RunAnswer | None:
+        """Return what the attempt's own host may do, or None while unwritten.
+
+        The host asks only while it has not sent, so that a written attempt
+        without an end is still free to be sent.
+        """
+        record = self._records.get(key)
+        if record is None or record.attempt != attempt:
+            return RunAnswer(Verdict.NOT_RUN)
+        if record.state is RunState.RECORDING:
+            return None
+        if record.state in (RunState.RUNNING, RunState.UNKNOWN):
+            return RunAnswer(Verdict.RECORDED)
+        return describe_record(record)
+
+    def describe(self, key: bytes) -> RunAnswer:
+        """Return what is known of a key, by any host that asks."""
+        record = self._records.get(key)
+        if record is None:
+            return RunAnswer(Verdict.NOT_RUN)
+        return describe_record(record)
+
+    def finish(self, report: RunReport, now: float) -> bool:
+        """Apply the end of an attempt; return whether it changed a record."""
+        record = self._records.get(report.key)
+        if record is None or record.attempt != report.attempt:
+            return False
+        if record.state not in (RunState.RUNNING, RunState.UNKNOWN):
+            return False
+        self._change(
+            record.change_state(report.state, report.status, report.answer),
+            now,
+        )
+        return True
+
+    def withdraw(self, key: bytes, attempt: str, now: float) -> None:
+        """End an attempt that nobody was told to be recorded."""
+        record = self._records.get(key)
+        if record is None or record.attempt != attempt:
+            return
+        if record.state is not RunState.RECORDING:
+            return
+        if self._intents.pop(key, None) is not None:
+            self._restore(key)
+            return
+        # Its write is under way or in doubt: a later one must undo it.
+        self._change(record.change_state(RunState.NOT_RUN), now)
+
+    def _restore(self, key: bytes) -> None:
+        del self._records[key]
+        if key in self._replaced:
+            self._records[key] = self._replaced.pop(key)
+
+    def lose_host(self, identity: str, now: float) -> list[bytes]:
+        """Put in doubt the attempts of an ended incarnation, `host#number`."""
+        prefix = identity + "#"
+        lost = [
+            record
+            for record in self._records.values()
+            if record.state is RunState.RUNNING
+            and record.attempt.startswith(prefix)
+        ]
+        for record in lost:
+            self._change(record.change_state(RunState.UNKNOWN), now)
+        return [record.key for record in lost]
+
+    def _change(self, record: RunRecord, now: float) -> None:
+        self._records[record.key] = record
+        self._changed.setdefault(record.key, now)
+
+    # Writes
+
+    def find_due(self, now: float) -> float | None:
+        """Return when the next group is due, or None with none to write."""
+        if self._intents:
+            return now
+        if not self._changed:
+            return None
+        oldest = next(iter(self._changed.values()))
+        return oldest + self.settings.flush_delay_s
+
+    def plan_seal(self) -> Seal | None:
+        """Return the open records where they fill a segment."""
+        if self._open_bytes < self.settings.segment_bytes:
+            return None
+        # A number in the stored head may not be reused before a head
+        # without it is stored.
+        taken = self._stored_segments.union(self._segments)
+        number = next(n for n in range(len(taken) + 1) if n not in taken)
+        name = name_segment(self.partition, number)
+        return Seal(number, name, list(self._open.values()))
+
+    def confirm_seal(self, seal: Seal, now: float) -> None:
+        """Let the next head name a segment that the store now holds."""
+        for record in seal.records:
+            record.segment = seal.number
+        self._places[seal.number] = [record.key for record in seal.records]
+        self._segments[seal.number] = math.ceil(self._read_clock(now))
+        self._open = {}
+        self._open_bytes = 0
+
+    def take_group(self, now: float) -> Group | None:
+        """Return the next write of the head, or None with none to write.
+
+        At most one group may be on its way; `commit` ends it.
+        """
+        changes = self._take_changes()
+        if not changes:
+            return None
+        self._expire_segments(now)
+        self._sequence += 1
+        records = self._open | {record.key: record for record in changes}
+        head = Head(
+            self.owner,
+            self._epoch,
+            self._sequence,
+            self._read_clock(now),
+            dict(self._segments),
+            list(records.values()),
+        )
+        return Group(head, self.version, changes)
+
+    def _take_changes(self) -> list[RunRecord]:
+        changes: list[RunRecord] = []
+        size = 0
+        while self._intents and size < GROUP_LIMIT_BYTES:
+            key = next(iter(self._intents))
+            intent = self._intents.pop(key)
+            self._changed.pop(key, None)
+            self._replaced.pop(key, None)
+            changes.append(intent.change_state(RunState.RUNNING))
+            size += intent.estimate_bytes()
+        for key in list(self._changed):
+            if size >= GROUP_LIMIT_BYTES:
+                break
+            if key in self._intents:
+                continue
+            del self._changed[key]
+            changes.append(self._records[key])
+            size += self._records[key].estimate_bytes()
+        return changes
+
+    def commit(self, group: Group, version: int) -> list[bytes]:
+        """Note that the store holds `group`; return the keys it recorded."""
+        self.version = version
+        self._stored_segments = frozenset(group.head.segments)
+        self._open = {record.key: record for record in group.head.records}
+        self._open_bytes = sum(
+            record.estimate_bytes() for record in group.head.records
+        )
+        recorded = []
+        for written in group.changes:
+            current = self._records[written.key]
+            is_same = current.attempt == written.attempt
+            if is_same and current.state is RunState.RECORDING:
+                self._records[written.key] = written
+                recorded.append(written.key)
+        return recorded
+
+    def _read_clock(self, now: float) -> float:
+        return self._clock_s + now - self._clock_at
+
+    def _expire_segments(self, now: float) -> None:
+        oldest = self._read_clock(now) - self.settings.retention_s
+        expired = [
+            n for n, sealed in self._segments.items() if sealed < oldest
+        ]
+        for number in expired:
+            del self._segments[number]
+            for key in self._places.pop(number):
+                record = self._records.get(key)
+                if record is not None and record.segment == number:
+                    del self._records[key]
+
+
+def _doubt_running(record: RunRecord) -> RunRecord:
+    if record.state is RunState.RUNNING:
+        return record.change_state(RunState.UNKNOWN)
+    return record
--- /dev/null
+++ b/radishstile/run/segment.py
@@ -0,0 +1,101 @@
+"""Encodes heads and segments of a journal as store values."""
+
+from base64 import b64decode, b64encode
+
+import msgpack
+
+from radishstile.run.record import RunRecord, RunState
+
+
+class Head:
+    """The head object of a partition: its owner, segments and open records.
+
+    `clock_s` is the journal's age; `segments` maps the number of a sealed
+    segment to the journal's age when it was sealed.
+    """
+
+    __slots__ = (
+        "owner",
+        "epoch",
+        "sequence",
+        "clock_s",
+        "segments",
+        "records",
+    )
+
+    def __init__(
+        self,
+        owner: str,
+        epoch: int,
+        sequence: int,
+        clock_s: float,
+        segments: dict[int, int],
+        records: list[RunRecord],
+    ):
+        self.owner = owner
+        self.epoch = epoch
+        self.sequence = sequence
+        self.clock_s = clock_s
+        self.segments = segments
+        self.records = records
+
+    @property
+    def stamp(self) -> tuple[str, int, int]:
+        """Return what tells this write apart from every other one."""
+        return self.owner, self.epoch, self.sequence
+
+
+def encode_head(head: Head) -> str:
+    """Return the head as text for the store."""
+    return _pack(
+        [
+            head.owner,
+            head.epoch,
+            head.sequence,
+            head.clock_s,
+            list(head.segments.items()),
+            [_list_fields(record) for record in head.records],
+        ]
+    )
+
+
+def decode_head(value: str) -> Head:
+    """Return the head that a store value holds."""
+    owner, epoch, sequence, clock_s, segments, rows = _unpack(value)
+    records = [_build_record(row) for row in rows]
+    return Head(owner, epoch, sequence, clock_s, dict(segments), records)
+
+
+def encode_segment(records: list[RunRecord]) -> str:
+    """Return sealed records as text for the store."""
+    return _pack([_list_fields(record) for record in records])
+
+
+def decode_segment(value: str) -> list[RunRecord]:
+    """Return the records of a sealed segment."""
+    return [_build_record(row) for row in _unpack(value)]
+
+
+def _pack(value: list) -> str:
+    return b64encode(msgpack.packb(value)).decode("ascii")
+
+
+def _unpack(value: str) -> list:
+    return msgpack.unpackb(b64decode(value))
+
+
+def _list_fields(record: RunRecord) -> list:
+    fields = [
+        record.key,
+        record.fingerprint,
+        record.attempt,
+        record.state.value,
+    ]
+    if record.status or record.answer is not None:
+        fields += [record.status, record.answer]
+    return fields
+
+
+def _build_record(fields: list) -> RunRecord:
+    key, fingerprint, attempt, state, *end = fields
+    return RunRecord(key, fingerprint, attempt, RunState(state), *end)
--- /dev/null
+++ b/radishstile/run/writer.py
@@ -0,0 +1,299 @@
+"""The home of one journal partition: groups intents and writes them."""
+
+import asyncio
+import logging
+
+from radishstile.errors import (
+    PlatformError,
+    StoreUnavailableError,
+    VersionConflictError,
+    WriteDoubtError,
+)
+from radishstile.run.journal import Group, Journal
+from radishstile.run.partition import name_segment
+from radishstile.run.record import RunAnswer, RunRecord, RunReport, Verdict
+from radishstile.run.segment import (
+    Head,
+    decode_head,
+    decode_segment,
+    encode_head,
+    encode_segment,
+)
+from radishstile.run.settings import RunSettings
+from radishstile.run.signal import Signals
+from radishstile.run.store import Store, StoredObject
+
+LOAD_CONCURRENCY = 8
+STORE_RETRY_S = 0.25
+CLOCK_RESOLUTION_S = 0.001
+
+_log = logging.getLogger(__name__)
+
+
+class JournalHome:
+    """Serves one partition from its home; `run` is its one task.
+
+    `owner` names the incarnation as `host#incarnation`.
+    """
+
+    __slots__ = (
+        "journal",
+        "settings",
+        "_store",
+        "_opened",
+        "_wake",
+        "_signals",
+        "_is_closed",
+        "_next_write_at",
+    )
+
+    def __init__(
+        self, partition: int, owner: str, store: Store, settings: RunSettings
+    ):
+        self.journal = Journal(partition, owner, settings)
+        self.settings = settings
+        self._store = store
+        self._opened = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._signals = Signals()
+        self._is_closed = False
+        self._next_write_at = 0.0
+
+    # Requests
+
+    async def record(
+        self, key: bytes, fingerprint: bytes, attempt: str, deadline: float
+    ) -> RunAnswer:
+        """Record an intent to send; `RECORDED` lets the host send once.
+
+        `deadline` is in seconds of the loop's clock. A host asks again with
+        the same attempt only while it has not sent.
+        """
+        wait_end = _read_time() + self.settings.record_wait_s
+        try:
+            async with asyncio.timeout_at(min(deadline, wait_end)):
+                return await self._record(key, fingerprint, attempt)
+        except TimeoutError:
+            return self._refuse_late(key, attempt)
+        finally:
+            self._withdraw(key, attempt)
+
+    async def _record(
+        self, key: bytes, fingerprint: bytes, attempt: str
+    ) -> RunAnswer:
+        await self._opened.wait()
+        if self._is_closed:
+            return RunAnswer(Verdict.NOT_HOME)
+        answer = self.journal.record(key, fingerprint, attempt)
+        self._wake.set()
+        while answer is None:
+            await self._signals.wait(key)
+            if self._is_closed:
+                return RunAnswer(Verdict.NOT_HOME)
+            answer = self.journal.answer_attempt(key, attempt)
+        return answer
+
+    def _refuse_late(self, key: bytes, attempt: str) -> RunAnswer:
+        if self._is_closed or not self._opened.is_set():
+            return RunAnswer(Verdict.NOT_HOME)
+        answer = self.journal.answer_attempt(key, attempt)
+        return answer or RunAnswer(Verdict.UNAVAILABLE)
+
+    def _withdraw(self, key: bytes, attempt: str) -> None:
+        self.journal.withdraw(key, attempt, _read_time())
+        self._signals.notify(key)
+        self._wake.set()
+
+    async def wait_end(self, key: bytes, deadline: float) -> RunAnswer:
+        """Return what is known of a key once it ended, or at `deadline`."""
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self._wait_end(key)
+        except TimeoutError:
+            return self.describe(key)
+
+    async def _wait_end(self, key: bytes) -> RunAnswer:
+        await self._opened.wait()
+        answer = self.describe(key)
+        while answer.verdict is Verdict.RUNNING:
+            await self._signals.wait(key)
+            answer = self.describe(key)
+        return answer
+
+    def describe(self, key: bytes) -> RunAnswer:
+        """Return what this home knows of a key now."""
+        if self._is_closed or not self._opened.is_set():
+            return RunAnswer(Verdict.NOT_HOME)
+        return self.journal.describe(key)
+
+    def finish(self, report: RunReport) -> bool:
+        """Apply the end of an attempt; the store learns it a little later.
+
+        An attempt that was recorded and never sent ends as `NOT_RUN`.
+        Returns False where this home has no such attempt under way.
+        """
+        if self._is_closed or not self._opened.is_set():
+            return False
+        is_changed = self.journal.finish(report, _read_time())
+        self._signals.notify(report.key)
+        self._wake.set()
+        return is_changed
+
+    def lose_host(self, identity: str) -> None:
+        """Put in doubt what an ended incarnation, `host#number`, ran."""
+        for key in self.journal.lose_host(identity, _read_time()):
+            self._signals.notify(key)
+        self._wake.set()
+
+    # The one task
+
+    async def run(self) -> None:
+        """Take over the partition and write its groups until fenced."""
+        try:
+            await self._open()
+            while await self._write_next():
+                pass
+            _log.info("journal: %s has another home", self.journal.name)
+        finally:
+            self._is_closed = True
+            self._opened.set()
+            self._signals.notify_all()
+
+    async def _open(self) -> None:
+        head, version = await self._take_over()
+        segments = await self._load_segments(list(head.segments))
+        self.journal.load(head, version, segments, _read_time())
+        self._opened.set()
+        _log.info(
+            "journal: opened %s with %d records",
+            self.journal.name,
+            len(self.journal),
+        )
+
+    async def _take_over(self) -> tuple[Head, int]:
+        stored = await self._read(self.journal.name)
+        while True:
+            head = self.journal.plan_takeover(_decode(stored))
+            expected = stored.version if stored else 0
+            name = self.journal.name
+            version = await self._try_update(name, encode_head(head), expected)
+            if version is not None:
+                return head, version
+            await asyncio.sleep(STORE_RETRY_S)
+            stored = await self._read(name)
+            landed = _decode(stored)
+            if landed is not None and landed.stamp == head.stamp:
+                return landed, stored.version
+
+    async def _load_segments(
+        self, numbers: list[int]
+    ) -> dict[int, list[RunRecord]]:
+        segments: dict[int, list[RunRecord]] = {}
+        for start in range(0, len(numbers), LOAD_CONCURRENCY):
+            batch = numbers[start : start + LOAD_CONCURRENCY]
+            loads = [self._load_segment(number) for number in batch]
+            segments.update(
+                zip(batch, await asyncio.gather(*loads), strict=True)
+            )
+        return segments
+
+    async def _load_segment(self, number: int) -> list[RunRecord]:
+        name = name_segment(self.journal.partition, number)
+        stored = await self._read(name)
+        if stored is None:
+            raise PlatformError(f"{name} is missing")
+        return decode_segment(stored.value)
+
+    async def _write_next(self) -> bool:
+        await self._wait_due()
+        if not await self._seal():
+            return False
+        group = self.journal.take_group(_read_time())
+        if group is None:
+            return True
+        return await self._write_group(group)
+
+    async def _wait_due(self) -> None:
+        while True:
+            now = _read_time()
+            due = self.journal.find_due(now)
+            delay = None
+            if due is not None:
+                delay = max(due, self._next_write_at) - now
+            if delay is not None and delay < CLOCK_RESOLUTION_S:
+                break
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(delay):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+        self._next_write_at = now + self.settings.write_interval_s
+
+    async def _write_group(self, group: Group) -> bool:
+        name = self.journal.name
+        value = encode_head(group.head)
+        while True:
+            expected = group.expected_version
+            version = await self._try_update(name, value, expected)
+            if version is None:
+                stored = await self._read(name)
+                if stored is not None and stored.version <= expected:
+                    await asyncio.sleep(STORE_RETRY_S)
+                    continue
+                landed = _decode(stored)
+                if landed is None or landed.stamp != group.head.stamp:
+                    return False
+                version = stored.version
+            for key in self.journal.commit(group, version):
+                self._signals.notify(key)
+            return True
+
+    async def _seal(self) -> bool:
+        seal = self.journal.plan_seal()
+        if seal is None:
+            return True
+        value = encode_segment(seal.records)
+        while True:
+            # The version is read before the fence is checked: a later home
+            # that used this name in between makes the update fail.
+            stored = await self._read(seal.name)
+            head = await self._read(self.journal.name)
+            if head is None or head.version != self.journal.version:
+                return False
+            expected = stored.version if stored else 0
+            version = await self._try_update(seal.name, value, expected)
+            if version is not None:
+                self.journal.confirm_seal(seal, _read_time())
+                return True
+            await asyncio.sleep(STORE_RETRY_S)
+
+    # The store
+
+    async def _read(self, name: str) -> StoredObject | None:
+        while True:
+            try:
+                return await self._store.read(name)
+            except StoreUnavailableError as error:
+                _log.warning("journal: can't read %s: %s", name, error)
+                await asyncio.sleep(STORE_RETRY_S)
+
+    async def _try_update(
+        self, name: str, value: str, expected: int
+    ) -> int | None:
+        """Return the new version, or None where the store must be read."""
+        try:
+            return await self._store.update(name, value, expected)
+        except VersionConflictError:
+            return None
+        except (StoreUnavailableError, WriteDoubtError) as error:
+            _log.warning("journal: can't write %s: %s", name, error)
+            return None
+
+
+def _decode(stored: StoredObject | None) -> Head | None:
+    return None if stored is None else decode_head(stored.value)
+
+
+def _read_time() -> float:
+    return asyncio.get_running_loop().time()
