Decide retries by what each failure proves

Doubt is never "not run", and a request that may have run is tried again only where it is idempotent. Of the given retry policy the growing delay with jitter is used, not its two layers that multiply; it was not measured here.

--- /dev/null
+++ b/radishstile/run/retry.py
@@ -0,0 +1,141 @@
+"""Decides whether a failed attempt is tried again, and what it proves."""
+
+from functools import singledispatch
+from random import Random
+
+from radishstile.outcome import Outcome
+from radishstile.run.budget import RetryBudget
+from radishstile.run.failure import (
+    AnswerTruncated,
+    ConnectFailed,
+    Failure,
+    LostBeforeFirstByte,
+    Shed,
+    UpstreamRefused,
+)
+from radishstile.run.settings import RunSettings
+
+
+class Attempt:
+    """One request's tries so far.
+
+    `number` counts from 1, `deadline` is in seconds of the loop's clock and
+    `excluded` names the targets that failed.
+    """
+
+    __slots__ = ("number", "deadline", "is_idempotent", "excluded")
+
+    def __init__(
+        self,
+        deadline: float,
+        is_idempotent: bool,
+        number: int = 1,
+        excluded: frozenset[str] = frozenset(),
+    ):
+        self.deadline = deadline
+        self.is_idempotent = is_idempotent
+        self.number = number
+        self.excluded = excluded
+
+
+class RetryDecision:
+    """What a failure proves, and the next try or None.
+
+    The next try starts after `delay_s` seconds.
+    """
+
+    __slots__ = ("outcome", "following", "delay_s")
+
+    def __init__(
+        self,
+        outcome: Outcome,
+        following: Attempt | None = None,
+        delay_s: float = 0.0,
+    ):
+        self.outcome = outcome
+        self.following = following
+        self.delay_s = delay_s
+
+
+@singledispatch
+def judge_outcome(failure: Failure) -> Outcome:
+    """Return what a failure proves about the attempt's effect."""
+    return Outcome.UNKNOWN
+
+
+@judge_outcome.register
+def _(failure: UpstreamRefused) -> Outcome:
+    return Outcome.NOT_RUN
+
+
+@judge_outcome.register
+def _(failure: ConnectFailed) -> Outcome:
+    return Outcome.NOT_RUN
+
+
+@judge_outcome.register
+def _(failure: LostBeforeFirstByte) -> Outcome:
+    return Outcome.NOT_RUN
+
+
+@judge_outcome.register
+def _(failure: Shed) -> Outcome:
+    return Outcome.NOT_RUN
+
+
+@judge_outcome.register
+def _(failure: AnswerTruncated) -> Outcome:
+    # An answer has begun, yet nothing says that its work was finished.
+    return Outcome.UNKNOWN
+
+
+@singledispatch
+def signals_overload(failure: Failure) -> bool:
+    """Return whether a failure shows that the target is overloaded."""
+    return False
+
+
+@signals_overload.register
+def _(failure: Shed) -> bool:
+    return True
+
+
+class RetryPolicy:
+    """The one layer of retries, at the host that the caller reached."""
+
+    __slots__ = ("settings", "budget", "_random")
+
+    def __init__(
+        self, settings: RunSettings, budget: RetryBudget, random: Random
+    ):
+        self.settings = settings
+        self.budget = budget
+        self._random = random
+
+    def decide(
+        self, attempt: Attempt, failure: Failure, now: float
+    ) -> RetryDecision:
+        """Return what is known after `failure`, and the next try if any."""
+        outcome = judge_outcome(failure)
+        if signals_overload(failure):
+            self.budget.note_overload()
+        if not attempt.is_idempotent and outcome is not Outcome.NOT_RUN:
+            return RetryDecision(outcome)
+        if attempt.number >= self.settings.retry_attempts:
+            return RetryDecision(outcome)
+        delay = self._choose_delay(attempt, failure)
+        if now + delay >= attempt.deadline or not self.budget.take():
+            return RetryDecision(outcome)
+        following = Attempt(
+            attempt.deadline,
+            attempt.is_idempotent,
+            attempt.number + 1,
+            attempt.excluded | {failure.target},
+        )
+        return RetryDecision(outcome, following, delay)
+
+    def _choose_delay(self, attempt: Attempt, failure: Failure) -> float:
+        longest = self.settings.retry_delay_s * 2 ** (attempt.number - 1)
+        longest = min(longest, self.settings.retry_delay_max_s)
+        delay = self._random.uniform(longest / 2, longest)
+        return max(delay, failure.retry_after_s or 0.0)
