--- /dev/null
+++ b/radishstile/run/harm.py
@@ -0,0 +1,126 @@
+"""Recognises requests that crash the upstreams that run them."""
+
+from enum import Enum
+from functools import singledispatchmethod
+
+from radishstile.run.settings import RunSettings
+
+CRASH_LIMIT = 2
+
+
+class HarmVerdict(Enum):
+    """Whether a request may be sent.
+
+    On probation it goes to an upstream that runs no other suspect.
+    """
+
+    ALLOWED = "allowed"
+    PROBATION = "probation"
+    REFUSED = "refused"
+
+
+class CrashReport:
+    """An upstream went down while it ran the named requests.
+
+    `report_id` is unique in the fleet.
+    """
+
+    __slots__ = ("report_id", "upstream", "fingerprints")
+
+    def __init__(
+        self, report_id: str, upstream: str, fingerprints: frozenset[bytes]
+    ):
+        self.report_id = report_id
+        self.upstream = upstream
+        self.fingerprints = fingerprints
+
+
+class SuccessReport:
+    """A suspect ran to its end and its upstream stayed up."""
+
+    __slots__ = ("report_id", "fingerprint")
+
+    def __init__(self, report_id: str, fingerprint: bytes):
+        self.report_id = report_id
+        self.fingerprint = fingerprint
+
+
+class Suspect:
+    """The upstreams that went down while they ran one request."""
+
+    __slots__ = ("upstreams", "is_refused", "seen_at")
+
+    def __init__(self, now: float):
+        self.upstreams: set[str] = set()
+        self.is_refused = False
+        self.seen_at = now
+
+
+class HarmLedger:
+    """Counts crashes of each request across the fleet.
+
+    A crash makes suspects of all that ran on the upstream. A later crash
+    elsewhere counts against a suspect only where it was the single one
+    there, so that requests beside a harmful one are not refused.
+    """
+
+    __slots__ = ("settings", "_suspects", "_seen")
+
+    def __init__(self, settings: RunSettings):
+        self.settings = settings
+        self._suspects: dict[bytes, Suspect] = {}
+        self._seen: dict[str, float] = {}
+
+    def check(self, fingerprint: bytes, now: float) -> HarmVerdict:
+        """Return whether the request may be sent at `now`."""
+        self._expire(now)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return HarmVerdict.ALLOWED
+        if suspect.is_refused:
+            return HarmVerdict.REFUSED
+        return HarmVerdict.PROBATION
+
+    def apply(self, report: CrashReport | SuccessReport, now: float) -> bool:
+        """Apply a report once; return False where it was seen before."""
+        self._expire(now)
+        if report.report_id in self._seen:
+            return False
+        self._seen[report.report_id] = now
+        self._apply(report, now)
+        return True
+
+    @singledispatchmethod
+    def _apply(self, report, now: float) -> None:
+        raise TypeError(type(report).__name__)
+
+    @_apply.register
+    def _(self, report: SuccessReport, now: float) -> None:
+        self._suspects.pop(report.fingerprint, None)
+
+    @_apply.register
+    def _(self, report: CrashReport, now: float) -> None:
+        known = [
+            fingerprint
+            for fingerprint in report.fingerprints
+            if fingerprint in self._suspects
+        ]
+        for fingerprint in report.fingerprints:
+            suspect = self._suspects.setdefault(fingerprint, Suspect(now))
+            suspect.upstreams.add(report.upstream)
+            suspect.seen_at = now
+        if len(known) != 1:
+            return
+        single = self._suspects[known[0]]
+        if len(single.upstreams) >= CRASH_LIMIT:
+            single.is_refused = True
+
+    def _expire(self, now: float) -> None:
+        oldest = now - self.settings.harm_retention_s
+        self._suspects = {
+            fingerprint: suspect
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.seen_at > oldest
+        }
+        while self._seen and next(iter(self._seen.values())) <= oldest:
+            del self._seen[next(iter(self._seen))]
--- /dev/null
+++ b/test/run/test_harm.py
@@ -0,0 +1,47 @@
+"""Tests of requests that crash upstreams."""
+
+import unittest
+
+from radishstile.run.harm import (
+    CrashReport,
+    HarmLedger,
+    HarmVerdict,
+    SuccessReport,
+)
+from radishstile.run.settings import RunSettings
+
+
+class HarmTest(unittest.TestCase):
+    def setUp(self):
+        self.ledger = HarmLedger(RunSettings())
+
+    def crash(self, number, upstream, *fingerprints):
+        report = CrashReport(
+            f"a#1#{number}", upstream, frozenset(fingerprints)
+        )
+        return self.ledger.apply(report, 1.0)
+
+    def check(self, fingerprint, now=2.0):
+        return self.ledger.check(fingerprint, now)
+
+    def test_refuses_after_two_upstreams_and_spares_those_beside(self):
+        self.crash(1, "u1", b"bad", b"near")
+        self.assertIs(self.check(b"bad"), HarmVerdict.PROBATION)
+        self.crash(2, "u2", b"bad", b"other")
+        self.assertIs(self.check(b"bad"), HarmVerdict.REFUSED)
+        self.assertIs(self.check(b"near"), HarmVerdict.PROBATION)
+        self.assertIs(self.check(b"other"), HarmVerdict.PROBATION)
+        self.ledger.apply(SuccessReport("a#1#3", b"near"), 2.0)
+        self.assertIs(self.check(b"near"), HarmVerdict.ALLOWED)
+        self.assertIs(self.check(b"bad", 601.0), HarmVerdict.ALLOWED)
+
+    def test_counts_a_report_and_an_upstream_once(self):
+        self.crash(1, "u1", b"bad")
+        self.assertFalse(self.crash(1, "u2", b"bad"))
+        self.crash(2, "u1", b"bad")
+        self.assertIs(self.check(b"bad"), HarmVerdict.PROBATION)
+
+    def test_two_suspects_together_are_not_told_apart(self):
+        self.crash(1, "u1", b"bad", b"near")
+        self.crash(2, "u2", b"bad", b"near")
+        self.assertIs(self.check(b"near"), HarmVerdict.PROBATION)
