--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- a/test/run/test_writer.py
+++ b/test/run/test_writer.py
@@ -144,6 +144,7 @@
     async def test_store_out_refuses_and_a_resend_runs(self):
         home = self.start()
         await self.record(home, "a#1#0", key=b"0" * 16)
+        await asyncio.sleep(self.settings.write_interval_s)
         self.store.faults = [Fault.LOST]
         waiting = asyncio.create_task(self.record(home, "a#1#1"))
         await asyncio.sleep(0.004)
@@ -158,6 +159,7 @@
     async def test_withdrawn_write_that_landed_is_undone_in_the_store(self):
         home = self.start()
         await self.record(home, "a#1#0", key=b"0" * 16)
+        await asyncio.sleep(self.settings.write_interval_s)
         self.store.faults = [Fault.LATE]
         verdict = await self.record(home, "a#1#1", wait=0.1)
         self.assertIs(verdict, Verdict.UNAVAILABLE)
