--- a/radishstile/daemon/entry.py
+++ b/radishstile/daemon/entry.py
@@ -19,6 +19,7 @@
 from radishstile.daemon.tracing import get_trace_id, make_traceparent
 from radishstile.errors import RefusalError
 from radishstile.outcome import Outcome, Reason
+from radishstile.run.fingerprint import hash_harm
 from radishstile.workspace.key import authenticate, contains_key, parse_key
 from radishstile.workspace.limiter import Reservation
 
@@ -168,9 +169,10 @@
         self, call: Call, route: Route, body: bytes, deadline: float
     ) -> Order:
         workspace = self._workspace
+        name = workspace.name if workspace else ""
         return Order(
             request_id=self._entry.make_request_id(),
-            workspace=workspace.name if workspace else "",
+            workspace=name,
             weight=workspace.weight if workspace else 1.0,
             route=route.name,
             group=route.group,
@@ -183,6 +185,7 @@
             is_idempotent=route.is_idempotent,
             traceparent=make_traceparent(self._span),
             excluded=frozenset(),
+            fingerprint=hash_harm(name, call.method, call.target, body),
         )
 
     async def run(self, order: Order, stack: AsyncExitStack) -> Answer:
@@ -201,6 +204,7 @@
             return answer
 
     async def _attempt(self, order: Order, stack: AsyncExitStack) -> Answer:
+        self._entry.parts.harm.check(order)
         targets = self._entry.parts.chooser.choose(self._call, self._route)
         if not targets:
             raise RefusalError(Reason.NO_UPSTREAM, retry_after=_RETRY_AFTER_S)
@@ -261,13 +265,12 @@
     ) -> LocalExecution | RemoteExecution:
         entry = self._entry
         if target.home != entry.node.me:
-            peers = entry.parts.peers
-            return RemoteExecution(entry.node, peers, target.home, order)
+            return RemoteExecution(entry.parts, target.home, order)
         resource = SlotsResource(order.group, order.zone).name
         service = entry.parts.homes.find_service(resource)
         if service is None:
             raise RefusalError(Reason.NO_UPSTREAM, retry_after=_RETRY_AFTER_S)
-        return LocalExecution(entry.node, service.dispatcher, order)
+        return LocalExecution(entry.parts, service.dispatcher, order)
 
     async def _hold(self, answer: Answer) -> Answer:
         """Keep the first part back, so that a short answer can be retried."""
--- a/radishstile/daemon/execution.py
+++ b/radishstile/daemon/execution.py
@@ -11,9 +11,10 @@
 import aiohttp
 
 from radishstile.call import Answer
-from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.harm import read_report
+from radishstile.daemon.node import read_clock
 from radishstile.daemon.order import Order
-from radishstile.daemon.peers import Peers
+from radishstile.daemon.parts import Parts
 from radishstile.daemon.tracing import make_traceparent
 from radishstile.errors import (
     FrameError,
@@ -26,6 +27,7 @@
 from radishstile.http.upstream import UpstreamRequest
 from radishstile.member import Member
 from radishstile.outcome import Outcome, Reason
+from radishstile.run.harm import CrashReport
 from radishstile.upstream.dispatcher import Dispatcher
 from radishstile.upstream.slot import (
     Broken,
@@ -40,6 +42,7 @@
 )
 from radishstile.wire.exchange import Exchange
 from radishstile.wire.messages.base import Message
+from radishstile.wire.messages.fleet import ReportCrash
 from radishstile.wire.messages.run import (
     AnswerEnd,
     AnswerHead,
@@ -59,10 +62,15 @@
 
 
 class LocalExecution:
-    """Runs an order on an upstream that this host dispatches to."""
+    """Runs an order on an upstream that this host dispatches to.
+
+    `crash` is the report on the upstream, if it went down under the order.
+    """
 
     __slots__ = (
+        "crash",
         "_node",
+        "_harm",
         "_dispatcher",
         "_order",
         "_lease",
@@ -72,8 +80,11 @@
         "_stack",
     )
 
-    def __init__(self, node: Node, dispatcher: Dispatcher, order: Order):
+    def __init__(self, parts: Parts, dispatcher: Dispatcher, order: Order):
+        node = parts.node
+        self.crash: CrashReport | None = None
         self._node = node
+        self._harm = parts.harm
         self._dispatcher = dispatcher
         self._order = order
         self._lease: SlotLease | None = None
@@ -91,6 +102,7 @@
         finally:
             if self._lease is not None:
                 result = self._result or Cancelled(is_over=True)
+                self._harm.note_ended(self._order, self._lease)
                 self._dispatcher.release(self._lease, result)
                 self._span.set_attribute("result", type(result).__name__)
             self._span.end()
@@ -103,8 +115,9 @@
             order.weight,
             order.route,
             order.deadline,
-            order.excluded,
+            order.excluded | self._harm.list_barred(order),
         )
+        self._harm.note_started(order, self._lease)
         self._span.set_attribute("upstream", self._lease.upstream)
         self._span.set_attribute("workspace", order.workspace)
         self._sent_at = read_clock()
@@ -124,6 +137,7 @@
             raise self._lose(Outcome.NOT_RUN) from error
         except _LOST_ERRORS as error:
             self._result = Broken(is_over=True)
+            self.crash = await self._harm.note_broken(self._order, lease)
             raise self._lose(Outcome.UNKNOWN) from error
         except TimeoutError as error:
             self._result = TimedOut(is_over=True)
@@ -154,11 +168,15 @@
             async for part in parts:
                 yield part
         except _LOST_ERRORS as error:
+            # A head may come before the work is done.
             self._result = Broken(is_over=True)
-            raise self._lose(Outcome.RAN) from error
+            order = self._order
+            self.crash = await self._harm.note_broken(order, self._lease)
+            raise self._lose(Outcome.UNKNOWN) from error
         except TimeoutError as error:
             self._result = TimedOut(is_over=True)
-            raise RefusalError(Reason.DEADLINE, Outcome.RAN) from error
+            raise RefusalError(Reason.DEADLINE, Outcome.UNKNOWN) from error
+        await self._harm.note_completed(self._order)
         if status >= _SERVER_ERROR:
             self._result = Errored()
             return
@@ -183,6 +201,7 @@
     __slots__ = (
         "_node",
         "_peers",
+        "_harm",
         "_home",
         "_order",
         "_exchange",
@@ -190,9 +209,11 @@
         "_assembly",
     )
 
-    def __init__(self, node: Node, peers: Peers, home: Member, order: Order):
+    def __init__(self, parts: Parts, home: Member, order: Order):
+        node = parts.node
         self._node = node
-        self._peers = peers
+        self._peers = parts.peers
+        self._harm = parts.harm
         self._home = home
         self._order = order
         self._exchange: Exchange | None = None
@@ -243,6 +264,9 @@
         left_s = self._order.deadline - read_clock()
         try:
             message = await self._exchange.receive(max(0.0, left_s))
+            if type(message) is ReportCrash:
+                await self._harm.take_report(read_report(message))
+                return await self._receive()
             raise_refusal(message)
         except WireError as error:
             raise self._lose(error) from error
--- a/radishstile/daemon/handlers.py
+++ b/radishstile/daemon/handlers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+from contextlib import asynccontextmanager
 from functools import singledispatch
 
 from radishstile.daemon.execution import LocalExecution
+from radishstile.daemon.harm import make_message, read_report
 from radishstile.daemon.journals import answer_journal, make_known
 from radishstile.daemon.node import read_clock
 from radishstile.daemon.order import Order
@@ -55,7 +57,8 @@
     node = parts.node
     now = read_clock()
     node.fleet.note_connected(exchange.peer, now)
-    statement = node.fleet.make_statement(now, parts.homes.make_hints())
+    hints = parts.homes.make_hints() if message.wants_hints else {}
+    statement = node.fleet.make_statement(now, hints)
     await exchange.send(fleet.HeartbeatReply(statement=statement.to_record()))
 
 
@@ -102,6 +105,7 @@
     message: fleet.GrantRight, exchange: Exchange, parts: Parts
 ) -> None:
     for each in read_grant(message):
+        parts.homes.note_epoch(each.resource, each.epoch)
         parts.lanes.deliver(each)
 
 
@@ -131,6 +135,12 @@
     parts.moves.take_progress(progress, message.version)
 
 
+@handle.register(fleet.ReportCrash)
+@handle.register(fleet.ReportSuccess)
+async def _(message: Message, exchange: Exchange, parts: Parts) -> None:
+    await parts.harm.take_report(read_report(message))
+
+
 @handle.register
 async def _(
     message: fleet.TraceQuery, exchange: Exchange, parts: Parts
@@ -180,6 +190,20 @@
     return bytes(body)
 
 
+@asynccontextmanager
+async def report_crash(execution: LocalExecution, exchange: Exchange):
+    """Tell the entry host of a crash before it hears of the failure.
+
+    On one exchange the order is kept, so its next attempt knows.
+    """
+    try:
+        yield
+    except RefusalError:
+        if execution.crash is not None:
+            await exchange.send(make_message(execution.crash))
+        raise
+
+
 async def _run_order(
     order: Order, home: SlotsHome, exchange: Exchange, parts: Parts
 ) -> None:
@@ -187,7 +211,8 @@
     link = home.find_link(exchange.peer.region)
     part_bytes = node.settings.wire.part_bytes
     sequence = PartSequence(order.request_id, part_bytes)
-    async with LocalExecution(node, home.dispatcher, order) as execution:
+    execution = LocalExecution(parts, home.dispatcher, order)
+    async with execution, report_crash(execution, exchange):
         upstream = await execution.start()
         await exchange.send(
             run.RunStarted(request_id=order.request_id, upstream=upstream)
--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -103,6 +103,16 @@
             raise PeerLostError(f"{claim.resource} is not served here")
         return await service.receive(claim)
 
+    def note_epoch(self, name: str, epoch: int) -> None:
+        """Close a home of an older epoch, before the roster says so.
+
+        The newer home has asked what is held here, so nothing may be given
+        out under the older epoch after the answer.
+        """
+        home = self._open.get(name)
+        if home is not None and home.epoch < epoch:
+            self._close(name)
+
     def apply_leaving(self, names: frozenset[str]) -> None:
         """Take the platform's list of upstreams that leave or are gone."""
         if names == self._leaving:
@@ -142,10 +152,12 @@
         try:
             await service.run()
         except Exception:
-            # One resource must not end the others; the next change of
-            # versions opens it again.
+            # One resource must not end the others.
             _LOG.exception("homes: Service of %s failed.", name)
-            self._open.pop(name, None)
+        home = self._open.get(name)
+        if home is not None and home.service is service:
+            # The next sync opens it again if it is still served here.
+            del self._open[name]
 
     def _close(self, name: str) -> None:
         home = self._open.pop(name)
--- a/radishstile/daemon/order.py
+++ b/radishstile/daemon/order.py
@@ -11,7 +11,8 @@
     """What a home needs to run one request; `deadline` is loop time.
 
     `headers` and `body` are as the upstream sees them, without the caller's
-    key. `excluded` names upstreams that must not be tried again.
+    key. `excluded` names upstreams that must not be tried again, and
+    `fingerprint` is the digest of what the request asks for.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "is_idempotent",
         "traceparent",
         "excluded",
+        "fingerprint",
     )
 
     def __init__(
@@ -47,6 +49,7 @@
         is_idempotent: bool,
         traceparent: str,
         excluded: frozenset[str],
+        fingerprint: bytes,
     ):
         self.request_id = request_id
         self.workspace = workspace
@@ -62,6 +65,7 @@
         self.is_idempotent = is_idempotent
         self.traceparent = traceparent
         self.excluded = excluded
+        self.fingerprint = fingerprint
 
     def to_message(self, now: float) -> RunRequest:
         """Return the order without its body as a message."""
@@ -80,6 +84,7 @@
             is_idempotent=self.is_idempotent,
             traceparent=self.traceparent,
             excluded=sorted(self.excluded),
+            fingerprint=self.fingerprint,
         )
 
     @classmethod
@@ -102,4 +107,5 @@
             message.is_idempotent,
             message.traceparent,
             frozenset(message.excluded),
+            message.fingerprint,
         )
--- a/radishstile/daemon/peers.py
+++ b/radishstile/daemon/peers.py
@@ -25,6 +25,7 @@
 
     `configuration_version` and `roster_version` are the newest that the
     peer is known to have; `used_until` is when an unused link is dropped.
+    Only peers in use as homes are asked for hints.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "hints",
         "delay_s",
         "move_versions",
+        "wants_hints",
     )
 
     def __init__(self, client: PeerClient):
@@ -51,6 +53,7 @@
         self.hints: dict[str, list[int]] = {}
         self.delay_s: float | None = None
         self.move_versions: dict[str, int] = {}
+        self.wants_hints = False
 
     @property
     def member(self) -> Member:
@@ -114,6 +117,7 @@
     def find_hint(self, member: Member, resource: str) -> ZoneHint | None:
         """Return what `member` last told of a resource's room."""
         peer = self.use(member)
+        peer.wants_hints = True
         record = peer.hints.get(resource)
         return None if record is None else read_hint(record, peer.heard_at)
 
@@ -202,7 +206,8 @@
             await self._parts.replication.push_to(peer)
             await self._parts.moves.push_to(peer)
             asked_at = read_clock()
-            reply = await peer.client.ask(Heartbeat(statement=[]), timeout_s)
+            message = Heartbeat(wants_hints=peer.wants_hints)
+            reply = await peer.client.ask(message, timeout_s)
             raise_refusal(reply)
             statement = Statement.from_record(reply.statement)
         except (WireError, RefusalError, TimeoutError) as error:
--- a/radishstile/daemon/service.py
+++ b/radishstile/daemon/service.py
@@ -7,6 +7,7 @@
 from radishstile.daemon.entry import Entry, Session
 from radishstile.daemon.events import log_event
 from radishstile.daemon.handlers import Handler
+from radishstile.daemon.harm import HarmWatch
 from radishstile.daemon.homes import Homes
 from radishstile.daemon.journals import JournalClient
 from radishstile.daemon.machines import Machines
@@ -31,6 +32,7 @@
 
 _LOG = logging.getLogger("radishstile.service")
 _TICK_S = 0.25
+_REOPEN_S = 2.0
 
 
 class Daemon:
@@ -166,7 +168,15 @@
                 parts.lanes.sync(group)
                 await parts.homes.sync(group)
                 parts.steering.apply_configuration()
-                await parts.replication.is_changed.wait()
+                await self._wait_change()
+
+    async def _wait_change(self) -> None:
+        """Wait for a change, or for the time to open what failed again."""
+        try:
+            async with asyncio.timeout(_REOPEN_S):
+                await self.parts.replication.is_changed.wait()
+        except TimeoutError:
+            return
 
     async def _stop(self) -> None:
         """Leave the look-ups, finish what runs, hand back, and leave."""
@@ -232,6 +242,7 @@
     parts.steering = Steering(node, parts.lanes.gate)
     parts.moves = Moves(node, parts.peers, parts.homes, parts.steering)
     parts.machines = Machines(node, parts.homes)
+    parts.harm = HarmWatch(node, parts.peers)
     parts.chooser = Chooser(node, parts.peers, parts.homes, parts.steering)
     journal = JournalClient(node, parts.peers, parts.homes)
     parts.purchases = Purchases(journal)
--- a/radishstile/run/writer.py
+++ b/radishstile/run/writer.py
@@ -25,6 +25,7 @@
 
 LOAD_CONCURRENCY = 8
 STORE_RETRY_S = 0.25
+CLOCK_RESOLUTION_S = 0.001
 
 _log = logging.getLogger(__name__)
 
@@ -219,7 +220,7 @@
             delay = None
             if due is not None:
                 delay = max(due, self._next_write_at) - now
-            if delay is not None and delay <= 0:
+            if delay is not None and delay < CLOCK_RESOLUTION_S:
                 break
             self._wake.clear()
             try:
--- a/radishstile/wire/messages/fleet.py
+++ b/radishstile/wire/messages/fleet.py
@@ -4,11 +4,14 @@
 
 
 class Heartbeat(Message):
-    """Says that the sender lives, with what it states about itself."""
+    """Asks for the receiver's statement.
 
-    __slots__ = ("statement",)
+    `wants_hints` asks for the room of the slots that it is home of, too.
+    """
 
-    statement: list | dict
+    __slots__ = ("wants_hints",)
+
+    wants_hints: bool
 
 
 class HeartbeatReply(Message):
@@ -119,13 +122,26 @@
     roster: bytes
 
 
-class ReportHarm(Message):
-    """Reports that a request crashed the upstream that ran it."""
+class ReportCrash(Message):
+    """Reports an upstream that went down under the named requests.
 
-    __slots__ = ("fingerprint", "upstream")
+    `fingerprints` are digests in hexadecimal.
+    """
 
-    fingerprint: str
+    __slots__ = ("report_id", "upstream", "fingerprints")
+
+    report_id: str
     upstream: str
+    fingerprints: list[str]
+
+
+class ReportSuccess(Message):
+    """Reports that a suspected request ran to its end."""
+
+    __slots__ = ("report_id", "fingerprint")
+
+    report_id: str
+    fingerprint: str
 
 
 class TraceQuery(Message):
--- a/radishstile/wire/messages/run.py
+++ b/radishstile/wire/messages/run.py
@@ -7,7 +7,8 @@
     """Asks the home of a group's slots to run a request.
 
     `headers` are pairs of name and value, `deadline_ms` is what remains of
-    the request's time, and `excluded` names upstreams that already failed.
+    the request's time, `excluded` names upstreams that already failed, and
+    `fingerprint` is the digest of what the request asks for.
     """
 
     __slots__ = (
@@ -24,6 +25,7 @@
         "is_idempotent",
         "traceparent",
         "excluded",
+        "fingerprint",
     )
 
     request_id: str
@@ -39,6 +41,7 @@
     is_idempotent: bool
     traceparent: str
     excluded: list[str]
+    fingerprint: bytes
 
 
 class BodyPart(Part):
--- a/test/wire/_common.py
+++ b/test/wire/_common.py
@@ -40,6 +40,7 @@
         is_idempotent=False,
         traceparent="",
         excluded=[],
+        fingerprint=b"",
     )
 
 
