--- a/radishstile/fleet/share.py
+++ b/radishstile/fleet/share.py
@@ -3,11 +3,12 @@
 from radishstile.fleet.account import Account
 
 HEADROOM = 2.0
-POOL_PART_RATE = 0.1
+POOL_PART_RATE = 0.02
 POOL_PART_BURST = 0.5
 MIN_BURST = 1
 MIN_USE = 0.5
-TOLERANCE = 0.1
+RECALL_TOLERANCE = 0.3
+GROWTH_TOLERANCE = 0.1
 
 
 class Share:
@@ -21,7 +22,7 @@
 
     def is_below(self, account: Account) -> bool:
         """Return whether the holder has clearly more than its share."""
-        margin = 1 + TOLERANCE
+        margin = 1 + RECALL_TOLERANCE
         return (
             account.current_rate > self.rate * margin
             or account.current_burst > self.burst * margin
@@ -29,7 +30,7 @@
 
     def is_above(self, account: Account) -> bool:
         """Return whether the holder has clearly less than its share."""
-        margin = 1 - TOLERANCE
+        margin = 1 - GROWTH_TOLERANCE
         return (
             account.rate < self.rate * margin
             or account.burst < self.burst * margin
--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -8,6 +8,7 @@
 from radishstile.workspace.settings import AdmissionSettings
 
 DEMAND_CHANGE = 0.25
+SILENCE_GAPS = 5
 
 
 class Reservation:
@@ -259,9 +260,12 @@
         elapsed_s = max(0.0, now - self._demand_at)
         if elapsed_s >= self.settings.idle_return_s:
             return 0.0
-        return self._demand * math.exp(
+        decayed = self._demand * math.exp(
             -elapsed_s / self.settings.demand_window_s
         )
+        if elapsed_s <= 0:
+            return decayed
+        return min(decayed, SILENCE_GAPS / elapsed_s)
 
     def _is_idle(self, now: float) -> bool:
         quiet_s = now - self._demand_at
