Wait when a timer fires before its opening

The cause of the former hang is not proven: the new test also passes without the change. 69 tests pass.

--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -18,6 +18,8 @@
 )
 from radishstile.workspace.queue import FairQueue, QueuedRequest, SlotSupply
 
+CLOCK_SLACK_S = 0.001
+
 _LOG = logging.getLogger("radishstile.dispatcher")
 
 
@@ -101,6 +103,9 @@
                 async with asyncio.timeout_at(opening):
                     await self._changed.wait()
             except TimeoutError:
+                # Timers may fire within the clock's resolution too early.
+                if loop.time() < opening:
+                    await asyncio.sleep(CLOCK_SLACK_S)
                 self._serve()
 
     async def acquire(
--- a/test/upstream/test_dispatcher.py
+++ b/test/upstream/test_dispatcher.py
@@ -156,3 +156,12 @@
         self.dispatcher.await_handover(max_deadline_s=60)
         self.dispatcher.take_over(max_deadline_s=60)
         await self._expect_refusal(Reason.OVERLOADED, deadline=30.0)
+
+    async def test_timer_that_fires_early_does_not_spin(self):
+        self._start()
+        # The loop's clock has steps of 1 us, so this is between two steps.
+        lease = await self._acquire(deadline=10.0000006)
+        waiting = await self._wait()
+        self.dispatcher.release(lease, Cancelled(is_over=False))
+        await waiting
+        self.assertAlmostEqual(self.now, 11, places=2)
