--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -297,11 +297,12 @@
         else:
             successor.take_over(max_deadline_s)
         bench.dispatcher = successor
-        deadlines = former.hand_over()
+        former.hand_over()
         runner = bench.group.create_task(successor.run())
         if is_clean:
+            await former.drained()
             await asyncio.sleep(MESSAGE_S)
-            successor.note_handover(deadlines)
+            successor.note_released_clean()
         await asyncio.sleep(RUN_S)
         runner.cancel()
 
