Keep lengths of answers and connections of refused callers

Cause: Content-Length was dropped as a hop-by-hop header, so each answer became chunked and a HEAD answer lost its length; and a refusal with an unread body closed the connection, though aiohttp reads such a body to its end before the next request, for 10 s at most.

Seen to fail before: test_keeps_the_length_and_repeated_headers, test_answers_a_head_request_without_a_body, test_breaks_an_answer_shorter_than_its_length, test_serves_on_after_a_refusal_with_an_unread_body. A length beside a transfer coding is still dropped (test_headers).

--- a/radishstile/http/caller.py
+++ b/radishstile/http/caller.py
@@ -105,28 +105,18 @@
             return await self._send(request, answer, session.trace_id)
         except RefusalError as refusal:
             error = refusal
-            return self._refuse(request, refusal, session.trace_id)
+            return make_refusal(refusal, session.trace_id)
         except Exception as fault:
             _LOG.exception("caller: A request failed.")
             error = RefusalError(Reason.INTERNAL, Outcome.UNKNOWN)
             error.__cause__ = fault
-            return self._refuse(request, error, session.trace_id)
+            return make_refusal(error, session.trace_id)
         except BaseException as other:
             error = other
             raise
         finally:
             await session.end(error)
 
-    def _refuse(
-        self, request: web.Request, refusal: RefusalError, trace_id: str
-    ) -> web.Response:
-        response = make_refusal(refusal, trace_id)
-        if not request.content.is_eof():
-            # The rest of a body that is not wanted must not be read as the
-            # next request.
-            response.force_close()
-        return response
-
     def _read_call(self, request: web.Request) -> Call:
         raw = [
             (n.decode(), v.decode("latin-1")) for n, v in request.raw_headers
--- a/radishstile/http/headers.py
+++ b/radishstile/http/headers.py
@@ -24,13 +24,15 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
-        "content-length",
         "expect",
     }
 )
+_LENGTH = "content-length"
+_CODING = "transfer-encoding"
 _OWN_REQUEST_HEADERS = frozenset(
     {
         "host",
+        _LENGTH,
         KEY.lower(),
         DEADLINE.lower(),
         WORKSPACE.lower(),
@@ -62,6 +64,11 @@
 
 
 def select_answer_headers(headers: Headers) -> Headers:
-    """Return the headers of an answer that the caller may see."""
+    """Return the headers of an answer that the caller may see.
+
+    A length beside a transfer coding says nothing and is dropped.
+    """
     dropped = _list_hop_names(headers) | _OWN_ANSWER_HEADERS
+    if any(name.lower() == _CODING for name, _ in headers):
+        dropped |= {_LENGTH}
     return [(n, v) for n, v in headers if n.lower() not in dropped]
