--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+bench: $(READY)
+	$(RUN) -m bench $(NAMES)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/service.py
@@ -0,0 +1,353 @@
+"""Measures daemons as processes: look-ups, requests, and a fleet at rest.
+
+Usage: python -m bench.service [PATH | --json PATH] [--seconds N]
+[--against TREE] [--part NAME]. PATH takes the results as JSON. TREE is
+another source tree whose daemons are measured in turn with this one's.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from bench.generator import DIGITS, HIGHEST_US, LOWEST_US
+from bench.lookup import print_table
+from bench.processes import (
+    TREE,
+    Plan,
+    ServiceFleet,
+    read_processor_s,
+    stop_processes,
+)
+from standin.free_ports import find_free_ports
+
+WARMUP_S = 0.5
+ROUNDS = 3
+GENERATORS = 2
+LOOKUP_CONNECTIONS = 8
+REQUEST_CONNECTIONS = (1, 8)
+SETTLE_S = 5.0
+LOOKUP = "/lookup?route=payruns&client=10.1.2.3"
+TARGET = "/payruns/7"
+PAIR_ZONES = {"akl-a": "akl", "akl-b": "akl"}
+REGIONS = ("akl", "wlg", "chc")
+SIX_ZONES = {f"{r}-{z}": r for r in REGIONS for z in ("a", "b")}
+FOUR_ZONES = {f"{r}-{z}": r for r in REGIONS[:2] for z in ("a", "b")}
+FLEETS = ((4, FOUR_ZONES), (12, SIX_ZONES), (22, SIX_ZONES))
+UPSTREAMS_PER_ZONE = 6
+SLOTS = 64
+WORKSPACES = 8
+
+
+class Measurement:
+    """Answers counted, their latencies, and processor time used."""
+
+    __slots__ = ("total", "counted", "histogram", "used_s", "generator_share")
+
+    def __init__(self):
+        self.total = 0
+        self.counted = 0
+        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.used_s = 0.0
+        self.generator_share = 0.0
+
+    def add(self, result: dict) -> None:
+        """Take in the result of one generator."""
+        self.total += result["total"]
+        self.counted += result["counted"]
+        share = result["processor_share"]
+        self.generator_share = max(self.generator_share, share)
+        latencies = HdrHistogram.decode(result["latencies"])
+        self.histogram.add(latencies)
+
+    def to_row(self, seconds: float) -> dict:
+        """Return rates and latencies; `seconds` were counted in all."""
+        return {
+            "per_s": self.counted / seconds,
+            "per_core_s": self.total / self.used_s,
+            "p50_us": self.histogram.get_value_at_percentile(50),
+            "p99_us": self.histogram.get_value_at_percentile(99),
+            "generator_share": self.generator_share,
+        }
+
+
+async def generate(spec: dict, count: int) -> list[dict]:
+    """Run `count` generators at once and return their results."""
+    processes = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bench.generator",
+            json.dumps(spec),
+            cwd=TREE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for _ in range(count)
+    ]
+    outputs = [await process.communicate() for process in processes]
+    if any(process.returncode for process in processes):
+        raise RuntimeError("a load generator failed")
+    return [json.loads(output) for output, _ in outputs]
+
+
+async def measure_load(
+    measurement: Measurement, spec: dict, count: int, read_used_s
+) -> None:
+    """Add one run of load, and the processor time of who served it."""
+    before_s = read_used_s()
+    results = await generate(spec, count)
+    measurement.used_s += read_used_s() - before_s
+    for result in results:
+        measurement.add(result)
+
+
+def make_spec(
+    port: int, target: str, connections: int, seconds: float, key: str = ""
+) -> dict:
+    """Return what one generator is told to do."""
+    return {
+        "port": port,
+        "target": target,
+        "headers": {"Authorization": f"Bearer {key}"} if key else {},
+        "connections": connections,
+        "warmup_s": WARMUP_S,
+        "seconds": seconds,
+    }
+
+
+def make_pair_plan() -> Plan:
+    """Return two hosts in two zones, and one upstream near the first."""
+    return Plan(PAIR_ZONES, 2, {"press-1": "akl-a"}, SLOTS, 1)
+
+
+def make_fleet_plan(hosts: int, zones: dict[str, str]) -> Plan:
+    """Return `hosts` over `zones`, with upstreams in each zone."""
+    upstreams = {
+        f"press-{zone}-{number}": zone
+        for zone in zones
+        for number in range(UPSTREAMS_PER_ZONE)
+    }
+    return Plan(zones, hosts, upstreams, 6, WORKSPACES)
+
+
+@asynccontextmanager
+async def run_fleet(plan: Plan, tree: Path):
+    """Run a fleet in a temporary folder of its own."""
+    with tempfile.TemporaryDirectory(prefix="radishstile-") as folder:
+        fleet = ServiceFleet(plan, tree, Path(folder))
+        try:
+            await fleet.start()
+            yield fleet
+        finally:
+            await fleet.stop()
+
+
+@asynccontextmanager
+async def run_constant(size: int):
+    """Run the bare handler; yields its port and process."""
+    port = find_free_ports(1)[0]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "bench.constant",
+        str(port),
+        str(size),
+        cwd=TREE,
+    )
+    try:
+        await _wait_port(port)
+        yield port, process
+    finally:
+        await stop_processes([process])
+
+
+async def _wait_port(port: int) -> None:
+    async with asyncio.timeout(10):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            writer.close()
+            return
+
+
+async def _read_size(port: int) -> int:
+    url = f"http://127.0.0.1:{port}{LOOKUP}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(url) as response,
+    ):
+        return len(await response.read())
+
+
+async def measure_lookups(
+    fleets: dict[str, ServiceFleet], seconds: float
+) -> list[dict]:
+    """Return look-ups for one core, of each fleet and of a constant."""
+    host = next(iter(PAIR_ZONES)) + "-1"
+    first = next(iter(fleets.values()))
+    size = await _read_size(first.ports[host].http)
+    async with run_constant(size) as (port, process):
+        servers = {"constant": (port, process.pid)}
+        for name, fleet in fleets.items():
+            pid = fleet.get_process_id(host)
+            servers[name] = fleet.ports[host].http, pid
+        measured = {name: Measurement() for name in servers}
+        for _ in range(ROUNDS):
+            for name, (number, pid) in servers.items():
+                await measure_load(
+                    measured[name],
+                    make_spec(number, LOOKUP, LOOKUP_CONNECTIONS, seconds),
+                    GENERATORS,
+                    lambda pid=pid: read_processor_s(pid),
+                )
+    return _make_rows(measured, seconds * ROUNDS, "constant")
+
+
+def _make_rows(
+    measured: dict[str, Measurement], seconds: float, baseline: str
+) -> list[dict]:
+    rows = []
+    for name, measurement in measured.items():
+        row = {"server": name, **measurement.to_row(seconds)}
+        base = measured[baseline].to_row(seconds)
+        row["ratio_per_core"] = row["per_core_s"] / base["per_core_s"]
+        row["ratio_p50"] = row["p50_us"] / base["p50_us"]
+        row["ratio_p99"] = row["p99_us"] / base["p99_us"]
+        rows.append(row)
+    return rows
+
+
+async def measure_requests(
+    fleets: dict[str, ServiceFleet], connections: int, seconds: float
+) -> list[dict]:
+    """Return requests straight, through one host and through two."""
+    first = next(iter(fleets.values()))
+    upstream = first.get_process_id("upstreams")
+    port = first.upstream_ports["press-1"]
+    cases = {"straight": (port, "", lambda: read_processor_s(upstream))}
+    for name, fleet in fleets.items():
+        home = await fleet.find_home("slots/pressdesk/akl-a")
+        for host, ports in fleet.ports.items():
+            place = "local" if host == home else "remote"
+            read = fleet.read_processor_s
+            cases[f"{name} {place}"] = ports.http, fleet.key, read
+    measured = {name: Measurement() for name in cases}
+    for _ in range(ROUNDS):
+        for name, (port, key, read_used_s) in cases.items():
+            spec = make_spec(port, TARGET, connections, seconds, key)
+            await measure_load(measured[name], spec, 1, read_used_s)
+    rows = _make_rows(measured, seconds * ROUNDS, "straight")
+    return [{"connections": connections, **row} for row in rows]
+
+
+async def measure_rest(
+    plan: Plan, tree: Path, name: str, seconds: float
+) -> dict:
+    """Return what a fleet uses while nobody calls."""
+    async with run_fleet(plan, tree) as fleet:
+        await asyncio.sleep(SETTLE_S)
+        calls = await fleet.read_store_calls()
+        wire = await fleet.read_wire_bytes()
+        began, used_s = time.monotonic(), fleet.read_processor_s()
+        await asyncio.sleep(seconds)
+        elapsed = time.monotonic() - began
+        share = (fleet.read_processor_s() - used_s) / elapsed
+        later = await fleet.read_store_calls()
+        wire = (await fleet.read_wire_bytes() - wire) / elapsed
+        memory = fleet.list_resident_mb()
+    hosts = len(plan.hosts)
+    rates = {kind: (later[kind] - calls[kind]) / elapsed for kind in calls}
+    return {
+        "daemons": name,
+        "hosts": hosts,
+        "zones": len(plan.zones),
+        "processor_share": share / hosts,
+        "resident_mb": sum(memory) / hosts,
+        "resident_max_mb": max(memory),
+        "control_bytes_s": wire / hosts,
+        "store_calls_s": sum(rates.values()),
+        **{f"{kind}_s": rate for kind, rate in rates.items()},
+    }
+
+
+async def measure_pairs(trees: dict[str, Path], seconds: float) -> dict:
+    """Measure look-ups, requests and the memory that they leave."""
+    results = {"requests": [], "memory": []}
+    async with AsyncExitStack() as stack:
+        fleets = {}
+        for name, tree in trees.items():
+            context = run_fleet(make_pair_plan(), tree)
+            fleets[name] = await stack.enter_async_context(context)
+        before = {n: f.list_resident_mb() for n, f in fleets.items()}
+        results["lookups"] = await measure_lookups(fleets, seconds)
+        for connections in REQUEST_CONNECTIONS:
+            results["requests"] += await measure_requests(
+                fleets, connections, seconds
+            )
+        for name, fleet in fleets.items():
+            after = max(fleet.list_resident_mb())
+            row = {"daemons": name, "before_mb": max(before[name])}
+            results["memory"].append({**row, "after_mb": after})
+    print_table(f"Look-ups, {GENERATORS} generators", results["lookups"])
+    print_table("Requests", results["requests"])
+    print_table("Resident memory, before and after load", results["memory"])
+    return results
+
+
+async def measure(options: argparse.Namespace) -> dict:
+    """Run the parts that are asked for."""
+    trees = {"daemon": TREE}
+    if options.against:
+        trees["earlier"] = options.against
+    load = os.getloadavg()[0]
+    print(f"{os.cpu_count()} processors, load average {load:.1f}")
+    results = {"load_average": load}
+    if options.part in ("load", "all"):
+        results |= await measure_pairs(trees, options.seconds)
+    if options.part in ("rest", "all"):
+        results["rest"] = [
+            await measure_rest(
+                make_fleet_plan(*size), tree, name, 4 * options.seconds
+            )
+            for size in FLEETS
+            for name, tree in trees.items()
+        ]
+        print_table("Fleets at rest, a host", results["rest"])
+    return results
+
+
+def _read_tree(text: str) -> Path:
+    return Path(text).resolve()
+
+
+def main() -> int:
+    """Measure, print the tables and write them to the path given."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("path", nargs="?")
+    parser.add_argument("--json")
+    parser.add_argument("--seconds", type=float, default=3.0)
+    parser.add_argument("--against", type=_read_tree)
+    parser.add_argument(
+        "--part", choices=("all", "load", "rest"), default="all"
+    )
+    options = parser.parse_args()
+    results = asyncio.run(measure(options))
+    path = options.json or options.path
+    if path:
+        Path(path).write_text(json.dumps(results, indent=1), encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
