Read IPv4 addresses and encode look-ups by C code

IPv4 text goes through `inet_pton`, everything else as before; answers are encoded by `orjson`, which `aioprometheus` already brings. Answers are compact JSON now and name no charset. A cache of encoded answers was not needed.

--- a/radishstile/http/caller.py
+++ b/radishstile/http/caller.py
@@ -4,6 +4,7 @@
 import logging
 from typing import Protocol
 
+import orjson
 from aiohttp import web
 
 from radishstile.call import Answer, Call
@@ -94,7 +95,9 @@
             return make_refusal(refusal, "")
         except RefusalError as refusal:
             return make_refusal(refusal, "")
-        return web.json_response(found)
+        return web.Response(
+            body=orjson.dumps(found), content_type="application/json"
+        )
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         session = self._service.open_session(
--- a/radishstile/lookup/address.py
+++ b/radishstile/lookup/address.py
@@ -1,6 +1,7 @@
 """Client addresses as integers, and the blocks they are grouped by."""
 
 import ipaddress
+import socket
 from enum import IntEnum
 
 BLOCK_BITS_V4 = 24
@@ -34,6 +35,14 @@
 
         An IPv4 address mapped into IPv6 counts as IPv4.
         """
+        try:
+            packed = socket.inet_pton(socket.AF_INET, text)
+        except OSError:
+            return cls._parse_any(text)
+        return cls(int.from_bytes(packed), Family.V4)
+
+    @classmethod
+    def _parse_any(cls, text: str) -> "ClientAddress":
         address = ipaddress.ip_address(text)
         mapped = getattr(address, "ipv4_mapped", None)
         address = mapped or address
