Push the patch alone to a peer that is one version behind

Cause: each host pushes a new revision to every neighbour that it has not heard to have it, so that at the target's size a change reaches a host some 26 times; as the whole document that is twice the traffic budget of a daemon. A new link got the whole document and roster before the peer was asked what it has.

Now a peer one version behind gets the history entry with a digest of the document that it leads to; one that can't use it says which version it has and gets the whole revision. Nothing is pushed on a link before its first heartbeat reply. Each form of a revision is encoded once, not per peer.

Ruled out: asking each peer first, since all its neighbours ask within the same few milliseconds; a digest of the patch only, since hosts could drift apart unseen.

Each test fails without what it guards: without the delta, the digest, the check of the version before, and the guard of links that were not heard.

--- /dev/null
+++ b/radishstile/configuration/delta.py
@@ -0,0 +1,72 @@
+"""The next revision of the configuration, told by its patch alone."""
+
+import json
+from functools import singledispatch
+
+import xxhash
+
+from radishstile.configuration.entry import HistoryEntry, Revision
+from radishstile.configuration.patch import apply_patch, parse_patch
+from radishstile.errors import ConfigurationError
+
+
+class Delta:
+    """A history entry, and the digest of the document that it leads to.
+
+    The digest is the 64-bit XXH3 of the document's JSON with sorted keys, in
+    hexadecimal, so that hosts can't drift apart unseen.
+    """
+
+    __slots__ = ("entry", "digest")
+
+    def __init__(self, entry: HistoryEntry, digest: str):
+        self.entry = entry
+        self.digest = digest
+
+    @property
+    def version(self) -> int:
+        """Return the number of the revision that the patch leads to."""
+        return self.entry.version
+
+    @classmethod
+    def of(cls, revision: Revision) -> "Delta":
+        """Return the delta that leads to `revision`."""
+        return cls(revision.entry, digest_document(revision.document))
+
+    def to_record(self) -> dict:
+        """Return the delta as a JSON object."""
+        return {"entry": self.entry.to_record(), "digest": self.digest}
+
+    @classmethod
+    def from_record(cls, record: dict) -> "Delta":
+        """Return the delta that a JSON object describes."""
+        return cls(HistoryEntry.from_record(record["entry"]), record["digest"])
+
+
+@singledispatch
+def complete(update: Revision, current: Revision) -> Revision:
+    """Return the whole revision that `update` tells of.
+
+    Raises `ConfigurationError` where it can't be made from `current`.
+    """
+    return update
+
+
+@complete.register
+def _(update: Delta, current: Revision) -> Revision:
+    entry = update.entry
+    if entry.from_version != current.version:
+        raise ConfigurationError(
+            f"delta from version {entry.from_version}, "
+            f"but version {current.version} is here"
+        )
+    document = apply_patch(parse_patch(entry.patch), current.document)
+    if digest_document(document) != update.digest:
+        raise ConfigurationError(f"delta to {entry.version}: digest differs")
+    return Revision(entry, document)
+
+
+def digest_document(document: dict) -> str:
+    """Return the digest of a document; see `Delta`."""
+    text = json.dumps(document, sort_keys=True, separators=(",", ":"))
+    return xxhash.xxh3_64_hexdigest(text.encode())
--- a/radishstile/daemon/replication.py
+++ b/radishstile/daemon/replication.py
@@ -4,6 +4,7 @@
 import json
 import logging
 
+from radishstile.configuration.delta import Delta, complete
 from radishstile.configuration.entry import Revision
 from radishstile.configuration.ledger import OBJECT
 from radishstile.daemon.node import Node, read_clock
@@ -35,6 +36,33 @@
 _SEED_TIMEOUT_S = 2.0
 
 
+class EncodedRevision:
+    """One revision as peers get it, each form encoded once when needed."""
+
+    __slots__ = ("version", "_revision", "_delta", "_whole")
+
+    def __init__(self, revision: Revision):
+        self.version = revision.version
+        self._revision = revision
+        self._delta: bytes | None = None
+        self._whole: bytes | None = None
+
+    @property
+    def delta(self) -> bytes:
+        """Return the patch alone, for a peer that is one version behind."""
+        if self._delta is None:
+            delta = Delta.of(self._revision)
+            self._delta = _encode(delta.to_record())
+        return self._delta
+
+    @property
+    def whole(self) -> bytes:
+        """Return the entry with the whole document."""
+        if self._whole is None:
+            self._whole = _encode(self._revision.to_record())
+        return self._whole
+
+
 class Replication:
     """Watches the store if this host has that duty, and exchanges versions.
 
@@ -42,7 +70,13 @@
     the configuration or the roster was replaced.
     """
 
-    __slots__ = ("_node", "is_changed", "_stored_versions", "_newest")
+    __slots__ = (
+        "_node",
+        "is_changed",
+        "_stored_versions",
+        "_newest",
+        "_encoded",
+    )
 
     def __init__(self, node: Node):
         self._node = node
@@ -50,6 +84,7 @@
         self._stored_versions = {OBJECT: 0, ROSTER: 0}
         # The newest version that the store showed, in force here or not.
         self._newest = 0
+        self._encoded = EncodedRevision(node.revision)
 
     async def load(self) -> None:
         """Read what the store holds; raises `PlatformError`."""
@@ -143,15 +178,20 @@
 
     # Taking versions in
 
-    def take_revision(self, revision: Revision) -> bool:
-        """Put a newer revision in force; return whether it was newer."""
+    def take_revision(self, update: Revision | Delta) -> bool:
+        """Put a newer revision in force; return whether it was newer.
+
+        A delta that does not follow the one in force is left out; the peer
+        sends the whole revision then.
+        """
         node = self._node
-        if revision.version <= node.revision.version:
+        if update.version <= node.revision.version:
             return False
         try:
+            revision = complete(update, node.revision)
             node.put_in_force(revision)
         except ConfigurationError as error:
-            _LOG.error("replication: Revision can't be used: %s", error)
+            _LOG.warning("replication: Revision can't be used: %s", error)
             return False
         node.fleet.note_configuration(revision.version, read_clock())
         _LOG.info("replication: Configuration %d in force.", revision.version)
@@ -168,17 +208,15 @@
     # Between peers
 
     async def push_to(self, peer) -> None:
-        """Send a peer the versions that it does not have."""
-        revision = self._node.revision
+        """Send a peer the versions that it does not have.
+
+        A peer that was not heard yet may have them all.
+        """
+        if peer.heard_at == float("-inf"):
+            return
+        if peer.configuration_version < self._node.revision.version:
+            await self._push_configuration(peer)
         roster = self._node.fleet.roster
-        if peer.configuration_version < revision.version:
-            push = ConfigurationPush(
-                version=revision.version,
-                revision=_encode(revision.to_record()),
-            )
-            reply = await peer.client.ask(push, _PUSH_TIMEOUT_S)
-            raise_refusal(reply)
-            peer.configuration_version = reply.version
         if peer.roster_version < roster.version:
             push = RosterPush(
                 version=roster.version, record=_encode(roster.to_record())
@@ -187,6 +225,17 @@
             raise_refusal(reply)
             peer.roster_version = reply.version
 
+    async def _push_configuration(self, peer) -> None:
+        """Send the patch alone to a peer that is one version behind."""
+        revision = self._node.revision
+        if self._encoded.version != revision.version:
+            self._encoded = EncodedRevision(revision)
+        encoded = self._encoded
+        if peer.configuration_version == revision.entry.from_version:
+            await _push_revision(peer, encoded.version, encoded.delta)
+        if peer.configuration_version < encoded.version:
+            await _push_revision(peer, encoded.version, encoded.whole)
+
     async def pull_from(self, peer) -> None:
         """Fetch from a peer the versions that this host does not have."""
         is_behind = (
@@ -233,9 +282,19 @@
         self.take_roster(Roster.from_record(json.loads(reply.roster)))
 
 
-def decode_revision(data: bytes) -> Revision:
-    """Return the revision that JSON bytes describe."""
-    return Revision.from_record(json.loads(data))
+async def _push_revision(peer, version: int, data: bytes) -> None:
+    push = ConfigurationPush(version=version, revision=data)
+    reply = await peer.client.ask(push, _PUSH_TIMEOUT_S)
+    raise_refusal(reply)
+    peer.configuration_version = reply.version
+
+
+def decode_revision(data: bytes) -> Revision | Delta:
+    """Return the revision, or the delta to it, that JSON bytes describe."""
+    record = json.loads(data)
+    if "digest" in record:
+        return Delta.from_record(record)
+    return Revision.from_record(record)
 
 
 def _encode(record: dict) -> bytes:
--- /dev/null
+++ b/test/daemon/test_replication.py
@@ -0,0 +1,98 @@
+"""Tests of `radishstile.daemon.replication`: what goes to a peer."""
+
+import unittest
+
+from radishstile.configuration.document import Configuration
+from radishstile.configuration.entry import HistoryEntry, Revision
+from radishstile.daemon.replication import Replication, decode_revision
+from radishstile.fleet.fleet import Fleet
+from radishstile.fleet.settings import FleetSettings
+from radishstile.member import Member
+from radishstile.wire.messages.fleet import PushAccepted
+from test._common import PausedTestCase
+
+ME = Member("akl-a-1", 1, "akl-a", "akl", "10.0.0.1", 1, 2)
+PATCH = {"workspaces": {"bureau": {"burst": 9}}}
+BULKY = {f"w-{n}": {"rate_per_s": 1, "burst": 1} for n in range(400)}
+
+
+def make_revisions():
+    """Return versions 1 and 2; the second changes one number."""
+    first = {"workspaces": {"bureau": {"rate_per_s": 5, "burst": 4}, **BULKY}}
+    bureau = {"rate_per_s": 5, "burst": 9}
+    second = {"workspaces": {"bureau": bureau, **BULKY}}
+    return (
+        Revision(HistoryEntry(1, "ana", "now", 0, first), first),
+        Revision(HistoryEntry(2, "ana", "now", 1, PATCH), second),
+    )
+
+
+class FakeNode:
+    def __init__(self, revision):
+        self.fleet = Fleet(ME, FleetSettings())
+        self.put_in_force(revision)
+
+    def put_in_force(self, revision):
+        self.configuration = Configuration(revision.version, revision.document)
+        self.revision = revision
+
+
+class FakePeer:
+    """A peer that takes pushes with its own `Replication`."""
+
+    def __init__(self, revision):
+        self.replication = Replication(FakeNode(revision))
+        self.client = self
+        self.configuration_version = revision.version
+        self.roster_version = 0
+        self.heard_at = 0.0
+        self.pushes = []
+
+    @property
+    def revision(self):
+        return self.replication._node.revision
+
+    async def ask(self, message, _timeout_s):
+        self.pushes.append(message)
+        self.replication.take_revision(decode_revision(message.revision))
+        return PushAccepted(version=self.revision.version)
+
+
+class PushTest(PausedTestCase):
+    def setUp(self):
+        self.first, self.second = make_revisions()
+        self.sender = Replication(FakeNode(self.second))
+
+    async def test_peer_one_version_behind_gets_the_patch_alone(self):
+        peer = FakePeer(self.first)
+        await self.sender.push_to(peer)
+        await self.sender.push_to(peer)
+        self.assertEqual(peer.revision.document, self.second.document)
+        self.assertEqual(peer.configuration_version, 2)
+        sizes = [len(push.revision) for push in peer.pushes]
+        self.assertEqual(len(sizes), 1)
+        self.assertLess(sizes[0], 512)
+
+    async def test_peer_far_behind_gets_the_whole_revision(self):
+        entry = HistoryEntry(0, "", "", 0, {})
+        peer = FakePeer(Revision(entry, {}))
+        await self.sender.push_to(peer)
+        self.assertEqual(peer.revision.document, self.second.document)
+        self.assertEqual(len(peer.pushes), 1)
+
+    async def test_peer_with_another_document_gets_the_whole_one(self):
+        other = Revision(self.first.entry, {"regions": {"akl": {}}})
+        peer = FakePeer(other)
+        await self.sender.push_to(peer)
+        self.assertEqual(peer.revision.document, self.second.document)
+        self.assertEqual(len(peer.pushes), 2)
+
+    async def test_peer_that_was_not_heard_is_asked_before_a_push(self):
+        peer = FakePeer(self.first)
+        peer.heard_at = float("-inf")
+        await self.sender.push_to(peer)
+        self.assertEqual(peer.pushes, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
