--- a/radishstile/daemon/journals.py
+++ b/radishstile/daemon/journals.py
@@ -27,6 +27,7 @@
 
 _LOG = logging.getLogger("radishstile.journals")
 _RETRY_S = 0.2
+_FOLLOW_S = 1.0
 _FINISH_TRIES = 5
 _FINISH_TIMEOUT_S = 2.0
 _MS_PER_S = 1000
@@ -48,10 +49,14 @@
     async def run(self) -> None:
         """Keep the partition until another home has taken it over."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.journal.run())
-            while True:
-                self._note_ended()
-                await asyncio.sleep(1.0)
+            follower = group.create_task(self._follow_ends())
+            await self.journal.run()
+            follower.cancel()
+
+    async def _follow_ends(self) -> None:
+        while True:
+            self._note_ended()
+            await asyncio.sleep(_FOLLOW_S)
 
     def _note_ended(self) -> None:
         for end in self._node.fleet.list_ended():
@@ -123,7 +128,7 @@
         while True:
             left_s = until - read_clock()
             if left_s <= 0:
-                return RunAnswer(Verdict.UNAVAILABLE)
+                return RunAnswer(Verdict.NOT_HOME)
             message.wait_ms = max(1, int(left_s * _MS_PER_S))
             try:
                 answer = read_known(await self._ask(message, left_s))
--- a/radishstile/daemon/parts.py
+++ b/radishstile/daemon/parts.py
@@ -13,6 +13,7 @@
         "steering",
         "moves",
         "machines",
+        "harm",
         "chooser",
         "purchases",
         "entry",
--- a/radishstile/daemon/purchases.py
+++ b/radishstile/daemon/purchases.py
@@ -12,34 +12,16 @@
 from radishstile.outcome import Outcome, Reason
 from radishstile.run.fingerprint import hash_key, hash_request
 from radishstile.run.record import RunAnswer, RunReport, RunState, Verdict
+from radishstile.run.refusal import build_refusal
 
 _LOG = logging.getLogger("radishstile.purchases")
 ANSWER_LIMIT_BYTES = 16 * 1_048_576
-_RETRY_AFTER_S = 1.0
 
 _STATES = {
     Outcome.NOT_RUN: RunState.NOT_RUN,
     Outcome.RAN: RunState.RAN,
     Outcome.UNKNOWN: RunState.UNKNOWN,
 }
-_REFUSALS = {
-    Verdict.RAN: (Reason.DUPLICATE, Outcome.RAN),
-    Verdict.RUNNING: (Reason.DUPLICATE, Outcome.UNKNOWN),
-    Verdict.UNKNOWN: (Reason.DUPLICATE, Outcome.UNKNOWN),
-    Verdict.MISMATCH: (Reason.BAD_REQUEST, Outcome.NOT_RUN),
-    Verdict.UNAVAILABLE: (Reason.RECORD_UNAVAILABLE, Outcome.NOT_RUN),
-    Verdict.NOT_HOME: (Reason.RECORD_UNAVAILABLE, Outcome.NOT_RUN),
-    Verdict.NOT_RUN: (Reason.DUPLICATE, Outcome.NOT_RUN),
-}
-_DETAILS = {
-    Verdict.RAN: "a request with this idempotency key has run",
-    Verdict.RUNNING: "a request with this idempotency key is running",
-    Verdict.UNKNOWN: "a request with this idempotency key may have run",
-    Verdict.MISMATCH: "this idempotency key was used for another request",
-    Verdict.UNAVAILABLE: "the run can't be recorded now",
-    Verdict.NOT_HOME: "the run can't be recorded now",
-    Verdict.NOT_RUN: "a request with this idempotency key did not run",
-}
 
 
 class Purchases:
@@ -114,7 +96,7 @@
             return await self._run(session, order, key, attempt)
         if known.verdict is Verdict.RAN and known.answer is not None:
             return Answer(known.status, [], _iterate(known.answer))
-        raise make_refusal(known)
+        raise build_refusal(known)
 
     async def _record(
         self, key: bytes, fingerprint: bytes, attempt: str, order: Order
@@ -170,15 +152,3 @@
 
 async def _iterate(body: bytes) -> AsyncIterator[bytes]:
     yield body
-
-
-def make_refusal(known: RunAnswer) -> RefusalError:
-    """Return the refusal that tells a caller what is known of its key."""
-    reason, outcome = _REFUSALS[known.verdict]
-    has_wait = reason is Reason.RECORD_UNAVAILABLE
-    return RefusalError(
-        reason,
-        outcome,
-        _RETRY_AFTER_S if has_wait else None,
-        _DETAILS[known.verdict],
-    )
--- a/radishstile/fleet/share.py
+++ b/radishstile/fleet/share.py
@@ -3,10 +3,12 @@
 from radishstile.fleet.account import Account
 
 HEADROOM = 2.0
-POOL_PART_RATE = 0.1
-POOL_PART_BURST = 0.5
+POOL_PART_RATE = 0.02
+POOL_PART_BURST = 0.1
 MIN_BURST = 1
-TOLERANCE = 0.1
+MIN_USE = 0.5
+RECALL_TOLERANCE = 0.3
+GROWTH_TOLERANCE = 0.1
 
 
 class Share:
@@ -20,7 +22,7 @@
 
     def is_below(self, account: Account) -> bool:
         """Return whether the holder has clearly more than its share."""
-        margin = 1 + TOLERANCE
+        margin = 1 + RECALL_TOLERANCE
         return (
             account.current_rate > self.rate * margin
             or account.current_burst > self.burst * margin
@@ -28,7 +30,7 @@
 
     def is_above(self, account: Account) -> bool:
         """Return whether the holder has clearly less than its share."""
-        margin = 1 - TOLERANCE
+        margin = 1 - GROWTH_TOLERANCE
         return (
             account.rate < self.rate * margin
             or account.burst < self.burst * margin
@@ -56,9 +58,10 @@
     rate: float, burst: int, demand: float, whole_demand: float
 ) -> Share:
     part = demand / whole_demand
-    part = min(part, HEADROOM * demand / rate) if rate > 0 else part
-    rate_part = part * (1 - POOL_PART_RATE * (1 - part))
-    burst_part = part * (1 - POOL_PART_BURST * (1 - part))
+    use = HEADROOM * whole_demand / rate if rate > 0 else 1.0
+    used_part = part * max(MIN_USE, min(1.0, use))
+    rate_part = used_part * (1 - POOL_PART_RATE * (1 - part))
+    burst_part = used_part * (1 - POOL_PART_BURST * (1 - part))
     whole_burst = int(burst * burst_part)
     if whole_burst < MIN_BURST:
         return Share(0.0, 0)
--- a/radishstile/upstream/slot.py
+++ b/radishstile/upstream/slot.py
@@ -1,5 +1,7 @@
 """Slots of one upstream, leases of them and results of their requests."""
 
+import math
+
 
 class SlotLease:
     """The right to send one request to one upstream until `deadline`."""
@@ -116,15 +118,17 @@
     passed, because upstreams stop at the deadline that they were given.
     """
 
-    __slots__ = ("_expiries", "_closed_until")
+    __slots__ = ("_expiries", "_first_expiry", "_closed_until")
 
     def __init__(self):
         self._expiries: dict[int, float] = {}
+        self._first_expiry = math.inf
         self._closed_until = 0.0
 
     def occupy(self, number: int, until: float) -> None:
         """Occupy one slot for lease `number` until it is freed or `until`."""
         self._expiries[number] = until
+        self._first_expiry = min(self._first_expiry, until)
 
     def free(self, number: int) -> None:
         """Free the slot of lease `number`, if it is still occupied."""
@@ -136,11 +140,12 @@
 
     def count(self, now: float) -> int:
         """Return the slots occupied by leases."""
-        if not self._expiries:
-            return 0
+        if now < self._first_expiry:
+            return len(self._expiries)
         for number, until in list(self._expiries.items()):
             if until <= now:
                 del self._expiries[number]
+        self._first_expiry = min(self._expiries.values(), default=math.inf)
         return len(self._expiries)
 
     def is_closed(self, now: float) -> bool:
@@ -152,6 +157,9 @@
         times = [*self._expiries.values(), self._closed_until]
         return [until for until in times if until > now]
 
-    def list_deadlines(self) -> list[float]:
-        """Return the time at which each occupied slot frees itself."""
-        return list(self._expiries.values())
+    def list_deadlines(self, now: float, slots: int) -> list[float]:
+        """Return when each occupied slot of all `slots` is surely free."""
+        times = [until for until in self._expiries.values() if until > now]
+        if self.is_closed(now):
+            times += [self._closed_until] * slots
+        return times
--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -8,6 +8,7 @@
 from radishstile.workspace.settings import AdmissionSettings
 
 DEMAND_CHANGE = 0.25
+SILENCE_GAPS = 5
 
 
 class Reservation:
@@ -257,9 +258,14 @@
 
     def _measure_demand(self, now: float) -> float:
         elapsed_s = max(0.0, now - self._demand_at)
-        return self._demand * math.exp(
+        if elapsed_s >= self.settings.idle_return_s:
+            return 0.0
+        decayed = self._demand * math.exp(
             -elapsed_s / self.settings.demand_window_s
         )
+        if elapsed_s <= 0:
+            return decayed
+        return min(decayed, SILENCE_GAPS / elapsed_s)
 
     def _is_idle(self, now: float) -> bool:
         quiet_s = now - self._demand_at
--- a/test/wire/test_handshake.py
+++ b/test/wire/test_handshake.py
@@ -8,7 +8,7 @@
 from radishstile.wire.codec import Envelope, decode, encode
 from radishstile.wire.frames import FRAME_LIMIT_BYTES, build_frame, read_frame
 from radishstile.wire.messages.control import Hello, Proof
-from radishstile.wire.messages.fleet import Heartbeat, HeartbeatReply
+from radishstile.wire.messages.fleet import ClaimRight, HeartbeatReply
 from radishstile.wire.peer import PeerClient
 from test.wire._common import SECRET_BYTES, PeerTestCase, make_member
 
@@ -16,9 +16,9 @@
 
 
 async def echo(message, exchange):
-    if message.statement == ["slow"]:
+    if message.claim == ["slow"]:
         await asyncio.sleep(4)
-    await exchange.send(HeartbeatReply(statement=message.statement))
+    await exchange.send(HeartbeatReply(statement=message.claim))
 
 
 def make_hello(host: str = "a", **changes) -> Hello:
@@ -59,7 +59,7 @@
         self.assertTrue(reader.at_eof())
         self.assertEqual(self.counters.refused_handshakes, handshakes)
         self.assertEqual(self.counters.refused_frames, frames)
-        reply = await self.client.ask(Heartbeat(statement=[1]), 5)
+        reply = await self.client.ask(ClaimRight(claim=[1]), 5)
         self.assertEqual(reply.statement, [1])
         self.assertEqual(self.client._counters.reconnects, 0)
 
@@ -67,7 +67,7 @@
         reader, writer = await self.dial()
         await self.prove(reader, writer)
         await read_frame(reader)
-        writer.write(make_frame(Heartbeat(statement=[5]), exchange=1))
+        writer.write(make_frame(ClaimRight(claim=[5]), exchange=1))
         reply = decode_message(await read_frame(reader))
         self.assertEqual(reply.statement, [5])
 
@@ -77,7 +77,7 @@
             "sent a short nonce": make_frame(make_hello(nonce=b"n")),
             "grants no credit": make_frame(make_hello(credit_parts=0)),
             "malformed member": make_frame(make_hello(member={"host": "a"})),
-            "expected Hello": make_frame(Heartbeat(statement=[5]), 1),
+            "expected Hello": make_frame(ClaimRight(claim=[5]), 1),
             "frame of 5000 bytes": (5000).to_bytes(4, "big"),
             "not valid msgpack": build_frame(b"\xc1"),
         }
@@ -101,7 +101,7 @@
 
     async def test_handshake_during_stop_opens_no_session(self):
         running = asyncio.create_task(
-            self.client.ask(Heartbeat(statement=["slow"]), 20)
+            self.client.ask(ClaimRight(claim=["slow"]), 20)
         )
         reader, writer = await self.dial()
         await asyncio.sleep(1)
@@ -109,7 +109,7 @@
         await asyncio.sleep(1)
         await self.prove(reader, writer)
         await read_frame(reader)
-        writer.write(make_frame(Heartbeat(statement=[5]), exchange=1))
+        writer.write(make_frame(ClaimRight(claim=[5]), exchange=1))
         self.assertEqual(await wait_for(reader.read(), 10), b"")
         await running
         await stopping
@@ -123,7 +123,7 @@
     async def test_bad_frames_of_a_proved_peer_end_its_connection(self):
         too_large = (FRAME_LIMIT_BYTES + 1).to_bytes(4, "big")
         unknown_type = build_frame(b"\x94\x01\x01\xcd\x03\xe7\x90")
-        foreign = make_frame(Heartbeat(statement=[5]), 1, incarnation=2)
+        foreign = make_frame(ClaimRight(claim=[5]), 1, incarnation=2)
         for count, frame in enumerate((too_large, unknown_type, foreign), 1):
             reader, writer = await self.dial()
             await self.prove(reader, writer)
--- a/test/wire/test_peer.py
+++ b/test/wire/test_peer.py
@@ -10,7 +10,7 @@
     Failed,
     Refused,
 )
-from radishstile.wire.messages.fleet import Heartbeat, HeartbeatReply
+from radishstile.wire.messages.fleet import ClaimRight, HeartbeatReply
 from radishstile.wire.messages.run import (
     AnswerEnd,
     AnswerHead,
@@ -25,15 +25,15 @@
 
 
 async def echo(message, exchange):
-    await exchange.send(HeartbeatReply(statement=message.statement))
+    await exchange.send(HeartbeatReply(statement=message.claim))
 
 
 async def sleep_long(message, exchange):
     await asyncio.sleep(1000)
 
 
-def beat(*statement) -> Heartbeat:
-    return Heartbeat(statement=list(statement))
+def beat(*statement) -> ClaimRight:
+    return ClaimRight(claim=list(statement))
 
 
 def make_part(number: int) -> AnswerPart:
@@ -43,7 +43,7 @@
 class AskTest(PeerTestCase):
     async def test_replies_go_to_their_askers(self):
         async def answer_backwards(message, exchange):
-            await asyncio.sleep(10 - message.statement[0])
+            await asyncio.sleep(10 - message.claim[0])
             await echo(message, exchange)
 
         client, _ = await self.connect(answer_backwards)
@@ -92,7 +92,7 @@
         }
 
         async def fail(message, exchange):
-            raise errors[message.statement[0]]
+            raise errors[message.claim[0]]
 
         client, _ = await self.connect(fail)
         replies = [await client.ask(beat(n), 5) for n in errors]
@@ -113,7 +113,7 @@
     async def test_message_that_cant_be_sent_disturbs_nothing(self):
         client, _ = await self.connect(echo)
         with self.assertRaises(WireError):
-            await client.ask(Heartbeat(statement=7), 5)
+            await client.ask(ClaimRight(claim=7), 5)
         reply = await client.ask(beat(8), 5)
         self.assertEqual(reply.statement, [8])
         self.assertEqual(client._connection.exchanges, {})
@@ -131,11 +131,11 @@
         heard = []
 
         async def hear(message, exchange):
-            if message.statement[0] == "ask":
+            if message.claim[0] == "ask":
                 await echo(message, exchange)
             else:
                 await asyncio.sleep(1.0)
-                heard.append(message.statement[0])
+                heard.append(message.claim[0])
 
         client, _ = await self.connect(hear)
         for number in range(5):
@@ -149,7 +149,7 @@
         heard = []
 
         async def hear(message, exchange):
-            heard.append(message.statement[0])
+            heard.append(message.claim[0])
             raise ValueError
 
         client, _ = await self.connect(hear)
@@ -222,7 +222,7 @@
         sent = []
 
         async def send_parts(message, exchange):
-            if isinstance(message, Heartbeat):
+            if isinstance(message, ClaimRight):
                 await echo(message, exchange)
                 return
             for number in range(40):
