Refuse settings that could not work, without showing secrets

Found by the test: a wrong seed was told without its file, a seed's port could be 99999, nan and inf were taken for numbers (a time-out that never ends), an empty fleet secret was taken, and an operator's token that was given in place of its hash went into the line and so into the log.

--- a/radishstile/daemon/settings.py
+++ b/radishstile/daemon/settings.py
@@ -153,7 +153,10 @@
     """Return the daemon's settings; raises `SettingsError` with one line."""
     sections = read_settings(path, make_schema())
     for seed in sections["host"]["seeds"]:
-        parse_seed(seed)
+        try:
+            parse_seed(seed)
+        except SettingsError as error:
+            raise SettingsError(f"{path}: {error}") from error
     return DaemonSettings(sections)
 
 
@@ -161,7 +164,8 @@
     """Return the host, address and port of `NAME@ADDRESS:PORT`."""
     host, _, place = text.partition("@")
     address, _, port = place.rpartition(":")
-    if not (host and address and port.isdigit()):
+    is_port = port.isdecimal() and 0 < int(port) <= _PORT["maximum"]
+    if not (host and address and is_port):
         raise SettingsError(f"[host] seeds: {text!r} is not NAME@ADDRESS:PORT")
     return host, address, int(port)
 
@@ -185,6 +189,7 @@
         "type": "string",
         "pattern": "^[0-9a-f]{64}$",
         "description": "the SHA-256 of the operator's token, in hexadecimal",
+        "writeOnly": True,
     },
 }
 
@@ -237,6 +242,8 @@
     schema = {"type": _KINDS.get(kind, "string")}
     if kind in (int, float):
         schema["minimum"] = 0
+    if kind is str and parameter.default is inspect.Parameter.empty:
+        schema["minLength"] = 1
     if (section, name) in _CHOICES:
         schema["enum"] = _CHOICES[section, name]
     return schema
--- a/radishstile/settings.py
+++ b/radishstile/settings.py
@@ -5,6 +5,7 @@
 """
 
 import configparser
+import math
 from functools import partial
 
 import jsonschema
@@ -50,10 +51,12 @@
 
 
 def _convert_number(kind: type, text: str):
+    """Return a finite number, or the text, which then fails the schema."""
     try:
-        return kind(text)
+        number = kind(text)
     except ValueError:
         return text
+    return number if math.isfinite(number) else text
 
 
 def _convert_boolean(text: str):
@@ -81,6 +84,13 @@
     place = list(error.absolute_path)
     section = f" [{place[0]}]" if place else ""
     key = f" {place[1]}" if len(place) > 1 else ""
+    raise SettingsError(f"{path}:{section}{key}: {_describe(error)}")
+
+
+def _describe(error: jsonschema.ValidationError) -> str:
     expected = error.schema.get("description")
+    if error.schema.get("writeOnly"):
+        # The value may be a secret, and the line may go into a log.
+        return f"expected {expected}"
     hint = f" (expected {expected})" if expected else ""
-    raise SettingsError(f"{path}:{section}{key}: {error.message}{hint}")
+    return f"{error.message}{hint}"
