Understand a whole command line before anything is done

Cause: Fire applies what is left of the command line to a command's result, so `key issue bureau typo` issued a key and then failed, with the key lost. It also reads arguments as Python, so a body {"count": 1e5} was sent as {'count': 100000.0} and an idempotency key 1e5 as 100000.0. Commands now make a job, which runs after the last argument; texts stay texts; usage errors are one line; help needs no settings; a refused connection is told in words, and status shows the headroom.

Tests run the command as a process; FleetTest also shows that no caller's key is in what upstreams saw, logs at DEBUG, the console's spans, `trace` or the metrics of each host. Seen to fail before: the usage cases, and the order's body and key.

--- a/radishstile/cli/caller.py
+++ b/radishstile/cli/caller.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from radishstile.cli.client import describe
 from radishstile.errors import OperatorError
 from radishstile.http import headers as names
 
@@ -46,7 +47,7 @@
             ):
                 text = await response.text()
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise OperatorError(f"{self._url}: {error}") from error
+            raise OperatorError(f"{self._url}: {describe(error)}") from error
         return {
             "status": response.status,
             "outcome": response.headers.get(names.OUTCOME),
@@ -64,7 +65,7 @@
             async with session.get(url, params=query) as response:
                 result = await response.json()
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            raise OperatorError(f"{self._url}: {error}") from error
+            raise OperatorError(f"{self._url}: {describe(error)}") from error
         if response.status != 200:
             raise OperatorError(result.get("detail", str(response.status)))
         return result
--- a/radishstile/cli/client.py
+++ b/radishstile/cli/client.py
@@ -1,6 +1,8 @@
 """The operators' client of a daemon."""
 
 import json
+import os
+from functools import singledispatch
 from pathlib import Path
 
 import aiohttp
@@ -32,13 +34,33 @@
             ):
                 body = await response.json()
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            detail = str(error) or "no answer in time"
-            raise OperatorError(f"{self._url}: {detail}") from error
+            raise OperatorError(f"{self._url}: {describe(error)}") from error
         if response.status != 200:
             raise OperatorError(body.get("error", f"status {response.status}"))
         return body
 
 
+@singledispatch
+def describe(error) -> str:
+    """Return one line that says why there was no answer."""
+    return str(error) or type(error).__name__
+
+
+@describe.register
+def _(error: aiohttp.ClientConnectorError) -> str:
+    return f"can't connect: {os.strerror(error.errno or 0)}"
+
+
+@describe.register
+def _(error: aiohttp.ContentTypeError) -> str:
+    return f"status {error.status}, and the answer is not JSON"
+
+
+@describe.register
+def _(error: TimeoutError) -> str:
+    return "no answer in time"
+
+
 def read_json_file(path: str) -> object:
     """Return the JSON value in the file at `path`."""
     try:
--- a/radishstile/cli/command.py
+++ b/radishstile/cli/command.py
@@ -1,54 +1,62 @@
 """The `radishstile` command."""
 
 import asyncio
+import io
 import os
 import sys
+from contextlib import redirect_stderr, redirect_stdout
 
 import fire
 from fire.core import FireExit
-
-from radishstile.cli.caller import CallerClient
-from radishstile.cli.client import OperatorClient, read_json_file
+from fire.decorators import SetParseFn
+
+from radishstile.cli.job import (
+    Job,
+    LookupJob,
+    PatchJob,
+    SendJob,
+    get_name,
+    run_job,
+)
 from radishstile.cli.output import render
-from radishstile.cli.settings import ClientSettings, read_client_settings
+from radishstile.cli.settings import read_client_settings
 from radishstile.errors import RadishstileError
 
 SETTINGS_VARIABLE = "RADISHSTILE_SETTINGS"
 DEFAULT_SETTINGS = "radishstile.ini"
+_BAD_USAGE = 2
 
 
 class KeyCommands:
     """Issue and withdraw callers' keys."""
 
-    __slots__ = ("_run",)
-
-    def __init__(self, run):
-        self._run = run
+    __slots__ = ()
 
+    @SetParseFn(str)
     def issue(self, workspace: str):
         """Issue a key for WORKSPACE and print it once."""
-        return self._run("issue-key", workspace=str(workspace))
+        return Job("issue-key", {"workspace": workspace})
 
+    @SetParseFn(str)
     def withdraw(self, key_id: str):
         """Withdraw the key with the id KEY_ID."""
-        return self._run("withdraw-key", key_id=str(key_id))
+        return Job("withdraw-key", {"key_id": key_id})
 
 
 class DrainCommands:
     """Take an upstream or a region out of use."""
 
-    __slots__ = ("_run",)
-
-    def __init__(self, run):
-        self._run = run
+    __slots__ = ()
 
+    @SetParseFn(str, "name")
     def upstream(self, name: str, undo: bool = False):
         """Send no new work to the upstream NAME; --undo takes it back."""
-        return self._run("drain-upstream", upstream=str(name), undo=undo)
+        return Job("drain-upstream", {"upstream": name, "undo": undo})
 
+    @SetParseFn(str, "name")
     def region(self, name: str, cap_per_s: float):
         """Move all traffic out of the region NAME, at most CAP_PER_S."""
-        return self._run("drain-region", region=str(name), cap_per_s=cap_per_s)
+        return Job("drain-region", {"region": name, "cap_per_s": cap_per_s})
 
 
 class Commands:
@@ -58,61 +66,72 @@
     settings (default: RADISHSTILE_SETTINGS, or radishstile.ini).
     """
 
-    __slots__ = ("_settings", "_as_json", "key", "drain")
-
-    def __init__(self, settings: ClientSettings, as_json: bool):
-        self._settings = settings
-        self._as_json = as_json
-        self.key = KeyCommands(self._run)
-        self.drain = DrainCommands(self._run)
+    __slots__ = ("key", "drain")
 
-    def _run(self, command: str, **fields) -> str:
-        settings = self._settings
-        client = OperatorClient(
-            settings.url, settings.operator, settings.token
-        )
-        result = asyncio.run(client.execute(command, **fields))
-        return render(command, result, self._as_json)
+    def __init__(self):
+        self.key = KeyCommands()
+        self.drain = DrainCommands()
 
     def show(self, version: int = 0):
         """Show the configuration, or the one of VERSION."""
-        return self._run("show", version=version)
+        return Job("show", {"version": version})
 
+    @SetParseFn(str, "file")
     def patch(self, file: str, from_version: int):
         """Apply the patch in FILE, made from version FROM_VERSION."""
-        patch = read_json_file(str(file))
-        return self._run("patch", from_version=from_version, patch=patch)
+        return PatchJob(file, {"from_version": from_version})
 
     def history(self, limit: int = 20):
         """List who changed what, when and from which version."""
-        return self._run("history", limit=limit)
+        return Job("history", {"limit": limit})
 
     def diff(self, old: int, new: int):
         """Show what changed from version OLD to version NEW."""
-        return self._run("diff", old=old, new=new)
+        return Job("diff", {"old": old, "new": new})
 
-    def move(self, name: str, **fields):
-        """Plan a move NAME of a ROUTE's traffic, or --cancel it.
-
-        Flags: --route, --from-region, --to-region, --cap-per-s,
-        --target-share, --step, --pace-s, --cancel.
-        """
-        return self._run("move", name=str(name), **fields)
+    @SetParseFn(str, "name", "route", "from_region", "to_region")
+    def move(
+        self,
+        name: str,
+        route: str | None = None,
+        from_region: str | None = None,
+        to_region: str | None = None,
+        cap_per_s: float | None = None,
+        target_share: float | None = None,
+        step: float | None = None,
+        pace_s: float | None = None,
+        cancel: bool = False,
+    ):
+        """Plan a move NAME of a ROUTE's traffic, or --cancel it."""
+        fields = {
+            "name": name,
+            "route": route,
+            "from_region": from_region,
+            "to_region": to_region,
+            "cap_per_s": cap_per_s,
+            "target_share": target_share,
+            "step": step,
+            "pace_s": pace_s,
+            "cancel": cancel,
+        }
+        given = {key: v for key, v in fields.items() if v is not None}
+        return Job("move", given)
 
     def status(self):
         """Show hosts, versions, homes and headroom."""
-        return self._run("status")
+        return Job("status", {})
 
+    @SetParseFn(str)
     def trace(self, trace_id: str):
         """Show the spans of one request."""
-        return self._run("trace", trace_id=str(trace_id))
+        return Job("trace", {"trace_id": trace_id})
 
+    @SetParseFn(str)
     def lookup(self, route: str, client: str = ""):
         """Ask which entry hosts a caller of ROUTE should use."""
-        caller = CallerClient(self._settings.callers)
-        result = asyncio.run(caller.look_up(str(route), str(client)))
-        return render("lookup", result, self._as_json)
+        return LookupJob({"route": route, "client": client})
 
+    @SetParseFn(str)
     def send(
         self,
         path: str,
@@ -122,26 +141,65 @@
         idempotency_key: str = "",
     ):
         """Send one request as a caller, for trying things."""
-        caller = CallerClient(self._settings.callers)
-        result = asyncio.run(
-            caller.send(method, str(path), key, str(body), idempotency_key)
-        )
-        return render("send", result, self._as_json)
+        fields = {
+            "method": method,
+            "path": path,
+            "key": key,
+            "body": body,
+            "idempotency": idempotency_key,
+        }
+        return SendJob(fields)
 
 
 def main() -> None:
     """Run the command line; errors are one line and a non-zero exit."""
     arguments = sys.argv[1:]
     as_json = _take_flag(arguments, "--json")
+    path = _take_value(arguments, "--settings")
+    path = path or os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
+    job = _parse(arguments)
     try:
-        path = _take_value(arguments, "--settings")
-        path = path or os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
-        commands = Commands(read_client_settings(path), as_json)
-        fire.Fire(commands, command=arguments, name="radishstile")
+        settings = read_client_settings(path)
+        result = asyncio.run(run_job(job, settings))
     except RadishstileError as error:
         sys.exit(f"radishstile: {error}")
+    print(render(get_name(job), result, as_json))
+
+
+def _parse(arguments: list[str]) -> Job:
+    """Return the command to run; help and usage errors end the process."""
+    output = io.StringIO()
+    try:
+        with redirect_stdout(output), redirect_stderr(output):
+            job = fire.Fire(
+                Commands(), arguments, "radishstile", serialize=_hide_job
+            )
     except FireExit as error:
-        sys.exit(error.code)
+        if error.code:
+            _end_usage(output.getvalue())
+        job = None
+    if not isinstance(job, Job):
+        # Fire showed help, or was given no whole command.
+        print(_drop_notes(output.getvalue()))
+        sys.exit(0)
+    return job
+
+
+def _hide_job(result: object) -> object:
+    return "" if isinstance(result, Job) else result
+
+
+def _end_usage(text: str) -> None:
+    """End with Fire's first line, which says what is wrong."""
+    problem = text.strip().partition("\n")[0].removeprefix("ERROR: ")
+    print(f"radishstile: {problem}; see radishstile --help", file=sys.stderr)
+    sys.exit(_BAD_USAGE)
+
+
+def _drop_notes(text: str) -> str:
+    lines = text.strip().splitlines()
+    kept = [line for line in lines if not line.startswith("INFO: ")]
+    return "\n".join(kept).strip()
 
 
 def _take_flag(arguments: list[str], flag: str) -> bool:
--- a/radishstile/cli/output.py
+++ b/radishstile/cli/output.py
@@ -71,10 +71,12 @@
     for member in result["members"]:
         yield (
             f"  {member['host']:16} {member['zone']:12} {member['state']:10}"
-            f" configuration {member['configuration_version']}"
+            f" configuration {member['configuration_version'] or 'unknown'}"
         )
     for resource, host in sorted(result["homes"].items()):
         yield f"  {resource:32} {host}"
+    for region, free in sorted(result["headroom"].items()):
+        yield f"  region {region}: {free} free slots"
     for move in result["moves"]:
         yield f"  move {move['name']}: {move['state']}, share {move['share']}"
 
