Work out what each role costs at the target's size

Cause: the target names budgets for each daemon, and nobody could say which part of the system holds them. The command measures each mechanism at three or more sizes, fits a line and writes its tables into the page.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+capacity: $(READY)
+	$(RUN) -m bench.capacity $(if $(JSON),--json $(JSON))
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/capacity/claims.py
@@ -0,0 +1,185 @@
+"""Costs of claims and allotments at the home of a limit."""
+
+import random
+import time
+
+from bench.capacity import generator, target
+from bench.capacity.table import US_PER_S, Table, time_call
+from radishstile.daemon.rights import make_grant, read_grant
+from radishstile.fleet.allotment import Allotment, Claim
+from radishstile.fleet.home import Home
+from radishstile.wire.codec import Envelope, decode, encode
+from radishstile.wire.frames import PREFIX_BYTES
+from radishstile.wire.messages.fleet import ClaimRight
+from radishstile.workspace.limiter import Limiter
+from radishstile.workspace.settings import AdmissionSettings
+
+RESOURCE = "rate/workspace-000"
+EPOCH = 7
+RATE_PER_HOLDER = 50.0
+BURST_PER_HOLDER = 10
+STEP_S = 0.25
+TICKS_PER_S = 4
+REST_ROUNDS = 60
+LOAD_ROUNDS = 24
+WARM_ROUNDS = 20
+REST_USE = 0.2
+LOAD_USE = 0.9
+CALM_SPREAD = 0.05
+BUSY_SPREAD = 1.0
+
+
+class Exchange:
+    """One home and all its holders, with messages that arrive at once."""
+
+    __slots__ = ("home", "holders", "now", "claims", "pushes", "busy_s")
+
+    def __init__(self, count: int):
+        members = generator.make_members(count)
+        self.now = generator.NOW
+        settings = AdmissionSettings()
+        identities = [member.identity for member in members]
+        self.holders = {
+            identity: Limiter(RESOURCE, identity, settings, self.now)
+            for identity in identities
+        }
+        rate = RATE_PER_HOLDER * count
+        burst = BURST_PER_HOLDER * count
+        self.home = Home(RESOURCE, EPOCH, rate, burst, identities, self.now)
+        for holder in self.holders.values():
+            holder.adopt(EPOCH, self.now)
+        self.claims = 0
+        self.pushes = 0
+        self.busy_s = 0.0
+
+    def step(self, use: float, spread: float, rng: random.Random) -> None:
+        """Let a step of time pass with the given use of the limit."""
+        self.now += STEP_S
+        for holder in self.holders.values():
+            mean = use * RATE_PER_HOLDER * STEP_S
+            for _ in range(round(mean * rng.uniform(1 - spread, 1 + spread))):
+                holder.note_arrival(self.now)
+                token = holder.reserve(self.now)
+                if token is not None:
+                    token.spend(self.now)
+            claim = holder.make_claim(self.now)
+            if claim is not None:
+                self._carry(claim)
+        self._deliver(self._time(lambda: self.home.tick(self.now)))
+
+    def _carry(self, claim: Claim) -> None:
+        self.claims += 1
+        receive = self.home.receive
+        self._deliver(self._time(lambda: receive(claim, self.now)))
+
+    def _time(self, action):
+        began = time.process_time()
+        result = action()
+        self.busy_s += time.process_time() - began
+        return result
+
+    def _deliver(self, dispatches) -> None:
+        for dispatch in dispatches:
+            holder = self.holders[dispatch.holder]
+            if type(dispatch.message) is Allotment:
+                self.pushes += 1
+                holder.apply(dispatch.message, self.now)
+            else:
+                holder.adopt(dispatch.message.epoch, self.now)
+
+    def reset(self) -> None:
+        """Start the counts anew."""
+        self.claims = 0
+        self.pushes = 0
+        self.busy_s = 0.0
+
+
+def measure() -> list[Table]:
+    """Return the tables of claims and of a home's own ticks."""
+    return [_measure_messages(), _measure_claims(), _measure_members()]
+
+
+def _measure_messages() -> Table:
+    table = Table("claim", ["message", "bytes", "encode us", "decode us"])
+    claim = Claim(RESOURCE, ("akl-a-001", 1), 4, 7, 3, 9.5, 4, 0, 0, 2.5, 8.1)
+    message = ClaimRight(claim=claim.to_record())
+    allotment = Allotment(RESOURCE, EPOCH, 4, 10.5, 6, 1.5)
+    for name, each, read in (
+        ("claim", message, lambda m: Claim.from_record(m.claim)),
+        ("grant", make_grant([allotment]), read_grant),
+    ):
+        table.add(name, *_measure_message(each, read))
+    return table
+
+
+def _measure_message(message, read) -> list[float]:
+    envelope = Envelope(generator.INCARNATION, 1000, message)
+    content = encode(envelope)
+    return [
+        len(content) + PREFIX_BYTES,
+        time_call(lambda: encode(envelope)),
+        time_call(lambda: read(decode(content).message)),
+    ]
+
+
+def _measure_claims() -> Table:
+    table = Table(
+        "claims",
+        [
+            "holders",
+            "load",
+            "claims/s at the home",
+            "allotments/s",
+            "us a claim, ticks within",
+            "share of a core",
+        ],
+    )
+    for count in target.HOST_COUNTS:
+        rest = (REST_ROUNDS, REST_USE, CALM_SPREAD)
+        load = (LOAD_ROUNDS, LOAD_USE, BUSY_SPREAD)
+        for name, settings in (("rest", rest), ("load", load)):
+            table.add(count, name, *_run(count, *settings))
+    return table
+
+
+def _run(count: int, rounds: int, use: float, spread: float) -> list[float]:
+    rng = random.Random(target.SEED)
+    exchange = Exchange(count)
+    for _ in range(WARM_ROUNDS):
+        exchange.step(use, spread, rng)
+    exchange.reset()
+    for _ in range(rounds):
+        exchange.step(use, spread, rng)
+    elapsed_s = rounds * STEP_S
+    cost_us = exchange.busy_s * US_PER_S / max(1, exchange.claims)
+    return [
+        exchange.claims / elapsed_s,
+        exchange.pushes / elapsed_s,
+        cost_us,
+        exchange.busy_s / elapsed_s,
+    ]
+
+
+def _measure_members() -> Table:
+    """Measure what a home does four times a second for its members."""
+    table = Table(
+        "home-members",
+        ["holders", "note members ms", "tick ms", "share of a core"],
+    )
+    for count in target.HOST_COUNTS:
+        rng = random.Random(target.SEED)
+        exchange = Exchange(count)
+        for _ in range(WARM_ROUNDS):
+            exchange.step(REST_USE, CALM_SPREAD, rng)
+        home, now = exchange.home, exchange.now
+
+        def note(home=home, holders=exchange.holders, now=now) -> None:
+            for identity in holders:
+                home.add_member(identity, now)
+
+        note_us = time_call(note)
+        tick_us = time_call(lambda home=home, now=now: home.tick(now))
+        share = TICKS_PER_S * (note_us + tick_us) / US_PER_S
+        table.add(count, note_us / 1000, tick_us / 1000, share)
+    table.fit(2, "ms a holder")
+    return table
--- /dev/null
+++ b/bench/capacity/processes.py
@@ -0,0 +1,179 @@
+"""Costs of real daemons on the loopback address, in small fleets."""
+
+import asyncio
+
+import aiohttp
+
+from bench.capacity import target
+from bench.capacity.process_fleet import MeasuredFleet, Usage, run_fleet
+from bench.capacity.table import US_PER_S, Table
+
+FLEET_SIZES = (4, 12, 22)
+JOIN_SETTLE_S = 3.0
+REST_S = 15.0
+CHANGES = 5
+CHANGE_GAP_S = 2.0
+LOOKUPS = 4000
+LOOKUP_TASKS = 8
+MS_PER_S = 1000
+
+
+def measure() -> list[Table]:
+    """Return the tables of rest, of changes, of a start and of look-ups."""
+    return asyncio.run(_measure())
+
+
+async def _measure() -> list[Table]:
+    rest = Table(
+        "rest",
+        [
+            "hosts",
+            "core, mean",
+            "core, most",
+            "B/s in, mean",
+            "B/s out, mean",
+            "resident MB, mean",
+            "resident MB, most",
+            "store calls/s",
+        ],
+    )
+    change = Table(
+        "change",
+        [
+            "hosts",
+            "bytes in a host and change",
+            "bytes out a host and change",
+            "core ms a host and change",
+            "in force everywhere s, most",
+        ],
+    )
+    start = Table(
+        "start",
+        [
+            "hosts",
+            "ready s",
+            "core s",
+            "bytes in",
+            "bytes out",
+            "store reads",
+            "store writes, fleet",
+        ],
+    )
+    lookup = Table("lookup-http", ["hosts", "core us", "core at the target"])
+    for count in FLEET_SIZES:
+        async with run_fleet(count) as fleet:
+            usage = await _rest(fleet)
+            rest.add(count, *usage)
+            change.add(count, *await _change(fleet, usage))
+            start.add(count, *await _start(fleet))
+            lookup.add(count, *await _look_up(fleet))
+    for column in (1, 3, 5):
+        rest.fit(column, "a host")
+    change.fit(1, "B a host")
+    return [rest, change, start, lookup]
+
+
+async def _read_all(fleet: MeasuredFleet) -> list[Usage]:
+    return [await fleet.read_usage(host) for host in fleet.running]
+
+
+async def _rest(fleet: MeasuredFleet) -> list[float]:
+    calls = await fleet.count_store_calls()
+    before = await _read_all(fleet)
+    await asyncio.sleep(REST_S)
+    after = await _read_all(fleet)
+    later = await fleet.count_store_calls()
+    pairs = list(zip(before, after, strict=True))
+    cores = [(new.core_s - old.core_s) / REST_S for old, new in pairs]
+    came = [(new.bytes_in - old.bytes_in) / REST_S for old, new in pairs]
+    went = [(new.bytes_out - old.bytes_out) / REST_S for old, new in pairs]
+    resident = [fleet.read_resident_mb(host) for host in fleet.running]
+    kinds = ("reads", "writes", "watches", "lists")
+    made = sum(later[kind] - calls[kind] for kind in kinds)
+    return [
+        _mean(cores),
+        max(cores),
+        _mean(came),
+        _mean(went),
+        _mean(resident),
+        max(resident),
+        made / REST_S,
+    ]
+
+
+async def _change(fleet: MeasuredFleet, rest: list[float]) -> list[float]:
+    """Measure changes, less what the same time costs at rest."""
+    clock = asyncio.get_running_loop().time
+    client = fleet.operate()
+    before = await _read_all(fleet)
+    began = clock()
+    waits = []
+    for _ in range(CHANGES):
+        asked_at = clock()
+        issued = await client.execute("issue-key", workspace="employer-0")
+        await fleet.wait_version(issued["version"])
+        waits.append(clock() - asked_at)
+        await asyncio.sleep(CHANGE_GAP_S)
+    after = await _read_all(fleet)
+    elapsed_s = clock() - began
+    core, _, came, went, *_ = rest
+    pairs = list(zip(before, after, strict=True))
+    bytes_in = _mean([new.bytes_in - old.bytes_in for old, new in pairs])
+    bytes_out = _mean([new.bytes_out - old.bytes_out for old, new in pairs])
+    core_s = _mean([new.core_s - old.core_s for old, new in pairs])
+    return [
+        (bytes_in - came * elapsed_s) / CHANGES,
+        (bytes_out - went * elapsed_s) / CHANGES,
+        (core_s - core * elapsed_s) / CHANGES * MS_PER_S,
+        max(waits),
+    ]
+
+
+async def _start(fleet: MeasuredFleet) -> list[float]:
+    clock = asyncio.get_running_loop().time
+    calls = await fleet.count_store_calls()
+    began = clock()
+    await fleet.start_spare()
+    host = fleet.running[-1]
+    ready_s = clock() - began
+    usage = await fleet.read_usage(host)
+    # The roster that has the new host comes a little later.
+    await asyncio.sleep(JOIN_SETTLE_S)
+    later = await fleet.count_store_calls()
+    reads = later["reads"] - calls["reads"]
+    writes = later["writes"] - calls["writes"]
+    return [
+        ready_s,
+        usage.core_s,
+        usage.bytes_in,
+        usage.bytes_out,
+        reads,
+        writes,
+    ]
+
+
+async def _look_up(fleet: MeasuredFleet) -> list[float]:
+    host = fleet.hosts[0]
+    port = fleet.ports[host].http
+    url = f"http://127.0.0.1:{port}/lookup?route=slips"
+    before = fleet.read_core_s(host)
+    async with (
+        aiohttp.ClientSession() as session,
+        asyncio.TaskGroup() as group,
+    ):
+        for _ in range(LOOKUP_TASKS):
+            group.create_task(_ask(session, url, LOOKUPS // LOOKUP_TASKS))
+    cost_us = (fleet.read_core_s(host) - before) / LOOKUPS * US_PER_S
+    rate = target.LOOKUPS_PER_S / target.HOSTS
+    return [cost_us, cost_us * rate / US_PER_S]
+
+
+async def _ask(session: aiohttp.ClientSession, url: str, count: int) -> None:
+    for _ in range(count):
+        async with session.get(url) as response:
+            response.raise_for_status()
+            await response.read()
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values)
--- /dev/null
+++ b/bench/capacity/store.py
@@ -0,0 +1,84 @@
+"""Calls to the platform's store, by the mechanisms that make them."""
+
+from bench.capacity import generator, target
+from bench.capacity.table import Table
+from radishstile.fleet.settings import FleetSettings
+from radishstile.run.settings import RunSettings
+
+CONFIGURATION_WATCH_S = 3.0
+ROSTER_WATCH_S = 30.0
+LIST_INTERVAL_S = 1.5
+WRITES_PER_CHANGE = 2
+READS_PER_SUBMIT = 1
+READS_PER_START = 2
+ARRIVAL_STEP = 8
+RUSH_S = 10.0
+MOVES_RUNNING = 2
+MOVE_PACE_S = 30.0
+
+
+def measure() -> list[Table]:
+    """Return the table of calls at rest and in the rush."""
+    table = Table(
+        "store",
+        [
+            "hosts",
+            "when",
+            "watches/s",
+            "lists/s",
+            "reads/s",
+            "writes/s",
+            "part of the reads",
+            "part of the writes",
+        ],
+    )
+    for hosts in (target.HOST_COUNTS[0], target.HOSTS):
+        table.add(hosts, "rest", *_rest(hosts))
+        table.add(hosts, "a zone returns", *_rush(hosts))
+    table.notes.append(
+        "Counted from the intervals of the watches, the list, the moves and "
+        "the journal at its most; a waiting watch counts as one call. Each "
+        "start reads two objects; the rush is over "
+        f"{RUSH_S:.0f} s."
+    )
+    return [table]
+
+
+def _rest(hosts: int) -> list[float]:
+    zones = len(generator.list_zones(hosts))
+    watchers = zones * FleetSettings().watchers_per_zone
+    watches = watchers / CONFIGURATION_WATCH_S + watchers / ROSTER_WATCH_S
+    changes = target.CHANGES_PER_DAY / target.DAY_S
+    # One planner of each zone asks for the list.
+    lists = zones / LIST_INTERVAL_S
+    reads = changes * READS_PER_SUBMIT + _find_starts() * READS_PER_START
+    runs = RunSettings()
+    writes = changes * WRITES_PER_CHANGE + _find_starts()
+    writes += MOVES_RUNNING / MOVE_PACE_S
+    writes += runs.partitions / runs.write_interval_s
+    return _add_parts(watches, lists, reads, writes)
+
+
+def _rush(hosts: int) -> list[float]:
+    watches, lists, reads, writes, *_ = _rest(hosts)
+    zones = len(generator.list_zones(hosts))
+    returning = -(-hosts // zones)
+    versions = -(-returning // ARRIVAL_STEP)
+    # A planner of each zone tries; the losers of a version read it again.
+    writes += versions * zones / RUSH_S
+    reads += (returning * READS_PER_START + versions * (zones - 1)) / RUSH_S
+    watchers = zones * FleetSettings().watchers_per_zone
+    watches += versions * watchers / RUSH_S
+    return _add_parts(watches, lists, reads, writes)
+
+
+def _find_starts() -> float:
+    return target.RESTARTS_PER_DAY / target.DAY_S
+
+
+def _add_parts(
+    watches: float, lists: float, reads: float, writes: float
+) -> list[float]:
+    part_of_reads = (watches + lists + reads) / target.STORE_READS_PER_S
+    part_of_writes = writes / target.STORE_WRITES_PER_S
+    return [watches, lists, reads, writes, part_of_reads, part_of_writes]
--- /dev/null
+++ b/test/bench/test_capacity.py
@@ -0,0 +1,73 @@
+"""Tests of `bench.capacity`: lines, pages and the model of a fan-out."""
+
+import unittest
+
+from bench.capacity import generator
+from bench.capacity.changes import Costs, spread_version
+from bench.capacity.page import fill_page
+from bench.capacity.table import Line, Table
+from radishstile.configuration.document import Configuration
+
+PAGE = """\
+Before.
+<!-- measured: rest -->
+old
+<!-- end -->
+<!-- measured: other -->
+kept
+<!-- end -->
+"""
+
+
+def make_table(name):
+    table = Table(name, ["hosts", "B"])
+    for hosts in (22, 100, 450):
+        table.add(hosts, 10.0 + 2.0 * hosts)
+    return table
+
+
+class PageTest(unittest.TestCase):
+    def test_table_replaces_what_stood_between_its_markers(self):
+        table = make_table("rest")
+        fitted = table.fit(1, "B a host")
+        page = fill_page(PAGE, {"rest": table})
+        self.assertEqual(fill_page(page, {"rest": table}), page)
+        self.assertNotIn("old", page)
+        self.assertIn("| 450 | 910 |", page)
+        self.assertIn("10 + 2 B a host; worst residual 0%", page)
+        self.assertTrue(page.startswith("Before.\n"))
+        self.assertIn("kept", page)
+        self.assertAlmostEqual(fitted, 910.0)
+
+    def test_table_without_a_place_is_an_error(self):
+        with self.assertRaisesRegex(KeyError, "missing"):
+            fill_page(PAGE, {"missing": make_table("missing")})
+
+    def test_residual_tells_a_square_from_a_line(self):
+        sizes = [22, 100, 450]
+        line = Line.through(sizes, [size**2 for size in sizes])
+        self.assertGreater(line.residual, 0.05)
+        # A whole run through flat figures is a line too.
+        self.assertEqual(Line.through(sizes, [3.0] * 3).slope, 0.0)
+
+
+class FleetTest(unittest.TestCase):
+    def test_documents_of_every_size_are_valid(self):
+        for hosts in (4, 22, 100):
+            document = generator.make_document(hosts)
+            configuration = Configuration(1, document)
+            self.assertEqual(len(configuration.upstreams), 2 * hosts)
+
+    def test_version_reaches_every_host_and_each_copy_is_counted(self):
+        members = generator.make_members(66)
+        receipts = spread_version(members, Costs(100, 0.001, 0.01))
+        sent = sum(receipt.sent for receipt in receipts.values())
+        received = sum(receipt.received for receipt in receipts.values())
+        watchers = sum(receipt.hops == 0 for receipt in receipts.values())
+        self.assertTrue(all(r.at is not None for r in receipts.values()))
+        self.assertEqual(received, sent + watchers)
+        self.assertEqual(watchers, 22)
+
+
+if __name__ == "__main__":
+    unittest.main()
