--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,8 @@
 bench: $(READY)
 	$(RUN) -m bench $(NAMES)
 
+capacity: $(READY)
+	$(RUN) -m bench.capacity $(if $(JSON),--json $(JSON))
+
 clean:
 	rm -rf $(VENV) build *.egg-info
