--- a/test/workspace/test_gate.py
+++ b/test/workspace/test_gate.py
@@ -6,7 +6,7 @@
 from radishstile.fleet.allotment import Allotment, Claim, Inquiry
 from radishstile.fleet.home import Home
 from radishstile.outcome import Reason
-from radishstile.workspace.gate import Gate
+from radishstile.workspace.gate import Gate, _wait_event
 from radishstile.workspace.limiter import Limiter
 from radishstile.workspace.settings import AdmissionSettings
 from test._common import PausedTestCase
@@ -81,14 +81,20 @@
 
     async def test_overload_refuses_within_the_short_bound(self):
         await self.open_home()
+        tasks = []
         for _ in range(400):
-            asyncio.create_task(self.admit()).add_done_callback(
-                asyncio.Task.exception
-            )
+            tasks.append(asyncio.create_task(self.admit()))
             await asyncio.sleep(0.002)
         start = self.now
         await self.refuse()
         self.assertLessEqual(self.now - start, 0.25)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_wait_below_the_clock_resolution_lets_time_pass(self):
+        event = asyncio.Event()
+        start = self.now
+        await _wait_event(event, 1e-12)
+        self.assertGreaterEqual(self.now - start, 0.001)
 
     async def test_home_away_leaves_what_is_held(self):
         await self.open_home()
