Measure, brake and return planned moves as their home should

Cause: the daemon drove moves by instantaneous samples, kept the hints of hosts that had ended, asked homes one after another, could not slow a move while the store was out, and let a deleted move return its traffic at once.

- Hints of ended hosts are dropped; hosts report at most 150 times a second to one home, so each 3 s with 450 hosts.
- Each move has a task; homes are asked at the same time; calls of the store are bounded, so a silent peer or store holds up one move only.
- A request held back or not moved keeps to its client's region, also on a host of the target that it was sent to before a step back.
- A drain splits its cap by the routes' measured loads; names stay within 63.

--- a/radishstile/daemon/handlers.py
+++ b/radishstile/daemon/handlers.py
@@ -121,11 +121,19 @@
     message: fleet.LoadQuery, exchange: Exchange, parts: Parts
 ) -> None:
     reply = fleet.LoadReply(
-        rows=parts.moves.list_loads(), moved=parts.moves.list_moved()
+        rows=parts.moves.loads.list_rows(), moved=parts.moves.list_moved()
     )
     await exchange.send(reply)
 
 
+@handle.register
+async def _(
+    message: fleet.RouteLoadQuery, exchange: Exchange, parts: Parts
+) -> None:
+    per_s = parts.steering.list_route_loads(message.region)
+    await exchange.send(fleet.RouteLoadReply(per_s=per_s))
+
+
 @handle.register
 async def _(
     message: fleet.MoveReport, exchange: Exchange, parts: Parts
--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -4,6 +4,7 @@
 import logging
 from functools import singledispatchmethod
 
+from radishstile.configuration.document import Move
 from radishstile.daemon.hint import make_hint, read_hint
 from radishstile.daemon.journals import JournalKeeper
 from radishstile.daemon.node import Node, read_clock
@@ -43,7 +44,14 @@
 class Homes:
     """Opens a service for each resource that the roster gives this host."""
 
-    __slots__ = ("_node", "_peers", "lanes", "_open", "_leaving")
+    __slots__ = (
+        "_node",
+        "_peers",
+        "lanes",
+        "_open",
+        "_leaving",
+        "_braked_rates",
+    )
 
     def __init__(self, node: Node, peers: Peers):
         self._node = node
@@ -51,6 +59,8 @@
         self.lanes = None
         self._open: dict[str, OpenHome] = {}
         self._leaving: frozenset[str] = frozenset()
+        # Rates of moves below their caps, in requests a second.
+        self._braked_rates: dict[str, float] = {}
 
     async def sync(self, group: asyncio.TaskGroup) -> None:
         """Open, update and close services after a change of versions."""
@@ -121,6 +131,15 @@
         for slots in self.list_slots():
             slots.apply_leaving(names)
 
+    async def brake_move(self, name: str, rate_per_s: float | None) -> None:
+        """Hold a move served here below its cap, or again at it (None)."""
+        self._braked_rates.pop(name, None)
+        if rate_per_s is not None:
+            self._braked_rates[name] = rate_per_s
+        resource = MoveResource(name)
+        if resource.name in self._open:
+            await self._update(resource, resource.name)
+
     async def release_all(self) -> None:
         """Let what runs finish, and hand every resource back."""
         for slots in self.list_slots():
@@ -183,8 +202,8 @@
         move = self._node.configuration.moves.get(resource.move)
         if move is None:
             return None
-        burst = int(size_burst(move, self._node.settings.moves))
-        return self._make_rights(resource.name, entry, move.cap_per_s, burst)
+        rate_per_s, burst = self._limit_move(move)
+        return self._make_rights(resource.name, entry, rate_per_s, burst)
 
     @_make_service.register
     def _(self, resource: SlotsResource, entry: HomeEntry):
@@ -196,6 +215,12 @@
     def _(self, resource: JournalResource, entry: HomeEntry):
         return JournalKeeper(resource.partition, self._node)
 
+    def _limit_move(self, move: Move) -> tuple[float, int]:
+        """Return the rate and burst of a move's budget."""
+        burst = int(size_burst(move, self._node.settings.moves))
+        braked = self._braked_rates.get(move.name, move.cap_per_s)
+        return min(move.cap_per_s, braked), burst
+
     def _make_rights(
         self, name: str, entry: HomeEntry, rate: float, burst: int
     ) -> RightsHome:
@@ -219,8 +244,8 @@
     async def _(self, resource: MoveResource, name: str) -> None:
         move = self._node.configuration.moves.get(resource.move)
         if move is not None:
-            burst = int(size_burst(move, self._node.settings.moves))
-            await self.find_service(name).set_limit(move.cap_per_s, burst)
+            limit = self._limit_move(move)
+            await self.find_service(name).set_limit(*limit)
 
     @_update.register
     async def _(self, resource: SlotsResource, name: str) -> None:
--- a/radishstile/daemon/moves.py
+++ b/radishstile/daemon/moves.py
@@ -5,45 +5,43 @@
 import logging
 
 from radishstile.daemon.homes import Homes
+from radishstile.daemon.loads import Loads
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peer, Peers
-from radishstile.daemon.resources import MoveResource, SlotsResource
+from radishstile.daemon.resources import MoveResource
 from radishstile.daemon.steering import Steering
-from radishstile.errors import (
-    PlatformError,
-    RefusalError,
-    VersionConflictError,
-    WireError,
-)
+from radishstile.errors import PlatformError, VersionConflictError
 from radishstile.member import Member
-from radishstile.shift.driver import MoveDriver, StepInputs, list_zones
-from radishstile.shift.measures import Measures, MoveHint, TargetHint
-from radishstile.shift.progress import MoveProgress
-from radishstile.wire.messages.fleet import (
-    LoadQuery,
-    LoadReply,
-    MovePush,
-    MoveReport,
-)
-from radishstile.wire.refusals import raise_refusal
+from radishstile.shift.brake import Brake
+from radishstile.shift.driver import MoveDriver, StepInputs, is_hot, list_zones
+from radishstile.shift.measures import Measures, MoveHint
+from radishstile.shift.progress import HoldReason, MoveProgress
+from radishstile.wire.messages.fleet import MovePush, MoveReport
 
 _LOG = logging.getLogger("radishstile.moves")
 _INTERVAL_S = 1.0
-_ASK_TIMEOUT_S = 1.0
+_STORE_TIMEOUT_S = 3.0
+_TELL_TIMEOUT_S = 1.0
 
 
 class Moves:
-    """Reports loads to the homes of moves, and is such a home itself."""
+    """Reports loads to the homes of moves, and is such a home itself.
+
+    Each move that is driven here has a task of its own, so a silent peer
+    holds up only the moves that need it.
+    """
 
     __slots__ = (
         "identity",
+        "loads",
         "_node",
         "_peers",
         "_homes",
         "_steering",
         "_measures",
         "_drivers",
-        "_is_loaded",
+        "_brakes",
+        "_tasks",
     )
 
     def __init__(
@@ -51,32 +49,25 @@
     ):
         host, incarnation = node.me.identity
         self.identity = f"{host}#{incarnation}"
+        self.loads = Loads(node, peers, homes)
         self._node = node
         self._peers = peers
         self._homes = homes
         self._steering = steering
         self._measures = Measures(node.settings.moves)
         self._drivers: dict[str, MoveDriver] = {}
-        self._is_loaded: set[str] = set()
+        self._brakes: dict[str, Brake] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
 
     async def run(self) -> None:
-        """Report and drive once a second."""
-        while True:
-            await asyncio.sleep(_INTERVAL_S)
-            await self._report()
-            for name in list(self._node.configuration.moves):
-                await self._drive(name)
-
-    def list_loads(self) -> list[list]:
-        """Return a row of `TargetHint` fields for each home of slots here."""
-        rows = []
-        for slots in self._homes.list_slots():
-            hints = slots.dispatcher.hints()
-            resource = slots.resource
-            busy = hints.slots - hints.free
-            room = [hints.free, busy, hints.queued, slots.rate_per_s]
-            rows.append([resource.zone, resource.group, *room])
-        return rows
+        """Report, and drive each move that this host is home of."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.loads.run())
+            group.create_task(self._report())
+            while True:
+                self._open_drives(group)
+                self._forget_ended()
+                await asyncio.sleep(_INTERVAL_S)
 
     def list_moved(self) -> dict[str, float]:
         """Return the moved requests a second of each move driven here."""
@@ -92,7 +83,9 @@
         home = self._node.fleet.find_home(MoveResource(name).name)
         if home is None:
             return 0.0
-        reply = await self._ask_loads(home)
+        if home == self._node.me:
+            return self.list_moved().get(name, 0.0)
+        reply = await self.loads.ask(home)
         return 0.0 if reply is None else reply.moved.get(name, 0.0)
 
     def take_hint(self, hint: MoveHint) -> None:
@@ -117,40 +110,89 @@
             )
             peer.move_versions[progress.name] = version
 
+    # Reports of this host
+
     async def _report(self) -> None:
-        now = read_clock()
-        for hint in self._steering.take_hints(now):
+        while True:
+            members = len(self._node.fleet.roster.members)
+            settings = self._node.settings.moves
+            await asyncio.sleep(settings.choose_interval(members))
+            await self._tell_homes()
+
+    async def _tell_homes(self) -> None:
+        rows: dict[Member, list] = {}
+        for hint in self._steering.take_hints(read_clock()):
             home = self._node.fleet.find_home(MoveResource(hint.move).name)
-            if home is None:
-                continue
             if home == self._node.me:
                 self.take_hint(hint)
-                continue
-            row = [getattr(hint, name) for name in hint.__slots__]
-            await self._peers.tell(home, MoveReport(rows=[row]))
+            elif home is not None:
+                row = [getattr(hint, name) for name in hint.__slots__]
+                rows.setdefault(home, []).append(row)
+        await asyncio.gather(*(self._tell(*item) for item in rows.items()))
 
-    async def _drive(self, name: str) -> None:
-        if not self._node.fleet.is_home(MoveResource(name).name):
-            self._drivers.pop(name, None)
-            self._is_loaded.discard(name)
-            return
+    async def _tell(self, home: Member, rows: list) -> None:
         try:
-            await self._step(name)
-        except PlatformError as error:
-            _LOG.warning("moves: %s waits for the store: %s", name, error)
-            self._is_loaded.discard(name)
+            async with asyncio.timeout(_TELL_TIMEOUT_S):
+                await self._peers.tell(home, MoveReport(rows=rows))
+        except TimeoutError:
+            _LOG.debug("moves: %s takes no reports.", home.host)
+
+    def _forget_ended(self) -> None:
+        """Drop the hints of hosts that ended: they would stay unknown."""
+        fleet = self._node.fleet
+        live = {
+            member.host
+            for identity, member in fleet.roster.members.items()
+            if fleet.find_evidence(identity) is None
+        }
+        live |= {m.host for m in fleet.list_entry_members(read_clock())}
+        for source in self._measures.list_sources() - live:
+            self._measures.forget(source)
 
-    async def _step(self, name: str) -> None:
+    # Driving
+
+    def _open_drives(self, group: asyncio.TaskGroup) -> None:
+        for name in self._node.configuration.moves:
+            task = self._tasks.get(name)
+            if self._is_home(name) and (task is None or task.done()):
+                self._tasks[name] = group.create_task(self._drive(name))
+
+    def _is_home(self, name: str) -> bool:
+        return self._node.fleet.is_home(MoveResource(name).name)
+
+    async def _drive(self, name: str) -> None:
+        """Drive one move until it is cancelled or has another home."""
         move = self._node.configuration.moves[name]
-        driver = self._drivers.get(name)
-        if driver is None:
-            driver = MoveDriver(self.identity, move, read_clock())
-            self._drivers[name] = driver
-        if name not in self._is_loaded:
-            await self._load(driver)
-        await self._measure(name)
-        if name not in self._node.configuration.moves:
-            return
+        driver = MoveDriver(self.identity, move, read_clock())
+        self._drivers[name] = driver
+        # Nothing is known of the store's object before it is read.
+        is_loaded = False
+        try:
+            while self._is_driven(name):
+                is_loaded = await self._step(driver, is_loaded)
+                await asyncio.sleep(_INTERVAL_S)
+        except Exception:
+            # One move must not end the others; it is opened again.
+            _LOG.exception("moves: Driving %s failed.", name)
+        finally:
+            del self._drivers[name]
+            await self._release_brake(name)
+
+    def _is_driven(self, name: str) -> bool:
+        """Return whether there is something left to do here for a move.
+
+        A move that was deleted has no home any more, and its last driver
+        still publishes that.
+        """
+        if name in self._node.configuration.moves:
+            return self._is_home(name)
+        return self._drivers[name].progress.state != "cancelled"
+
+    async def _step(self, driver: MoveDriver, is_loaded: bool) -> bool:
+        """Decide once; return whether the store's object is known."""
+        await self._measure(driver.progress.name)
+        if not is_loaded:
+            is_loaded = await self._load(driver)
         inputs = StepInputs(
             self._node.configuration,
             self._measures,
@@ -158,29 +200,47 @@
             read_clock(),
         )
         progress = driver.decide(inputs)
-        if progress is not None:
-            await self._publish(driver, progress)
+        await self._brake(driver, progress)
+        if progress is None or not is_loaded:
+            return is_loaded
+        return await self._publish(driver, progress)
 
-    async def _load(self, driver: MoveDriver) -> None:
+    async def _load(self, driver: MoveDriver) -> bool:
+        """Take what is published, from the store or else as known here."""
         name = driver.progress.name
-        stored = await self._node.store.read(_name_object(name))
+        try:
+            async with asyncio.timeout(_STORE_TIMEOUT_S):
+                stored = await self._node.store.read(_name_object(name))
+        except (PlatformError, TimeoutError) as error:
+            _LOG.warning("moves: %s waits for the store: %s", name, error)
+            self._load_known(driver)
+            return False
         if stored is not None:
             driver.load(stored.value, stored.version, read_clock())
             self.take_progress(driver.progress, stored.version)
-        self._is_loaded.add(name)
+        return True
+
+    def _load_known(self, driver: MoveDriver) -> None:
+        known = self._steering.find_progress(driver.progress.name)
+        if known is not None and known.version > driver.version:
+            record = known.progress.to_record()
+            driver.load(record, known.version, read_clock())
 
     async def _publish(
         self, driver: MoveDriver, progress: MoveProgress
-    ) -> None:
+    ) -> bool:
+        """Write a decision; return whether the store's object is known."""
         name = progress.name
-        record = progress.to_record()
         try:
-            version = await self._node.store.update(
-                _name_object(name), record, driver.version
-            )
+            async with asyncio.timeout(_STORE_TIMEOUT_S):
+                version = await self._node.store.update(
+                    _name_object(name), progress.to_record(), driver.version
+                )
         except VersionConflictError:
-            self._is_loaded.discard(name)
-            return
+            return False
+        except (PlatformError, TimeoutError) as error:
+            _LOG.warning("moves: %s waits for the store: %s", name, error)
+            return False
         driver.accept(progress, version)
         self.take_progress(progress, version)
         _LOG.info(
@@ -189,37 +249,73 @@
             progress.state,
             progress.share,
         )
+        return True
 
     async def _measure(self, name: str) -> None:
         """Ask the homes of the target's slots for their load."""
+        configuration = self._node.configuration
+        move = configuration.moves.get(name)
+        if move is None:
+            return
+        group = configuration.routes[move.route].group
+        for hint in await self.loads.ask_region(move.to_region, group):
+            self._measures.add(hint, read_clock())
+
+    # Braking
+
+    async def _brake(
+        self, driver: MoveDriver, progress: MoveProgress | None
+    ) -> None:
+        """Slow a move to a hot target at once, and ease it when it cools."""
+        name = driver.progress.name
+        if name not in self._node.configuration.moves:
+            return
+        if progress is not None and _is_step_back(progress):
+            await self._tighten(name, driver.progress.share, progress.share)
+        elif name in self._brakes and self._is_cool(name):
+            await self._ease(name)
+
+    async def _tighten(self, name: str, old: float, new: float) -> None:
+        now = read_clock()
+        brake = self._brakes.get(name)
+        if brake is None:
+            brake = Brake(self._find_rate(name), self._node.settings.moves)
+            self._brakes[name] = brake
+        if brake.tighten(1 - new / old, now):
+            await self._homes.brake_move(name, brake.rate_per_s)
+            _LOG.info("moves: %s braked to %.1f/s.", name, brake.rate_per_s)
+
+    def _find_rate(self, name: str) -> float:
+        """Return what moves now, or the cap where it isn't known."""
+        cap_per_s = self._node.configuration.moves[name].cap_per_s
+        load = self._measures.read_move(name, read_clock())
+        return cap_per_s if load is None else min(cap_per_s, load.moved_per_s)
+
+    def _is_cool(self, name: str) -> bool:
         configuration = self._node.configuration
         move = configuration.moves[name]
         group = configuration.routes[move.route].group
-        homes: set[Member] = set()
-        for zone in list_zones(configuration, move.to_region, group):
-            resource = SlotsResource(group, zone).name
-            home = self._node.fleet.find_home(resource)
-            if home is not None:
-                homes.add(home)
-        for home in homes:
-            asked_at = read_clock()
-            reply = await self._ask_loads(home)
-            if reply is None:
-                continue
-            for row in reply.rows:
-                # Dated from the question, so a late answer looks old.
-                self._measures.add(TargetHint(*row), asked_at)
+        zones = list_zones(configuration, move.to_region, group)
+        target = self._measures.read_target(zones, group, read_clock())
+        settings = self._node.settings.moves
+        return target is not None and not is_hot(target, settings)
 
-    async def _ask_loads(self, home: Member) -> LoadReply | None:
-        if home == self._node.me:
-            return LoadReply(rows=self.list_loads(), moved=self.list_moved())
-        try:
-            reply = await self._peers.ask(home, LoadQuery(), _ASK_TIMEOUT_S)
-            raise_refusal(reply)
-        except (WireError, RefusalError, TimeoutError) as error:
-            _LOG.debug("moves: No load of %s: %s", home.host, error)
-            return None
-        return reply
+    async def _ease(self, name: str) -> None:
+        brake = self._brakes[name]
+        if not brake.ease(read_clock()):
+            return
+        if brake.rate_per_s >= self._node.configuration.moves[name].cap_per_s:
+            await self._release_brake(name)
+            return
+        await self._homes.brake_move(name, brake.rate_per_s)
+
+    async def _release_brake(self, name: str) -> None:
+        if self._brakes.pop(name, None) is not None:
+            await self._homes.brake_move(name, None)
+
+
+def _is_step_back(progress: MoveProgress) -> bool:
+    return progress.state == "held" and progress.reason == HoldReason.HOT.value
 
 
 def _name_object(name: str) -> str:
--- a/radishstile/daemon/steering.py
+++ b/radishstile/daemon/steering.py
@@ -10,8 +10,10 @@
 from radishstile.lookup.table import BlockTable
 from radishstile.outcome import Reason
 from radishstile.shift.driver import publish_shares
+from radishstile.shift.event import Cancelled
 from radishstile.shift.guard import MoveGuard
 from radishstile.shift.measures import MoveHint
+from radishstile.shift.offered import OfferedLoads
 from radishstile.shift.progress import MoveProgress
 from radishstile.shift.share import Placement
 from radishstile.workspace.gate import Gate
@@ -71,6 +73,12 @@
         "_budgets",
         "_guard",
         "_directory",
+        "_table",
+        "_site_regions",
+        "_blocks",
+        "_moves",
+        "_targets",
+        "_offered",
     )
 
     def __init__(self, node: Node, gate: Gate):
@@ -81,13 +89,46 @@
         self._placement = Placement([], {})
         self._budgets: dict[str, LaneBudget] = {}
         self._guard = MoveGuard(self._placement, self._budgets, 0.0)
-        self._locator = Locator([], BlockTable.build([]), [])
+        self._table = BlockTable.build([])
+        self._site_regions: list[str] = []
+        self._blocks: list[dict] = []
+        self._moves: dict[str, dict] = {}
+        self._targets: dict[tuple[str, str], frozenset[str]] = {}
+        self._locator = Locator([], self._table, [])
+        self._offered = OfferedLoads()
 
     def apply_configuration(self) -> None:
         """Take the blocks and moves of the configuration in force."""
-        configuration = self._node.configuration
-        self._locator = Locator(configuration.blocks, BlockTable.build([]), [])
-        self._place_blocks()
+        document = self._node.configuration.document
+        blocks = document.get("blocks", [])
+        if blocks != self._blocks:
+            self._blocks = blocks
+            self._locate_blocks()
+        moves = document.get("moves", {})
+        if moves != self._moves:
+            self._moves = moves
+            self._cancel_deleted()
+            self._place_blocks()
+
+    def replace_table(
+        self, table: BlockTable, site_regions: list[str]
+    ) -> None:
+        """Use another table of blocks, whose sites are in these regions."""
+        self._table = table
+        self._site_regions = site_regions
+        self._locate_blocks()
+
+    def _locate_blocks(self) -> None:
+        blocks = self._node.configuration.blocks
+        self._locator = Locator(blocks, self._table, self._site_regions)
+
+    def _cancel_deleted(self) -> None:
+        """Let a deleted move begin at share zero if it is planned again."""
+        for name, published in self._published.items():
+            progress = published.progress
+            is_over = progress.state == "cancelled"
+            if name not in self._node.configuration.moves and not is_over:
+                published.progress = progress.apply(Cancelled(), read_clock())
 
     def refresh_members(self) -> None:
         """Name in look-ups the members that take new work now."""
@@ -103,13 +144,22 @@
         self._place_blocks()
         return True
 
+    def find_progress(self, name: str) -> PublishedProgress | None:
+        """Return the newest known progress of a move."""
+        return self._published.get(name)
+
     def list_progress(self) -> list[PublishedProgress]:
         """Return the progress of each configured move that is known."""
         moves = self._node.configuration.moves
         return [p for name, p in self._published.items() if name in moves]
 
+    def list_route_loads(self, region: str) -> dict[str, float]:
+        """Return the requests a second of each route from a region."""
+        return self._offered.list_rates(region)
+
     def take_hints(self, now: float) -> list[MoveHint]:
         """Return what this host saw of each move since the last call."""
+        self._offered.end_interval(now)
         return self._guard.take_hints(self._node.me.host, now)
 
     def look_up(self, route: str, client: str) -> dict:
@@ -133,13 +183,16 @@
     def steer(self, route: str, client: ClientAddress, now: float) -> Steer:
         """Return what the moves say of one request, and count it."""
         region = self._locator.find_region(client) or self._node.me.region
+        self._offered.count(route, region)
         place = self._guard.choose(route, region, client.block, now)
-        if place.move is None:
-            return Steer()
         if place.region != region:
             return Steer(place.region)
-        target = self._node.configuration.moves[place.move].to_region
-        return Steer(region, frozenset([target]))
+        targets = self._targets.get((route, region))
+        if targets is None:
+            return Steer()
+        # A caller may still follow an answer from before a step back, so a
+        # block that has not moved is not left to this host's own region.
+        return Steer(region, targets if place.move else frozenset())
 
     def _place_blocks(self) -> None:
         moves = self._node.configuration.moves
@@ -150,6 +203,12 @@
         shares = publish_shares(moves.values(), progresses)
         self._placement = Placement(moves.values(), shares)
         self._budgets.clear()
-        for name in moves:
+        targets: dict[tuple[str, str], set[str]] = {}
+        for name, move in moves.items():
             self._budgets[name] = LaneBudget(self._gate, name)
+            source = (move.route, move.from_region)
+            targets.setdefault(source, set()).add(move.to_region)
+        self._targets = {
+            source: frozenset(regions) for source, regions in targets.items()
+        }
         self._guard.replace_placement(self._placement, read_clock())
--- a/radishstile/operation/executor.py
+++ b/radishstile/operation/executor.py
@@ -18,12 +18,12 @@
 from radishstile.operation.status import describe_status
 from radishstile.shift.drain import plan_drain
 from radishstile.shift.patch import check_patch
-from radishstile.wire.messages.fleet import TraceQuery
+from radishstile.wire.messages.fleet import RouteLoadQuery, TraceQuery
 from radishstile.wire.refusals import raise_refusal
 from radishstile.workspace.key import hash_secret, issue_key
 
 _EDIT_TRIES = 5
-_TRACE_TIMEOUT_S = 1.0
+_ASK_TIMEOUT_S = 1.0
 
 
 class Executor:
@@ -128,8 +128,11 @@
 
 @carry_out.register
 async def _(command: commands.DrainRegion, operator, parts: Parts):
+    loads = await _ask_route_loads(command.region, parts)
+
     def make_patch(configuration: Configuration) -> dict:
-        moves = plan_drain(configuration, command.region, command.cap_per_s)
+        cap_per_s = command.cap_per_s
+        moves = plan_drain(configuration, command.region, cap_per_s, loads)
         return {"moves": moves}
 
     return await _edit(make_patch, operator, parts)
@@ -140,8 +143,13 @@
     def make_patch(configuration: Configuration) -> dict:
         if not command.cancel:
             return {"moves": {command.name: _make_move(command)}}
-        if command.name not in configuration.moves:
+        move = configuration.moves.get(command.name)
+        if move is None:
             raise OperatorError(f"unknown move {command.name!r}")
+        known = parts.steering.find_progress(command.name)
+        if move.target_share > 0 and known and known.progress.share > 0:
+            # Its traffic returns in steps; the next cancel deletes it.
+            return {"moves": {command.name: {"target_share": 0}}}
         return {"moves": {command.name: None}}
 
     return await _edit(make_patch, operator, parts)
@@ -168,10 +176,34 @@
     return sorted(spans, key=lambda span: span["started_ns"])
 
 
+async def _ask_route_loads(region: str, parts: Parts) -> dict[str, float]:
+    """Return the requests a second of each route from a region's clients."""
+    total = dict(parts.steering.list_route_loads(region))
+    asks = [
+        _ask_loads(member, region, parts)
+        for member in parts.node.fleet.list_entry_members(read_clock())
+        if member != parts.node.me
+    ]
+    for loads in await asyncio.gather(*asks):
+        for route, per_s in loads.items():
+            total[route] = total.get(route, 0.0) + per_s
+    return total
+
+
+async def _ask_loads(member, region: str, parts: Parts) -> dict[str, float]:
+    query = RouteLoadQuery(region=region)
+    try:
+        reply = await parts.peers.ask(member, query, _ASK_TIMEOUT_S)
+        raise_refusal(reply)
+    except (WireError, RefusalError, TimeoutError):
+        return {}
+    return reply.per_s
+
+
 async def _ask_trace(member, trace_id: str, parts: Parts) -> list[dict]:
     query = TraceQuery(trace_id=trace_id)
     try:
-        reply = await parts.peers.ask(member, query, _TRACE_TIMEOUT_S)
+        reply = await parts.peers.ask(member, query, _ASK_TIMEOUT_S)
         raise_refusal(reply)
     except (WireError, RefusalError, TimeoutError):
         return []
--- a/radishstile/shift/drain.py
+++ b/radishstile/shift/drain.py
@@ -1,23 +1,36 @@
 """Plans the drain of a region as moves of each of its routes."""
 
+from collections.abc import Mapping
+
+import xxhash
+
 from radishstile.configuration.document import Configuration, Route
 from radishstile.errors import OperatorError
 
+NAME_LIMIT = 63
+_DIGEST_LENGTH = 8
+_SLOTS_PART = 0.1
+
 
 def plan_drain(
-    configuration: Configuration, region: str, cap_per_s: float
+    configuration: Configuration,
+    region: str,
+    cap_per_s: float,
+    loads: Mapping[str, float] | None = None,
 ) -> dict[str, dict]:
     """Return the records of the moves that empty `region`, by name.
 
-    The records are as in the document's `moves`. `cap_per_s` is split by
-    slots over routes and targets. Moves out of one region take their shares
-    in turn of what remains, so the last one has the share 1. Raises
-    `OperatorError` where the region is unknown or a route has no upstreams
-    elsewhere.
+    The records are as in the document's `moves`. `cap_per_s` is split over
+    routes by `loads`, which maps a route to its requests a second, and by
+    slots where no load is known; over targets by slots. A tenth of it is
+    split by slots in any case, for routes whose load comes later. Moves out
+    of one region take their shares in turn of what remains, so the last one
+    has the share 1. Raises `OperatorError` where the region is unknown or a
+    route has no upstreams elsewhere.
     """
     if region not in configuration.regions:
         raise OperatorError(f"drain: unknown region {region!r}")
-    weights = _weigh_routes(configuration, region)
+    weights = _weigh_routes(configuration, region, loads or {})
     records: dict[str, dict] = {}
     for name, weight in weights.items():
         route = configuration.routes[name]
@@ -27,11 +40,26 @@
     return records
 
 
-def _weigh_routes(configuration: Configuration, region: str) -> dict[str, int]:
-    """Return the slots in `region` of each route that has some there.
+def _weigh_routes(
+    configuration: Configuration, region: str, loads: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the weight of each route that has slots in `region`."""
+    slots = _count_route_slots(configuration, region)
+    total = sum(loads.get(name, 0.0) for name in slots)
+    if total <= 0:
+        return slots
+    all_slots = sum(slots.values())
+    return {
+        name: (1 - _SLOTS_PART) * loads.get(name, 0.0) / total
+        + _SLOTS_PART * count / all_slots
+        for name, count in slots.items()
+    }
 
-    Routes of one group divide its slots evenly.
-    """
+
+def _count_route_slots(
+    configuration: Configuration, region: str
+) -> dict[str, float]:
+    """Return the slots in `region` of each route that has some there."""
     weights = {}
     for name, route in sorted(configuration.routes.items()):
         slots = count_slots(configuration, route.group).get(region, 0)
@@ -67,7 +95,7 @@
     records = {}
     left = total = sum(slots.values())
     for target, count in slots.items():
-        records[f"drain-{region}-{route.name}-{target}"] = {
+        records[_name_move(region, route.name, target)] = {
             "route": route.name,
             "from_region": region,
             "to_region": target,
@@ -76,3 +104,12 @@
         }
         left -= count
     return records
+
+
+def _name_move(region: str, route: str, target: str) -> str:
+    """Return a name within the limit, the same each time."""
+    name = f"drain-{region}-{route}-{target}"
+    if len(name) <= NAME_LIMIT:
+        return name
+    digest = xxhash.xxh3_64_hexdigest(name.encode())[:_DIGEST_LENGTH]
+    return f"{name[: NAME_LIMIT - _DIGEST_LENGTH - 1]}-{digest}"
--- a/radishstile/shift/driver.py
+++ b/radishstile/shift/driver.py
@@ -145,7 +145,7 @@
     if progress.state == "cancelled" or not progress.applies_to(move):
         return events.Restarted(move)
     situation = _Situation(move, inputs)
-    if _is_hot(situation.target, inputs.settings):
+    if is_hot(situation.target, inputs.settings):
         return _step_back(progress, situation, inputs.settings)
     if move.is_paused:
         return _hold(progress, events.Paused(), HoldReason.PAUSED)
@@ -154,7 +154,8 @@
     return _CHOICES[progress.state](progress, situation, inputs)
 
 
-def _is_hot(target: TargetMeasure | None, settings: ShiftSettings) -> bool:
+def is_hot(target: TargetMeasure | None, settings: ShiftSettings) -> bool:
+    """Return whether a target is known to have too little room."""
     if target is None:
         return False
     if target.free < settings.hot_free * target.slots:
--- a/radishstile/shift/measures.py
+++ b/radishstile/shift/measures.py
@@ -155,6 +155,12 @@
         for reports in self._moves.values():
             reports.pop(source, None)
 
+    def list_sources(self) -> set[str]:
+        """Return the names of the hosts whose hints are kept."""
+        return {
+            source for reports in self._moves.values() for source in reports
+        }
+
     def read_target(
         self, zones: Iterable[str], group: str, now: float
     ) -> TargetMeasure | None:
--- a/radishstile/shift/patch.py
+++ b/radishstile/shift/patch.py
@@ -9,11 +9,19 @@
 def check_patch(
     old: Configuration, new: Configuration, moving: Mapping[str, float]
 ) -> None:
-    """Refuse a cap below what its move moves now.
+    """Refuse a cap below what its move moves now, and its deletion.
 
-    `moving` maps a move's name to its moved load in requests a second.
-    Raises `ConfigurationError`.
+    Traffic of a deleted move returns at once and not in steps. `moving` maps
+    a move's name to its moved load in requests a second. Raises
+    `ConfigurationError`.
     """
+    for name, move in old.moves.items():
+        is_kept = name in new.moves or move.target_share == 0
+        if not is_kept and moving.get(name, 0.0) > 0:
+            raise ConfigurationError(
+                f"moves/{name}: {moving[name]:g} requests/s would return at "
+                f"once; lower target_share to 0 first"
+            )
     for name, move in new.moves.items():
         before = old.moves.get(name)
         if before is None or move.cap_per_s >= before.cap_per_s:
--- a/radishstile/shift/settings.py
+++ b/radishstile/shift/settings.py
@@ -13,7 +13,8 @@
     `step_back` of the share, at least by the move's step, and again by a
     measurement taken `step_back_pace_s` later. `min_step` is the smallest
     share worth a step. `burst_s` is the burst of a move's budget in seconds
-    of its cap.
+    of its cap. Hosts report each `report_s`, and more seldom where more than
+    `reports_per_s` would reach the home of one move.
     """
 
     __slots__ = (
@@ -27,6 +28,8 @@
         "step_back_pace_s",
         "min_step",
         "burst_s",
+        "report_s",
+        "reports_per_s",
     )
 
     def __init__(
@@ -41,6 +44,8 @@
         step_back_pace_s: float = 2.0,
         min_step: float = 0.001,
         burst_s: float = 0.1,
+        report_s: float = 1.0,
+        reports_per_s: float = 150.0,
     ):
         self.answer_ttl_s = answer_ttl_s
         self.max_age_s = max_age_s
@@ -52,3 +57,9 @@
         self.step_back_pace_s = step_back_pace_s
         self.min_step = min_step
         self.burst_s = burst_s
+        self.report_s = report_s
+        self.reports_per_s = reports_per_s
+
+    def choose_interval(self, hosts: int) -> float:
+        """Return the seconds between the reports of each of `hosts`."""
+        return max(self.report_s, hosts / self.reports_per_s)
--- a/radishstile/wire/messages/fleet.py
+++ b/radishstile/wire/messages/fleet.py
@@ -71,6 +71,22 @@
     moved: dict
 
 
+class RouteLoadQuery(Message):
+    """Asks a host for the load of each route from a region's clients."""
+
+    __slots__ = ("region",)
+
+    region: str
+
+
+class RouteLoadReply(Message):
+    """Answers with the requests a second of each route."""
+
+    __slots__ = ("per_s",)
+
+    per_s: dict
+
+
 class MoveReport(Message):
     """Tells a move's home what one host saw of it, as `MoveHint` fields."""
 
--- a/radishstile/wire/registry.py
+++ b/radishstile/wire/registry.py
@@ -39,4 +39,6 @@
     58: run.RunKnown,
     59: run.FinishRun,
     60: run.AwaitRun,
+    78: fleet.RouteLoadQuery,
+    79: fleet.RouteLoadReply,
 }
--- /dev/null
+++ b/test/daemon/test_moves.py
@@ -0,0 +1,242 @@
+"""Planned moves over whole daemons: the cap, faults and operators."""
+
+import asyncio
+import random
+from unittest.mock import patch
+
+import aiohttp
+
+from radishstile.daemon.loads import Loads
+from radishstile.errors import OperatorError
+from radishstile.shift.measures import TargetHint
+from test._common import PausedTestCase
+from test.daemon._fleet import Fleet
+
+CAP_PER_S = 10.0
+BURST = 1
+DELAY_S = 0.2
+BLOCKS = 24
+LOAD_PER_S = 16.0
+TTL_S = 0.5
+SETTINGS = {
+    "lookup": {"ttl_s": TTL_S},
+    "moves": {"answer_ttl_s": TTL_S, "max_age_s": 3.0},
+}
+MOVE = {
+    "route": "payruns",
+    "from_region": "akl",
+    "to_region": "wlg",
+    "cap_per_s": CAP_PER_S,
+    "step": 0.25,
+    "pace_s": 4.0,
+}
+
+
+class Caller:
+    """One block of clients, which follows look-up answers for their TTL."""
+
+    def __init__(self, number):
+        self.address = f"127.7.{number}.1"
+        connector = aiohttp.TCPConnector(local_addr=(self.address, 0))
+        self.session = aiohttp.ClientSession(connector=connector)
+        self.expires_at = 0.0
+        self.host = ""
+
+    def choose_host(self, fleet, now):
+        """Return the host to use, looked up again after the TTL."""
+        if now >= self.expires_at or self.host not in fleet.daemons:
+            asked = fleet.daemons[fleet.hosts[0]]
+            hosts = asked.look_up("payruns", self.address)["hosts"]
+            live = [h["host"] for h in hosts if h["host"] in fleet.daemons]
+            self.host = live[0]
+            self.expires_at = now + TTL_S
+        return self.host
+
+
+class Traffic:
+    """Callers of the region akl whose blocks are skewed."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.random = random.Random(36)
+        self.weights = [1 / (1 + rank) for rank in range(BLOCKS)]
+        self.per_s = LOAD_PER_S
+        self.failed = 0
+
+    async def __aenter__(self):
+        self.callers = [Caller(number) for number in range(BLOCKS)]
+        self.group = asyncio.TaskGroup()
+        await self.group.__aenter__()
+        self.pace = self.group.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *failure):
+        self.pace.cancel()
+        await self.group.__aexit__(*failure)
+        for caller in self.callers:
+            await caller.session.close()
+
+    async def _run(self):
+        while True:
+            await asyncio.sleep(1 / self.per_s)
+            (caller,) = self.random.choices(self.callers, self.weights)
+            self.group.create_task(self._send(caller))
+
+    async def _send(self, caller):
+        now = asyncio.get_running_loop().time()
+        host = caller.choose_host(self.fleet, now)
+        key = self.fleet.keys["employer"]
+        try:
+            async with caller.session.get(
+                self.fleet.find_url(host) + "/payruns/1",
+                headers={"Authorization": f"Bearer {key}"},
+            ) as response:
+                self.failed += response.status != 200
+        except aiohttp.ClientError:
+            self.failed += 1
+
+
+class MoveTest(PausedTestCase):
+    """A move goes on, holds and ends, and its cap is kept throughout."""
+
+    async def asyncSetUp(self):
+        self.fleet = Fleet(3, **SETTINGS)
+        self.fleet.configuration["blocks"] = [
+            {"client": "127.7.0.0/16", "region": "akl"}
+        ]
+        await self.fleet.__aenter__()
+        self.traffic = await Traffic(self.fleet).__aenter__()
+        # What is known when a move is planned says what it would bring.
+        await asyncio.sleep(2)
+
+    async def asyncTearDown(self):
+        await self.traffic.__aexit__(None, None, None)
+        await self.fleet.__aexit__(None, None, None)
+
+    async def move(self, **fields):
+        """Plan the move, or change it."""
+        return await self.fleet.operate(
+            "move", host=self.fleet.hosts[0], name="m", **{**MOVE, **fields}
+        )
+
+    def read(self):
+        """Return what the first host knows of the move."""
+        parts = self.fleet.daemons[self.fleet.hosts[0]].parts
+        known = parts.steering.find_progress("m")
+        return None if known is None else known.progress
+
+    def is_past(self, share):
+        """Return whether the move's published share has reached `share`."""
+        progress = self.read()
+        return progress is not None and progress.share >= share
+
+    def list_moved(self):
+        """Return when the target's upstream began its requests."""
+        upstream = self.fleet.upstreams["press-2"]
+        return sorted(r.started_at for r in upstream.records if r.has_run)
+
+    def check_cap(self, cap_per_s=CAP_PER_S, since=0.0):
+        """Check each window between two moved requests."""
+        starts = [at for at in self.list_moved() if at >= since]
+        for first, begun in enumerate(starts):
+            for count, ended in enumerate(starts[first:], 1):
+                allowed = cap_per_s * (ended - begun + DELAY_S) + BURST
+                self.assertLessEqual(count, allowed, (begun, ended))
+        return len(starts)
+
+    async def test_keeps_the_cap_when_its_driver_dies(self):
+        await self.move()
+        await self.fleet.wait(lambda: self.is_past(0.25), "no step")
+        first = self.fleet.daemons[self.fleet.hosts[0]].parts.node.fleet
+        victim = first.find_home("move/m").host
+        spare = next(h for h in self.fleet.hosts if h != victim)
+        self.fleet.hosts.remove(victim)
+        await self.fleet.kill(victim)
+        await self.fleet.wait(lambda: self.is_past(0.5), f"{spare} is stuck")
+        await asyncio.sleep(10)
+        self.assertGreater(self.check_cap(), 20)
+
+    async def test_holds_without_measurements_and_goes_on(self):
+        await self.move()
+        await self.fleet.wait(lambda: self.is_past(0.25), "no step")
+        with measure():
+            await self.fleet.wait(
+                lambda: self.read().reason == "measurements-stopped",
+                "no hold",
+            )
+            share = self.read().share
+            await asyncio.sleep(20)
+            self.assertEqual(self.read().share, share)
+        await self.fleet.wait(lambda: self.is_past(share + 0.1), "stuck")
+        self.assertGreater(self.check_cap(), 20)
+
+    async def test_goes_on_after_a_source_has_ended(self):
+        await self.move(target_share=0.5)
+        await self.fleet.wait(lambda: self.is_past(0.25), "no step")
+        fleet = self.fleet.daemons[self.fleet.hosts[0]].parts.node.fleet
+        home = fleet.find_home("move/m").host
+        victim = next(h for h in self.fleet.hosts[1:] if h != home)
+        self.fleet.hosts.remove(victim)
+        await self.fleet.kill(victim)
+        await self.fleet.wait(
+            lambda: self.read().state == "done", "it waits for the dead host"
+        )
+
+    async def test_gives_way_to_operators(self):
+        await self.move()
+        await self.fleet.wait(lambda: self.is_past(0.5), "no step")
+        with self.assertRaisesRegex(OperatorError, "below the"):
+            await self.move(cap_per_s=1.0)
+        with self.assertRaisesRegex(OperatorError, "target_share"):
+            await self.fleet.operate(
+                "patch",
+                from_version=self.find_version(),
+                patch={"moves": {"m": None}},
+            )
+        await self.move(cancel=True)
+        await self.fleet.wait(lambda: self.read().share < 0.5, "no way back")
+        await self.fleet.wait(lambda: self.read().share == 0, "not returned")
+        await asyncio.sleep(TTL_S + DELAY_S)
+        moved = len(self.list_moved())
+        await asyncio.sleep(5)
+        self.assertEqual(len(self.list_moved()), moved)
+        await self.move(cancel=True)
+        self.assertNotIn("m", self.find_configuration().moves)
+        self.assertGreater(self.check_cap(), 20)
+
+    async def test_slows_towards_a_hot_target_without_the_store(self):
+        await self.move(target_share=0.5)
+        await self.fleet.wait(lambda: self.is_past(0.5), "no step")
+        await asyncio.sleep(5)
+        share = self.read().share
+        self.fleet.store.faults.outage = True
+        hot = TargetHint("wlg-a", "pressdesk", 0.0, 6.0, 6.0, 10.0)
+        with measure(hot):
+            begun = self.now
+            await asyncio.sleep(15)
+        late = [at for at in self.list_moved() if at > begun + 10]
+        early = [at for at in self.list_moved() if begun - 5 < at < begun]
+        self.assertLess(len(late), len(early) / 2)
+        self.assertEqual(self.read().share, share)
+        self.fleet.store.faults.outage = False
+        await asyncio.sleep(25)
+        again = [at for at in self.list_moved() if at > self.now - 5]
+        self.assertGreater(len(again), len(early) / 2)
+        self.check_cap()
+
+    def find_configuration(self):
+        """Return the configuration of the first host."""
+        return self.fleet.daemons[self.fleet.hosts[0]].parts.node.configuration
+
+    def find_version(self):
+        """Return the version of the first host's configuration."""
+        return self.find_configuration().version
+
+
+def measure(*hints):
+    """Let homes of slots answer with these hints, or not at all."""
+
+    async def ask_region(loads, region, group):
+        return list(hints)
+
+    return patch.object(Loads, "ask_region", ask_region)
