Hold slots for a short grace where a home's kernel closed its connections

A home that died cost its group and zone the longest deadline and a second, since its requests might occupy slots. The roster now says what the former home may still use: nothing, what its kernel has closed, or all of it.

CLOSED rests on a refused port or a newer incarnation at the same address within suspect_after_s of the last answer: no machine reboots in that time, so the kernel is the one that the process ran under. The observer decides, and the mark travels with the notice. Upstreams stop what came by a closed connection, as the dispatcher already counts on when a caller leaves; the grace of 2 s is for that. Anything else is LOST and costs the full deadline.

The worst of the homes before is kept, so that a home that ends during its own wait does not hide the first. A home that stops waits until what its former home left is over, and says its last word only once it has drained; upstream connections close before the peer port.

Ruled out: asking every host for the deadlines of what it forwarded. Nobody is left to ask for what the dead home had taken from callers itself. The load endpoints can't tell either, since they lag and mislead.

Each new test was seen to fail without the line that it guards.

--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -188,7 +188,7 @@
 
     @_make_service.register
     def _(self, resource: SlotsResource, entry: HomeEntry):
-        home = SlotsHome(resource, self._node, entry.may_be_occupied)
+        home = SlotsHome(resource, self._node, entry.former)
         home.apply_leaving(self._leaving)
         return home
 
--- a/radishstile/daemon/service.py
+++ b/radishstile/daemon/service.py
@@ -184,15 +184,23 @@
         _LOG.info("service: Stopping.")
         node.fleet.leave()
         self._callers.leave()
+        is_drained = await self._try_drain()
+        node.is_stopping = True
+        if is_drained:
+            node.fleet.finish(read_clock())
+        self.parts.peers.notify()
+        await asyncio.sleep(node.settings.fleet.heartbeat_s)
+
+    async def _try_drain(self) -> bool:
         try:
-            async with asyncio.timeout(node.settings.http.stop_timeout_s):
+            async with asyncio.timeout(
+                self._node.settings.http.stop_timeout_s
+            ):
                 await self._drain()
         except TimeoutError:
             _LOG.warning("service: Stopped with requests still running.")
-        node.is_stopping = True
-        node.fleet.finish(read_clock())
-        self.parts.peers.notify()
-        await asyncio.sleep(node.settings.fleet.heartbeat_s)
+            return False
+        return True
 
     async def _drain(self) -> None:
         # Callers follow an answer for its TTL, so requests still arrive.
@@ -204,8 +212,9 @@
     async def _close(self) -> None:
         node = self._node
         await self._operators.stop()
-        await self._server.stop()
+        # Peers that find the port closed take these connections for closed.
         await node.upstreams.close()
+        await self._server.stop()
         await node.store.close()
         node.tracing.close()
         _LOG.info("service: %s has stopped.", node.me)
--- a/radishstile/daemon/slots.py
+++ b/radishstile/daemon/slots.py
@@ -9,6 +9,7 @@
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.resources import SlotsResource
 from radishstile.errors import RadishstileError
+from radishstile.fleet.roster import FormerHome
 from radishstile.region.capacity import RegionShare, split_capacity
 from radishstile.region.link import LinkBudget
 from radishstile.region.settings import RegionSettings
@@ -38,7 +39,7 @@
 class SlotsHome:
     """Serves one `slots/GROUP/ZONE` for as long as this host is its home.
 
-    `may_be_occupied` tells that a former home may have requests in flight;
+    `former` tells which requests of a former home may be in flight;
     `rate_per_s` is the smoothed rate of answered requests.
     """
 
@@ -54,7 +55,7 @@
     )
 
     def __init__(
-        self, resource: SlotsResource, node: Node, may_be_occupied: bool
+        self, resource: SlotsResource, node: Node, former: FormerHome
     ):
         self.resource = resource
         self._node = node
@@ -68,10 +69,15 @@
             SlotPool(node.settings.upstreams),
             FairQueue(QueueSettings()),
         )
-        if may_be_occupied:
-            self.dispatcher.take_over(self._find_longest_deadline())
+        self._take_over(former)
         self.apply_configuration()
 
+    def _take_over(self, former: FormerHome) -> None:
+        if former is FormerHome.CLOSED:
+            self.dispatcher.take_over_closed()
+        if former is FormerHome.LOST:
+            self.dispatcher.take_over(self._find_longest_deadline())
+
     async def run(self) -> None:
         """Dispatch, probe and poll until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/radishstile/fleet/directory.py
+++ b/radishstile/fleet/directory.py
@@ -27,10 +27,19 @@
     Evidence is final: an identity with evidence never becomes live again.
     """
 
-    __slots__ = ("me", "_machine", "_known", "_ends", "_told", "_ended")
-
-    def __init__(self, me: Member):
+    __slots__ = (
+        "me",
+        "_settings",
+        "_machine",
+        "_known",
+        "_ends",
+        "_told",
+        "_ended",
+    )
+
+    def __init__(self, me: Member, settings: FleetSettings):
         self.me = me
+        self._settings = settings
         self._machine = build_machine()
         self._known: dict[str, Membership] = {}
         self._ends: dict[tuple[str, int], EndRecord] = {}
@@ -48,7 +57,12 @@
         if newest and member.incarnation < newest.incarnation:
             self.end(member.identity, Evidence.REPLACED, now)
         if newest and member.incarnation > newest.incarnation:
-            self.end(newest.identity, Evidence.REPLACED, now)
+            # The same machine, unless another has taken over its address.
+            is_closed = (
+                newest.address == member.address
+                and self.was_just_heard(newest.identity, now)
+            )
+            self.end(newest.identity, Evidence.REPLACED, now, is_closed)
         if member.identity in self._ends or member.host == self.me.host:
             return None
         if known and known.member == member:
@@ -59,17 +73,38 @@
         return self._known[member.host]
 
     def end(
-        self, identity: tuple[str, int], evidence: Evidence, now: float
+        self,
+        identity: tuple[str, int],
+        evidence: Evidence,
+        now: float,
+        is_closed: bool = False,
     ) -> None:
         """Record final evidence of an incarnation's end."""
         if identity in self._ends:
+            self._ends[identity].is_closed |= is_closed
             return
-        self._ends[identity] = EndRecord(*identity, evidence, now)
+        record = EndRecord(*identity, evidence, now, is_closed)
+        self._ends[identity] = record
         self._ended.append(MemberEnded(*identity, evidence))
         known = self.find(identity)
         if known is not None:
             known.end()
 
+    def was_just_heard(self, identity: tuple[str, int], now: float) -> bool:
+        """Return whether a member was heard too recently for a reboot.
+
+        A kernel that refuses its port since then is the one it ran under,
+        which has closed its connections.
+        """
+        known = self.find(identity)
+        if known is None:
+            return False
+        return known.is_heard_since(now - self._settings.suspect_after_s)
+
+    def find_end(self, identity: tuple[str, int]) -> EndRecord | None:
+        """Return the record of an incarnation's end, if there is one."""
+        return self._ends.get(identity)
+
     def find(self, identity: tuple[str, int]) -> Membership | None:
         """Return the membership of exactly this incarnation, if known."""
         known = self._known.get(identity[0])
@@ -180,7 +215,12 @@
     ) -> list[EndNotice]:
         """Return recent evidence, and what the roster has yet to follow."""
         return [
-            EndNotice(*end.identity, end.evidence, to_age_ms(end.at, now))
+            EndNotice(
+                *end.identity,
+                end.evidence,
+                to_age_ms(end.at, now),
+                end.is_closed,
+            )
             for end in self.list_ends()
             if now - end.at <= EVIDENCE_SPREAD_S or end.identity in registered
         ]
--- a/radishstile/fleet/fleet.py
+++ b/radishstile/fleet/fleet.py
@@ -6,7 +6,7 @@
 from radishstile.fleet.event import BecameCurrent, BecameOutdated
 from radishstile.fleet.freshness import Freshness
 from radishstile.fleet.membership import EndRecord, Membership
-from radishstile.fleet.roster import Plan, Roster, plan_roster
+from radishstile.fleet.roster import FormerHome, Plan, Roster, plan_roster
 from radishstile.fleet.settings import FleetSettings
 from radishstile.fleet.state import Evidence, MachineReport, State
 from radishstile.fleet.statement import (
@@ -54,7 +54,7 @@
         self.me = me
         self.settings = settings
         self.roster = Roster()
-        self.directory = Directory(me)
+        self.directory = Directory(me, settings)
         self.freshness = Freshness(me.zone, settings)
         self.is_leaving = False
         self._heard_roster_version = 0
@@ -109,7 +109,9 @@
         for notice in statement.ended:
             identity = (notice.host, notice.incarnation)
             learnt_at = now - notice.age_ms / MS_PER_S
-            self.directory.end(identity, notice.evidence, learnt_at)
+            self.directory.end(
+                identity, notice.evidence, learnt_at, notice.is_closed
+            )
         self._keep_releases(statement.releases)
 
     def _hear_member(
@@ -157,7 +159,8 @@
         """
         known = self.directory.find(identity)
         if known is not None and known.heard_at is not None:
-            self.directory.end(identity, Evidence.REFUSED, now)
+            is_closed = self.directory.was_just_heard(identity, now)
+            self.directory.end(identity, Evidence.REFUSED, now, is_closed)
 
     def note_replaced(self, member: Member, now: float) -> None:
         """Record that `member` was registered: older incarnations ended."""
@@ -383,13 +386,25 @@
         candidates = {m.identity for m in self.list_entry_members(now)}
         members = [*self.roster.members.values(), *registered]
         identities = {member.identity for member in members}
-        ended = {i for i in identities if self.find_evidence(i)}
+        ended = {
+            identity: self._judge_end(identity)
+            for identity in identities
+            if self.find_evidence(identity)
+        }
         heard = [m for m in registered if m.identity in candidates]
         releases = set(self._releases)
         regions = self.directory.find_regions()
         plan = Plan(wanted, heard, candidates, ended, releases, regions)
         return plan_roster(self.roster, plan)
 
+    def _judge_end(self, identity: tuple[str, int]) -> FormerHome:
+        """Return what an incarnation that has ended may still occupy."""
+        if self.find_evidence(identity) is Evidence.RELEASED:
+            return FormerHome.RELEASED
+        end = self.directory.find_end(identity)
+        is_closed = end is not None and end.is_closed
+        return FormerHome.CLOSED if is_closed else FormerHome.LOST
+
     def leave(self) -> None:
         """Take no new work from now on."""
         self.is_leaving = True
--- a/radishstile/fleet/membership.py
+++ b/radishstile/fleet/membership.py
@@ -7,17 +7,27 @@
 
 
 class EndRecord:
-    """Evidence of one incarnation's end and when this host learnt of it."""
+    """Evidence of one incarnation's end and when this host learnt of it.
 
-    __slots__ = ("host", "incarnation", "evidence", "at")
+    `is_closed` tells that the incarnation's kernel outlived it, and hence
+    has closed its connections.
+    """
+
+    __slots__ = ("host", "incarnation", "evidence", "at", "is_closed")
 
     def __init__(
-        self, host: str, incarnation: int, evidence: Evidence, at: float
+        self,
+        host: str,
+        incarnation: int,
+        evidence: Evidence,
+        at: float,
+        is_closed: bool = False,
     ):
         self.host = host
         self.incarnation = incarnation
         self.evidence = evidence
         self.at = at
+        self.is_closed = is_closed
 
     @property
     def identity(self) -> tuple[str, int]:
--- a/radishstile/fleet/roster.py
+++ b/radishstile/fleet/roster.py
@@ -1,7 +1,7 @@
 """The registered members and the home of each resource, by version."""
 
 from collections import Counter
-from collections.abc import Iterable
+from enum import IntEnum
 
 import xxhash
 
@@ -9,26 +9,39 @@
 from radishstile.member import Member
 
 
+class FormerHome(IntEnum):
+    """What a resource's former home may still use, the least first.
+
+    RELEASED: nothing. CLOSED: what the other side has yet to stop, since
+    the former home's kernel has closed its connections. LOST: all that it
+    began, until the deadline of each.
+    """
+
+    RELEASED = 0
+    CLOSED = 1
+    LOST = 2
+
+
 class HomeEntry:
     """The incarnation that owns a resource's whole limit.
 
-    `epoch` is the roster version that assigned it. `may_be_occupied` tells
-    that a former home gave nothing back and may still use the resource.
+    `epoch` is the roster version that assigned it; `former` tells what the
+    homes before it may still use.
     """
 
-    __slots__ = ("host", "incarnation", "epoch", "may_be_occupied")
+    __slots__ = ("host", "incarnation", "epoch", "former")
 
     def __init__(
         self,
         host: str,
         incarnation: int,
         epoch: int,
-        may_be_occupied: bool = False,
+        former: FormerHome = FormerHome.RELEASED,
     ):
         self.host = host
         self.incarnation = incarnation
         self.epoch = epoch
-        self.may_be_occupied = may_be_occupied
+        self.former = FormerHome(former)
 
     @property
     def identity(self) -> tuple[str, int]:
@@ -46,7 +59,7 @@
             self.host,
             self.incarnation,
             self.epoch,
-            self.may_be_occupied,
+            self.former.value,
         ]
 
 
@@ -54,8 +67,8 @@
     """One version of the roster; never changed after it was made.
 
     `members` is by host, `homes` by resource; `identities` are those of all
-    members. `unclean` names the resources without a home whose last one did
-    not release them.
+    members. `unclean` maps a resource without a home to what its last ones
+    may still use, unless that is nothing.
     """
 
     __slots__ = ("version", "members", "homes", "unclean", "identities")
@@ -65,12 +78,12 @@
         version: int = 0,
         members: dict[str, Member] | None = None,
         homes: dict[str, HomeEntry] | None = None,
-        unclean: Iterable[str] = (),
+        unclean: dict[str, FormerHome] | None = None,
     ):
         self.version = version
         self.members = members or {}
         self.homes = homes or {}
-        self.unclean = frozenset(unclean)
+        self.unclean = unclean or {}
         self.identities = frozenset(m.identity for m in self.members.values())
 
     def to_record(self) -> dict:
@@ -85,7 +98,10 @@
                 resource: entry.to_record()
                 for resource, entry in sorted(self.homes.items())
             },
-            "unclean": sorted(self.unclean),
+            "unclean": {
+                resource: former.value
+                for resource, former in sorted(self.unclean.items())
+            },
         }
 
     @classmethod
@@ -99,7 +115,10 @@
                 resource: HomeEntry(*row)
                 for resource, row in record["homes"].items()
             },
-            record.get("unclean", ()),
+            {
+                resource: FormerHome(value)
+                for resource, value in record["unclean"].items()
+            },
         )
 
     def find_home(self, resource: str) -> Member | None:
@@ -121,9 +140,10 @@
     """What a planner knows when it works out the next roster.
 
     `wanted` maps a resource to its preferred zone or None; `candidates` are
-    live members, by identity; `ended` are identities with evidence of their
-    end; `releases` are what homes said that they gave up; `regions` maps a
-    zone to its region, also where all members of the zone have ended.
+    live members, by identity; `ended` maps the identities with evidence of
+    their end to what they may still use; `releases` are what homes said that
+    they gave up; `regions` maps a zone to its region, also where all members
+    of the zone have ended.
     """
 
     __slots__ = (
@@ -140,7 +160,7 @@
         wanted: dict[str, str | None],
         registered: list[Member],
         candidates: set[tuple[str, int]],
-        ended: set[tuple[str, int]],
+        ended: dict[tuple[str, int], FormerHome],
         releases: set[Release],
         regions: dict[str, str],
     ):
@@ -162,7 +182,12 @@
     _assign_homes(homes, pool, plan, version, unclean)
     if homes == roster.homes and members == roster.members:
         return None
-    return Roster(version, members, homes, unclean - homes.keys())
+    homeless = {
+        resource: former
+        for resource, former in unclean.items()
+        if resource not in homes
+    }
+    return Roster(version, members, homes, homeless)
 
 
 def rank(key: str, host: str) -> int:
@@ -203,13 +228,29 @@
 
 def _find_unclean(
     roster: Roster, kept: dict[str, HomeEntry], plan: Plan
-) -> set[str]:
-    """Return the resources that lose a home which did not release them."""
-    return {
-        resource
+) -> dict[str, FormerHome]:
+    """Return what the homes that are lost now may still use, by resource."""
+    lost = {
+        resource: _judge_former(entry, plan)
         for resource, entry in roster.homes.items()
         if resource not in kept and not _is_released(resource, entry, plan)
     }
+    return {
+        resource: former
+        for resource, former in lost.items()
+        if former is not FormerHome.RELEASED
+    }
+
+
+def _judge_former(entry: HomeEntry, plan: Plan) -> FormerHome:
+    """Return what a home that did not release its resource may still use.
+
+    It may have ended before what its own former home used was over.
+    """
+    ended = plan.ended.get(entry.identity, FormerHome.LOST)
+    if ended is FormerHome.RELEASED:
+        return ended
+    return max(ended, entry.former)
 
 
 def _assign_homes(
@@ -217,7 +258,7 @@
     pool: list[Member],
     plan: Plan,
     version: int,
-    unclean: frozenset[str],
+    unclean: dict[str, FormerHome],
 ) -> None:
     counts = Counter(entry.host for entry in homes.values())
     for resource in sorted(plan.wanted.keys() - homes.keys()):
@@ -227,8 +268,9 @@
             continue
         home = min(near, key=lambda m: _weigh(m, resource, counts))
         counts[home.host] += 1
+        former = unclean.get(resource, FormerHome.RELEASED)
         homes[resource] = HomeEntry(
-            home.host, home.incarnation, version, resource in unclean
+            home.host, home.incarnation, version, former
         )
 
 
--- a/radishstile/fleet/statement.py
+++ b/radishstile/fleet/statement.py
@@ -76,17 +76,26 @@
 
 
 class EndNotice:
-    """Evidence of an incarnation's end on its way through the fleet."""
+    """Evidence of an incarnation's end on its way through the fleet.
 
-    __slots__ = ("host", "incarnation", "evidence", "age_ms")
+    `is_closed` is as in `EndRecord`.
+    """
+
+    __slots__ = ("host", "incarnation", "evidence", "age_ms", "is_closed")
 
     def __init__(
-        self, host: str, incarnation: int, evidence: Evidence, age_ms: int
+        self,
+        host: str,
+        incarnation: int,
+        evidence: Evidence,
+        age_ms: int,
+        is_closed: bool = False,
     ):
         self.host = host
         self.incarnation = incarnation
         self.evidence = Evidence(evidence)
         self.age_ms = age_ms
+        self.is_closed = is_closed
 
 
 class Release:
--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -245,6 +245,16 @@
         now = asyncio.get_running_loop().time()
         self._pool.take_over(now, max_deadline_s)
 
+    def take_over_closed(self) -> None:
+        """Hold all slots until upstreams have noticed a home's end.
+
+        The former home's kernel has closed its connections, and upstreams
+        stop what came by them.
+        """
+        self._awaits_handover = False
+        now = asyncio.get_running_loop().time()
+        self._pool.take_over_closed(now)
+
     def await_handover(self, max_deadline_s: float) -> None:
         """Hold all slots, as long as the former home can't be asked.
 
@@ -317,10 +327,18 @@
         self._note_change()
 
     async def drained(self) -> None:
-        """Wait until no request waits or runs, after `close`."""
+        """Wait until nothing waits, runs or may run, after `close`.
+
+        What a former home had in flight counts too, since the successor is
+        told that no slot is occupied.
+        """
         while self._waiting or self._running:
             self._emptied.clear()
             await self._emptied.wait()
+        now = asyncio.get_running_loop().time()
+        free_at = self._pool.find_last_expiry(now)
+        if free_at is not None:
+            await asyncio.sleep(free_at - now + CLOCK_SLACK_S)
 
     def _note_change(self) -> None:
         if self._waiting:
--- a/radishstile/upstream/pool.py
+++ b/radishstile/upstream/pool.py
@@ -86,6 +86,10 @@
         margin_s = self._settings.deadline_margin_s
         self._close(now + max_deadline_s + margin_s)
 
+    def take_over_closed(self, now: float) -> None:
+        """Count all slots as occupied until upstreams saw a home's end."""
+        self._close(now + self._settings.closed_grace_s)
+
     def note_released_clean(self) -> None:
         """Open the slots: the former home ended with nothing in flight."""
         self._close(0.0)
@@ -244,6 +248,15 @@
             for upstream in self._upstreams.values()
         )
 
+    def find_last_expiry(self, now: float) -> float | None:
+        """Return when time alone has freed every slot, or None if it has."""
+        times = [
+            time
+            for upstream in self._upstreams.values()
+            for time in upstream.table.list_openings(now)
+        ]
+        return max(times, default=None)
+
     def find_next_opening(self, now: float) -> float | None:
         """Return when time alone next opens a slot, or None."""
         times = [
--- a/radishstile/upstream/settings.py
+++ b/radishstile/upstream/settings.py
@@ -7,6 +7,7 @@
 SHED_HOLD_S = 0.25
 TRIAL_INTERVAL_S = 1.0
 DEADLINE_MARGIN_S = 1.0
+CLOSED_GRACE_S = 2.0
 SLOW_RATIO = 3.0
 SUCCESSES_PER_SLOT = 2
 WORKSPACE_QUEUE_LIMIT = 1000
@@ -22,6 +23,8 @@
     is the number of answers that opens one more slot during slow start.
     `trial_interval_s` is the time after which an idle upstream that is not
     yet healthy goes before the healthy ones, for one request.
+    `closed_grace_s` is how long an upstream may still run a request after
+    the connection that it came by was closed.
     """
 
     __slots__ = (
@@ -32,6 +35,7 @@
         "shed_hold_s",
         "trial_interval_s",
         "deadline_margin_s",
+        "closed_grace_s",
         "slow_ratio",
         "successes_per_slot",
     )
@@ -45,6 +49,7 @@
         shed_hold_s: float = SHED_HOLD_S,
         trial_interval_s: float = TRIAL_INTERVAL_S,
         deadline_margin_s: float = DEADLINE_MARGIN_S,
+        closed_grace_s: float = CLOSED_GRACE_S,
         slow_ratio: float = SLOW_RATIO,
         successes_per_slot: int = SUCCESSES_PER_SLOT,
     ):
@@ -55,6 +60,7 @@
         self.shed_hold_s = shed_hold_s
         self.trial_interval_s = trial_interval_s
         self.deadline_margin_s = deadline_margin_s
+        self.closed_grace_s = closed_grace_s
         self.slow_ratio = slow_ratio
         self.successes_per_slot = successes_per_slot
 
--- a/test/fleet/test_fleet.py
+++ b/test/fleet/test_fleet.py
@@ -3,7 +3,7 @@
 import unittest
 
 from radishstile.fleet.event import MemberEnded, MemberLive, MemberSuspected
-from radishstile.fleet.roster import HomeEntry, Roster
+from radishstile.fleet.roster import FormerHome, HomeEntry, Roster
 from radishstile.fleet.state import Evidence, MachineReport, State
 from radishstile.fleet.statement import EndNotice, Release, Remark
 from test.fleet._common import (
@@ -126,6 +126,31 @@
         self.fleet.note_refused(self.near.identity, 1)
         self.assert_ended(self.near, Evidence.REFUSED)
 
+    def is_closed(self, fleet):
+        return fleet.directory.find_end(self.near.identity).is_closed
+
+    def test_refusal_soon_after_an_answer_shows_closed_connections(self):
+        self.fleet.note_connected(self.near, 0)
+        self.fleet.note_refused(self.near.identity, 2)
+        self.assertTrue(self.is_closed(self.fleet))
+        third = build_fleet(self.members[3], self.members)
+        exchange(third, self.fleet, 3)
+        self.assertTrue(self.is_closed(third))
+
+    def test_refusal_after_a_silence_may_come_from_a_rebooted_machine(self):
+        self.fleet.note_connected(self.near, 0)
+        self.fleet.note_refused(self.near.identity, 4)
+        self.assertFalse(self.is_closed(self.fleet))
+
+    def test_replaced_shows_closed_connections_on_the_same_machine(self):
+        for address, expected in (("10.0.0.1", True), ("10.0.0.9", False)):
+            self.setUp()
+            self.fleet.note_connected(self.near, 0)
+            newer = build_member("a1", 1, 2)
+            newer.address = address
+            self.fleet.note_replaced(newer, 1)
+            self.assertIs(self.is_closed(self.fleet), expected)
+
     def test_dropped_by_a_later_roster(self):
         kept = {m.host: m for m in self.members if m != self.near}
         self.assertTrue(self.fleet.note_roster(Roster(2, kept), 1))
@@ -221,6 +246,21 @@
         self.assertIsNone(self.plan(60))
         self.assertEqual(self.fleet.find_home("rate/w"), self.near)
 
+    def test_successor_knows_what_the_home_may_still_use(self):
+        self.fleet.note_connected(self.near, 0)
+        self.fleet.note_refused(self.near.identity, 1)
+        former = self.plan(1).homes["rate/w"].former
+        self.assertIs(former, FormerHome.CLOSED)
+        self.setUp()
+        self.fleet.note_machines([MachineReport("a1-1", 1, True)], 1)
+        former = self.plan(1).homes["rate/w"].former
+        self.assertIs(former, FormerHome.LOST)
+        self.setUp()
+        self.home.finish(1)
+        exchange(self.fleet, self.home, 1)
+        former = self.plan(1).homes["rate/w"].former
+        self.assertIs(former, FormerHome.RELEASED)
+
     def test_home_of_a_leaving_member_moves_after_its_release(self):
         self.home.leave()
         exchange(self.fleet, self.home, 1)
--- a/test/upstream/test_dispatcher.py
+++ b/test/upstream/test_dispatcher.py
@@ -147,6 +147,19 @@
         await self._acquire()
         self.assertEqual(self.now, 31)
 
+    async def test_successor_of_a_closed_home_waits_for_the_grace(self):
+        self._start()
+        self.dispatcher.take_over_closed()
+        await self._acquire()
+        self.assertEqual(self.now, 2)
+
+    async def test_drained_waits_for_what_a_former_home_left(self):
+        self._start()
+        self.dispatcher.take_over(max_deadline_s=30)
+        self.dispatcher.close()
+        await self.dispatcher.drained()
+        self.assertGreaterEqual(self.now, 31)
+
     async def test_nothing_is_refused_while_the_former_home_is_asked(self):
         self._start()
         self.dispatcher.await_handover(max_deadline_s=60)
