Run whole daemons in one loop in tests

A lane waited for ever in the paused loop: it waits until a time that is 2.2e-16 s ahead (1.13 + 0.01), asyncio fires timers up to 1 ns early, and paused time never gets there. Real time passes such a gap by itself, so the paused clock now goes on by 1 us for each 100 cycles that only poll. Lost I/O was ruled out: the loop was busy, not idle.

--- a/test/_common.py
+++ b/test/_common.py
@@ -7,6 +7,43 @@
 
 from radishstile.errors import VersionConflictError
 
+TICK_S = 1e-6
+CYCLES_PER_TICK = 100
+
+
+class TickingClock:
+    """Lets paused time go on by a tick while a loop is only busy.
+
+    Real time goes on while code runs. Without this, code that waits until a
+    time which differs from the paused one by a rounding error would wake at
+    once, find that it is too early, and wait again for ever: a timer fires
+    up to the clock's resolution early.
+    """
+
+    __slots__ = ("_time", "_select", "_busy_cycles", "_ticks")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        self._time = loop.time
+        self._select = loop._selector.select
+        self._busy_cycles = 0
+        self._ticks = 0
+        loop.time = self.time
+        loop._selector.select = self.select
+
+    def time(self) -> float:
+        """Return the paused time with the ticks, in seconds."""
+        return self._time() + self._ticks * TICK_S
+
+    def select(self, timeout: float | None) -> list:
+        """Poll, and count the cycles that neither wait a tick nor do I/O."""
+        ready = self._select(timeout)
+        is_busy = timeout is not None and timeout < TICK_S and not ready
+        self._busy_cycles = self._busy_cycles + 1 if is_busy else 0
+        if self._busy_cycles >= CYCLES_PER_TICK:
+            self._busy_cycles = 0
+            self._ticks += 1
+        return ready
+
 
 class PausedLoopPolicy(asyncio.DefaultEventLoopPolicy):
     """Creates event loops whose clock jumps to the next timer."""
@@ -16,6 +53,7 @@
         loop = super().new_event_loop()
         looptime.patch_event_loop(loop, start=0)
         loop.setup_looptime()
+        TickingClock(loop)
         return loop
 
 
--- /dev/null
+++ b/test/daemon/test_service.py
@@ -0,0 +1,64 @@
+"""Tests of whole daemons: life, death and lost links."""
+
+import asyncio
+
+from test._common import PausedTestCase
+from test.daemon._fleet import ADDRESS, Fleet
+
+
+class ServiceTest(PausedTestCase):
+    """Hosts serve while others die, stop, come back or are cut off."""
+
+    async def test_serves_through_any_host(self):
+        async with Fleet(4) as fleet:
+            for host in fleet.hosts:
+                sent = await fleet.send("GET", "/payruns/1", host=host)
+                self.assertEqual((sent.status, sent.outcome), (200, "ran"))
+            self.assertEqual(fleet.count_runs("/payruns/1"), 4)
+
+    async def test_serves_after_a_host_died_and_came_back(self):
+        async with Fleet(3) as fleet:
+            victim = fleet.hosts[0]
+            first = fleet.daemons[victim].parts.node.me.incarnation
+            await fleet.kill(victim)
+            with self.assertRaises(ConnectionRefusedError):
+                await asyncio.open_connection(ADDRESS, fleet.ports[victim][0])
+            other = fleet.hosts[1]
+            await fleet.wait(
+                lambda: fleet.is_ready(other), "its homes were not moved"
+            )
+            sent = await fleet.send("GET", "/payruns/1", host=other)
+            self.assertEqual(sent.status, 200)
+            await fleet.restart(victim)
+            again = fleet.daemons[victim].parts.node.me.incarnation
+            self.assertGreater(again, first)
+            sent = await fleet.send("GET", "/payruns/2", host=victim)
+            self.assertEqual(sent.status, 200)
+
+    async def test_stops_gracefully(self):
+        async with Fleet(2) as fleet:
+            leaving, other = fleet.hosts
+            await fleet.stop(leaving)
+            await fleet.wait(
+                lambda: fleet.is_ready(other), "its homes were not moved"
+            )
+            sent = await fleet.send("GET", "/payruns/1", host=other)
+            self.assertEqual(sent.status, 200)
+
+    async def test_refuses_keys_where_it_is_cut_off(self):
+        async with Fleet(2) as fleet:
+            near, far = fleet.hosts
+            fleet.network.cut(near, far)
+            fleet.network.cut(far, near)
+            fleet.store.faults.outage = True
+            daemon = fleet.daemons[far]
+            await fleet.wait(daemon.list_unready_reasons, "it stays ready")
+            sent = await fleet.send("GET", "/payruns/1", host=far)
+            self.assertEqual(sent.reason, "not-current")
+            self.assertEqual(fleet.count_runs(), 0)
+            fleet.network.heal(near, far)
+            fleet.network.heal(far, near)
+            fleet.store.faults.outage = False
+            await fleet.wait(lambda: fleet.is_ready(far), "it stays cut off")
+            sent = await fleet.send("GET", "/payruns/1", host=far)
+            self.assertEqual(sent.status, 200)
