Write the ends of runs before a planned handover

The next home found the attempts running, learnt that their host had ended, and told a caller who sent a purchase again 'unknown', although it had run and its answer was known. The wait is bounded by the time of a record, so that a stop ends while the store is out. Both tests fail without the drain.

--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -248,3 +248,7 @@
     async def _(self, resource: SlotsResource, service: SlotsHome) -> None:
         service.dispatcher.close()
         await service.dispatcher.drained()
+
+    @_drain.register
+    async def _(self, resource: JournalResource, service: JournalKeeper):
+        await service.journal.drain()
--- a/radishstile/run/writer.py
+++ b/radishstile/run/writer.py
@@ -44,6 +44,9 @@
         "_wake",
         "_signals",
         "_is_closed",
+        "_is_draining",
+        "_is_writing",
+        "_written",
         "_next_write_at",
     )
 
@@ -57,6 +60,9 @@
         self._wake = asyncio.Event()
         self._signals = Signals()
         self._is_closed = False
+        self._is_draining = False
+        self._is_writing = False
+        self._written = asyncio.Event()
         self._next_write_at = 0.0
 
     # Requests
@@ -145,6 +151,27 @@
             self._signals.notify(key)
         self._wake.set()
 
+    async def drain(self) -> None:
+        """Write what the store does not hold yet, for a bounded time.
+
+        The next home would put in doubt the ends that it can't read.
+        """
+        self._is_draining = True
+        try:
+            async with asyncio.timeout(self.settings.record_wait_s):
+                while self._has_unwritten():
+                    self._written.clear()
+                    self._wake.set()
+                    await self._written.wait()
+        except TimeoutError:
+            _log.warning("journal: left %s unwritten", self.journal.name)
+
+    def _has_unwritten(self) -> bool:
+        if self._is_closed or not self._opened.is_set():
+            return False
+        is_due = self.journal.find_due(_read_time()) is not None
+        return is_due or self._is_writing
+
     # The one task
 
     async def run(self) -> None:
@@ -156,6 +183,7 @@
             _log.info("journal: %s has another home", self.journal.name)
         finally:
             self._is_closed = True
+            self._written.set()
             self._opened.set()
             self._signals.notify_all()
 
@@ -211,12 +239,18 @@
         group = self.journal.take_group(_read_time())
         if group is None:
             return True
-        return await self._write_group(group)
+        self._is_writing = True
+        is_home = await self._write_group(group)
+        self._is_writing = False
+        self._written.set()
+        return is_home
 
     async def _wait_due(self) -> None:
         while True:
             now = _read_time()
             due = self.journal.find_due(now)
+            if due is not None and self._is_draining:
+                due = now
             delay = None
             if due is not None:
                 delay = max(due, self._next_write_at) - now
--- a/test/run/test_writer.py
+++ b/test/run/test_writer.py
@@ -122,6 +122,23 @@
         self.assertIs(await self.record(home, "d#1#1"), Verdict.NOT_HOME)
         self.assertIs(home.describe(KEY).verdict, Verdict.NOT_HOME)
 
+    async def test_planned_handover_keeps_the_latest_ends(self):
+        home = self.start()
+        self.assertIs(await self.record(home, "a#1#1"), Verdict.RECORDED)
+        self.finish(home, "a#1#1", RunState.RAN, answer=b"seat 4")
+        await home.drain()
+        heir = self.start("b#1")
+        self.assertIs(await self.record(heir, "b#1#1"), Verdict.RAN)
+
+    async def test_drain_ends_while_the_store_is_out(self):
+        home = self.start()
+        self.assertIs(await self.record(home, "a#1#1"), Verdict.RECORDED)
+        self.store.is_out = True
+        self.finish(home, "a#1#1", RunState.RAN)
+        begun = self.now
+        await home.drain()
+        self.assertLess(self.now - begun, 6)
+
     async def test_two_homes_at_the_same_moment(self):
         one, two = self.start("a#1"), self.start("b#1")
         verdicts = await asyncio.gather(
