Load the OTLP exporter only where it is set

Cause: its libraries (protobuf among them) were loaded by every daemon, most of which export nothing.

Tried with it and reverted: `traceparent` formatted and parsed by hand.

--- a/bench/service.py
+++ b/bench/service.py
@@ -31,7 +31,7 @@
 
 PARTS = ("lookups", "requests", "rest")
 WARMUP_S = 1.0
-ROUNDS = 3
+ROUNDS = 6
 GENERATORS = 2
 LOOKUP_CONNECTIONS = 8
 REQUEST_CONNECTIONS = (1, 8)
--- a/radishstile/daemon/tracing.py
+++ b/radishstile/daemon/tracing.py
@@ -2,9 +2,6 @@
 
 from collections import deque
 
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
-    OTLPSpanExporter,
-)
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
 from opentelemetry.sdk.trace.export import (
@@ -100,6 +97,11 @@
 
 
 def _make_otlp(settings: TraceSettings) -> SpanProcessor:
+    # The exporter's libraries take memory on hosts that export nothing.
+    from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+        OTLPSpanExporter,
+    )
+
     return BatchSpanProcessor(OTLPSpanExporter(endpoint=settings.endpoint))
 
 
