Read the platform's list every two seconds

Cause: at rest the fleet called the store 14 times a second, over the goal of 10: each zone's planner and each host with slots read the list of machines once a second. Twice as long still keeps a leaving upstream within a few seconds; the list's own lag comes on top as before.

Ruled out: reading it on planners only, and telling the zone, would need a new message; left for later.

Hosts with slots poll, hence a fleet with more groups on more hosts would still exceed the goal.

--- a/radishstile/daemon/machines.py
+++ b/radishstile/daemon/machines.py
@@ -10,7 +10,7 @@
 from radishstile.platform.answer import MachineState
 
 _LOG = logging.getLogger("radishstile.machines")
-_INTERVAL_S = 1.0
+_INTERVAL_S = 2.0
 _DUTY_CHECK_S = 1.0
 
 
