Refuse odd deadlines and paths as what they are

Cause: a deadline of U+00B2 or of 5000 digits passed isdigit() and failed in int(), so the caller read that the request may have run; and the router's dot matches no line feed, so a path with %0A got aiohttp's own 404 without an outcome.

A malformed chunk is refused as a slow body: aiohttp reports it too late.

--- a/radishstile/http/caller.py
+++ b/radishstile/http/caller.py
@@ -17,6 +17,7 @@
 _LOG = logging.getLogger("radishstile.caller")
 LOOKUP_PATH = "/lookup"
 _READ_BYTES = 65_536
+_DEADLINE_DIGITS = 12
 
 
 class Session(Protocol):
@@ -56,7 +57,8 @@
         """Listen for callers."""
         app = web.Application()
         app.router.add_get(LOOKUP_PATH, self._look_up)
-        app.router.add_route("*", "/{path:.*}", self._serve)
+        # A path may hold an encoded line feed, which a plain dot excludes.
+        app.router.add_route("*", "/{path:(?s:.*)}", self._serve)
         limit = self._settings.header_limit_bytes * 4
         self._runner = web.AppRunner(
             app,
@@ -202,7 +204,8 @@
     text = request.headers.get(names.DEADLINE)
     if text is None:
         return None
-    if not text.isdigit() or int(text) == 0:
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > _DEADLINE_DIGITS or int(text) == 0:
         detail = f"{names.DEADLINE}: expected milliseconds"
         raise RefusalError(Reason.BAD_REQUEST, detail=detail)
     return int(text) / 1000
--- a/test/http/test_caller.py
+++ b/test/http/test_caller.py
@@ -169,6 +169,58 @@
                 fleet, 431, "headers-too-large", "not-run", sent
             )
 
+    async def test_refuses_deadlines_that_are_no_numbers(self):
+        async with Fleet(1) as fleet:
+            for text in ("0", "-5", "1.5", "soon", "\u00b2", "9" * 5000):
+                with self.subTest(text=text[:9]):
+                    sent = await fleet.send(
+                        "GET", "/payruns/1", headers={names.DEADLINE: text}
+                    )
+                    found = (sent.status, sent.reason, sent.outcome)
+                    self.assertEqual(found, (400, "bad-request", "not-run"))
+            self.assertEqual(fleet.list_records(), [])
+
+    async def test_refuses_a_malformed_body(self):
+        async with Fleet(1) as fleet:
+            reader, writer = await self.open_request(
+                fleet, "POST", ["Transfer-Encoding: chunked"]
+            )
+            writer.write(b"2\r\nok\r\n")
+            await asyncio.sleep(1)
+            writer.write(b"no length\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            # aiohttp tells of what it can't parse after this request only,
+            # so the body is one whose end does not come.
+            self.assertIn(b" 408 ", head)
+            self.assertIn(b"X-Radishstile-Outcome: not-run", head)
+            writer.close()
+            self.assertEqual(fleet.list_records(), [])
+            sent = await fleet.send("GET", "/payruns/next")
+            self.assertEqual(sent.status, 200)
+
+    async def test_refuses_any_path_that_no_route_has(self):
+        async with Fleet(1) as fleet:
+            for path in ("/", "/%0d%0a", "/%00", "/x%0ay/payruns", "//"):
+                with self.subTest(path=path):
+                    sent = await fleet.send("GET", path)
+                    self.assertIn(sent.status, (400, 404))
+                    self.assertEqual(sent.outcome, "not-run")
+
+    async def test_says_when_to_try_again(self):
+        async with Fleet(2) as fleet:
+            for upstream in fleet.upstreams.values():
+                upstream.faults.shed = True
+            sent = await fleet.send("POST", "/batches", order="order-1")
+            found = (sent.status, sent.outcome)
+            self.assertEqual(found, (503, "not-run"), sent.body)
+            self.assertGreaterEqual(int(sent.headers["Retry-After"]), 1)
+            self.assertEqual(fleet.count_runs(), 0)
+            for upstream in fleet.upstreams.values():
+                upstream.faults.shed = False
+            await asyncio.sleep(int(sent.headers["Retry-After"]))
+            sent = await fleet.send("POST", "/batches", order="order-1")
+            self.assertEqual((sent.status, sent.outcome), (200, "ran"))
+
     async def test_refuses_a_slow_caller(self):
         async with Fleet(1) as fleet:
             reader, writer = await self.open_request(
