--- a/radishstile/cli/output.py
+++ b/radishstile/cli/output.py
@@ -68,17 +68,23 @@
         f"{result['host']}: configuration {result['configuration_version']},"
         f" roster {result['roster_version']}, {result['current']}"
     )
+    yield "hosts:"
     for member in result["members"]:
         yield (
             f"  {member['host']:16} {member['zone']:12} {member['state']:10}"
             f" configuration {member['configuration_version'] or 'unknown'}"
         )
+    yield "homes:"
     for resource, host in sorted(result["homes"].items()):
         yield f"  {resource:32} {host}"
+    yield "free slots:"
     for region, free in sorted(result["headroom"].items()):
-        yield f"  region {region}: {free} free slots"
+        yield f"  {region:32} {free}"
+    yield "moves:" if result["moves"] else "moves: none"
     for move in result["moves"]:
-        yield f"  move {move['name']}: {move['state']}, share {move['share']}"
+        place = f"{move['state']} at share {move['share']:g}"
+        reason = f", {move['reason']}" if move["reason"] else ""
+        yield f"  {move['name']:32} {place}{reason}"
 
 
 def _render_trace(spans: list[dict]):
