Ask a peer for a newer version only where no push came

Cause: a heartbeat reply that named a newer version made this host fetch the whole document and roster at once, from each peer that named it, although a push of the same version was on its way from its neighbours.

Now it waits one second for the push, and then asks one peer at a time.

Ruled out: fetching the configuration alone, which still costs the whole document for each peer that answers in that moment.

Each test fails without what it guards: the wait, and the one peer at a time.

--- a/radishstile/daemon/replication.py
+++ b/radishstile/daemon/replication.py
@@ -34,6 +34,7 @@
 _RETRY_S = 1.0
 _PUSH_TIMEOUT_S = 5.0
 _SEED_TIMEOUT_S = 2.0
+_PULL_AFTER_S = 1.0
 
 
 class EncodedRevision:
@@ -76,6 +77,7 @@
         "_stored_versions",
         "_newest",
         "_encoded",
+        "_behind_since",
     )
 
     def __init__(self, node: Node):
@@ -85,6 +87,7 @@
         # The newest version that the store showed, in force here or not.
         self._newest = 0
         self._encoded = EncodedRevision(node.revision)
+        self._behind_since: float | None = None
 
     async def load(self) -> None:
         """Read what the store holds; raises `PlatformError`."""
@@ -199,16 +202,20 @@
             return False
         node.fleet.note_configuration(revision.version, read_clock())
         _LOG.info("replication: Configuration %d in force.", revision.version)
-        self.is_changed.set()
+        self._note_taken()
         return True
 
     def take_roster(self, roster: Roster) -> bool:
         """Use a newer roster; return whether it was newer."""
         if not self._node.fleet.note_roster(roster, read_clock()):
             return False
-        self.is_changed.set()
+        self._note_taken()
         return True
 
+    def _note_taken(self) -> None:
+        self._behind_since = None
+        self.is_changed.set()
+
     # Between peers
 
     async def push_to(self, peer) -> None:
@@ -241,13 +248,23 @@
             await _push_revision(peer, encoded.version, encoded.whole)
 
     async def pull_from(self, peer) -> None:
-        """Fetch from a peer the versions that this host does not have."""
+        """Fetch from a peer the versions that this host does not have.
+
+        Neighbours push a new version, so this host asks only if none came
+        for a while, and then one peer at a time.
+        """
         is_behind = (
             peer.configuration_version > self._node.revision.version
             or peer.roster_version > self._node.fleet.roster.version
         )
         if not is_behind or not peer.client.is_connected:
             return
+        now = read_clock()
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < _PULL_AFTER_S:
+            return
+        self._behind_since = now
         reply = await peer.client.ask(StateQuery(), _PUSH_TIMEOUT_S)
         raise_refusal(reply)
         self.take_state(reply)
--- a/test/daemon/test_replication.py
+++ b/test/daemon/test_replication.py
@@ -1,5 +1,6 @@
 """Tests of `radishstile.daemon.replication`: what goes to a peer."""
 
+import asyncio
 import unittest
 
 from radishstile.configuration.document import Configuration
@@ -58,6 +59,48 @@
         return PushAccepted(version=self.revision.version)
 
 
+class NewerPeer:
+    """A peer that has a newer version, and counts who asks for it."""
+
+    def __init__(self, revision):
+        self.client = self
+        self.is_connected = True
+        self.configuration_version = revision.version
+        self.roster_version = 0
+        self.queries = 0
+        self.state = Replication(FakeNode(revision)).make_state()
+
+    async def ask(self, _message, _timeout_s):
+        self.queries += 1
+        await asyncio.sleep(0.01)
+        return self.state
+
+
+class PullTest(PausedTestCase):
+    def setUp(self):
+        first, self.second = make_revisions()
+        self.peers = [NewerPeer(self.second) for _ in range(6)]
+        self.replication = Replication(FakeNode(first))
+
+    async def hear_all(self):
+        pulls = [self.replication.pull_from(peer) for peer in self.peers]
+        await asyncio.gather(*pulls)
+        return sum(peer.queries for peer in self.peers)
+
+    async def test_push_on_its_way_is_not_asked_for(self):
+        self.assertEqual(await self.hear_all(), 0)
+        self.replication.take_revision(self.second)
+        await asyncio.sleep(2)
+        self.assertEqual(await self.hear_all(), 0)
+
+    async def test_version_that_nobody_pushes_is_asked_of_one_peer(self):
+        await self.hear_all()
+        await asyncio.sleep(1)
+        self.assertEqual(await self.hear_all(), 1)
+        revision = self.replication._node.revision
+        self.assertEqual(revision.document, self.second.document)
+
+
 class PushTest(PausedTestCase):
     def setUp(self):
         self.first, self.second = make_revisions()
