--- a/bench/capacity/changes.py
+++ b/bench/capacity/changes.py
@@ -70,9 +70,9 @@
     )
     for hosts in target.HOST_COUNTS:
         table.add(hosts, *_measure_document(hosts))
-    table.fit(1, "B a host")
-    table.fit(6, "ms a host")
-    table.fit(7, "ms a host")
+    table.fit(1)
+    table.fit(6)
+    table.fit(7)
     return table
 
 
@@ -117,11 +117,6 @@
         delta_costs = _make_costs(delta, SEND_DELTA_MS, apply + build)
         for name, costs in (("whole", whole_costs), ("delta", delta_costs)):
             table.add(hosts, name, *_spread(hosts, costs))
-    table.notes.append(
-        "A model of the links and of one core for each host, with the times "
-        "measured above; a host sends to each neighbour that it has not "
-        "heard to have the version. The store's watch comes before it."
-    )
     return table
 
 
--- a/bench/capacity/claims.py
+++ b/bench/capacity/claims.py
@@ -4,7 +4,7 @@
 import time
 
 from bench.capacity import generator, target
-from bench.capacity.table import US_PER_S, Table, time_call
+from bench.capacity.table import US_PER_S, Table, format_cell, time_call
 from radishstile.daemon.rights import make_grant, read_grant
 from radishstile.fleet.allotment import Allotment, Claim
 from radishstile.fleet.home import Home
@@ -96,11 +96,10 @@
 
 def measure() -> list[Table]:
     """Return the tables of claims and of a home's own ticks."""
-    return [_measure_messages(), _measure_claims(), _measure_members()]
+    return [_measure_claims(), _measure_members()]
 
 
-def _measure_messages() -> Table:
-    table = Table("claim", ["message", "bytes", "encode us", "decode us"])
+def _note_messages(table: Table) -> None:
     claim = Claim(RESOURCE, ("akl-a-001", 1), 4, 7, 3, 9.5, 4, 0, 0, 2.5, 8.1)
     message = ClaimRight(claim=claim.to_record())
     allotment = Allotment(RESOURCE, EPOCH, 4, 10.5, 6, 1.5)
@@ -108,8 +107,11 @@
         ("claim", message, lambda m: Claim.from_record(m.claim)),
         ("grant", make_grant([allotment]), read_grant),
     ):
-        table.add(name, *_measure_message(each, read))
-    return table
+        size, encode_us, decode_us = _measure_message(each, read)
+        table.notes.append(
+            f"A {name} takes {size} B, {format_cell(encode_us)} us to encode "
+            f"and {format_cell(decode_us)} us to decode."
+        )
 
 
 def _measure_message(message, read) -> list[float]:
@@ -139,6 +141,7 @@
         load = (LOAD_ROUNDS, LOAD_USE, BUSY_SPREAD)
         for name, settings in (("rest", rest), ("load", load)):
             table.add(count, name, *_run(count, *settings))
+    _note_messages(table)
     return table
 
 
@@ -181,5 +184,5 @@
         tick_us = time_call(lambda home=home, now=now: home.tick(now))
         share = TICKS_PER_S * (note_us + tick_us) / US_PER_S
         table.add(count, note_us / 1000, tick_us / 1000, share)
-    table.fit(2, "ms a holder")
+    table.fit(2)
     return table
--- a/bench/capacity/heartbeats.py
+++ b/bench/capacity/heartbeats.py
@@ -25,8 +25,8 @@
 def measure() -> list[Table]:
     """Return the tables of statements, of topology and of ticks."""
     tables = [_measure_statements(), _measure_topology(), _measure_ticks()]
-    sums = [_sum_up(*tables), _sum_up_links(tables[0])]
-    return tables + sums
+    statements, _, ticks = tables
+    return [statements, ticks, _sum_up(*tables), _sum_up_links(statements)]
 
 
 def _measure_statements() -> Table:
@@ -45,8 +45,8 @@
     for hosts in target.HOST_COUNTS:
         fleet = generator.make_fleet(hosts, generator.make_roster(hosts))
         table.add(hosts, *_measure_statement(fleet, hosts))
-    table.fit(2, "B a host")
-    table.fit(6, "us a host")
+    table.fit(2)
+    table.fit(6)
     return table
 
 
@@ -119,8 +119,8 @@
         fleet = generator.make_fleet(hosts, generator.make_roster(hosts))
         table.add(hosts, *_measure_tick(fleet))
     for column in (1, 2, 3):
-        table.fit(column, "us a host")
-    table.fit(6, "a host")
+        table.fit(column)
+    table.fit(6)
     return table
 
 
@@ -148,6 +148,8 @@
         "heartbeats",
         [
             "hosts",
+            "sent/s, mean",
+            "answered/s, most",
             "payload B/s",
             "with headers B/s",
             "part of 22 KB/s",
@@ -156,13 +158,15 @@
         ],
     )
     rows = zip(statements.rows, topology.rows, ticks.rows, strict=True)
-    for (hosts, question, reply, *costs), (_, mean, _, _), tick in rows:
+    for (hosts, question, reply, *costs), (_, mean, _, most), tick in rows:
         both = 2 * mean
         payload = both * (question + reply)
         traffic = both * (question + reply + SEGMENTS * SEGMENT_BYTES)
         share = mean * sum(costs) / US_PER_S
         table.add(
             hosts,
+            mean,
+            most,
             payload,
             traffic,
             traffic / target.TRAFFIC_BYTES_PER_S,
@@ -191,6 +195,6 @@
         share = links * (make_us + encode_us) / US_PER_S
         part = links * link / target.TRAFFIC_BYTES_PER_S
         table.add(hosts, links, links * link, part, share, link)
-    table.fit(2, "B/s a holder")
-    table.fit(4, "a holder")
+    table.fit(2)
+    table.fit(4)
     return table
--- a/bench/capacity/journals.py
+++ b/bench/capacity/journals.py
@@ -33,14 +33,20 @@
 
 
 def measure() -> list[Table]:
-    """Return the tables of records, loads and store writes."""
+    """Return the tables of loads and of store writes."""
     heads = _measure_heads()
-    return [heads, _measure_loads(), _derive_writes(heads)]
+    writes = _derive_writes(heads)
+    running, ended = heads.lines[1], heads.lines[2]
+    writes.notes.append(
+        f"A running record takes {running.slope:.0f} B, an ended one "
+        f"{ended.slope:.0f} B."
+    )
+    return [_measure_loads(), writes]
 
 
 def _measure_heads() -> Table:
     table = Table(
-        "journal-record",
+        "journal-heads",
         ["open records", "running B", "ended B", "encode head ms"],
     )
     for count in RECORD_COUNTS:
@@ -53,8 +59,8 @@
             len(encode_segment(ended)),
             time_call(lambda head=head: encode_head(head)) / MS,
         )
-    table.fit(1, "B a record", 1000)
-    table.fit(2, "B a record", 1000)
+    table.fit(1)
+    table.fit(2)
     return table
 
 
@@ -75,7 +81,7 @@
         load_us = time_call(lambda values=values: _load(values))
         mega = sum(map(len, values)) / 1e6
         table.add(count, len(values), mega, load_us / MS)
-    table.fit(3, "ms a record", HOUR_COUNTS[-1])
+    table.fit(3)
     return table
 
 
--- a/bench/capacity/lookups.py
+++ b/bench/capacity/lookups.py
@@ -37,9 +37,9 @@
     for blocks in target.BLOCK_COUNTS:
         row = lookup.measure_table(blocks)
         table.add(*(row[key] for key in TABLE_HEADS))
-    table.fit(3, "s a block", target.BLOCKS)
-    table.fit(4, "s a block", target.BLOCKS)
-    table.fit(5, "MB a block", target.BLOCKS)
+    table.fit(3)
+    table.fit(4)
+    table.fit(5)
     return [table, _measure_answers()]
 
 
@@ -53,5 +53,5 @@
         row = lookup.measure_answers(hosts, blocks)
         share = row["cached_answer_us"] * rate / US_PER_S
         answers.add(*(row[key] for key in ANSWER_HEADS), share)
-    answers.fit(2, "us a host")
+    answers.fit(2)
     return answers
--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -9,7 +9,7 @@
 import json
 import os
 import random
-import resource
+import re
 import subprocess
 import sys
 
@@ -25,11 +25,6 @@
     "opentelemetry.exporter.otlp.proto.http.trace_exporter",
     "jsonschema",
     "fire",
-    "aioprometheus",
-    "jsonpatch",
-    "transitions",
-    "msgpack",
-    "uvloop",
 )
 
 
@@ -63,8 +58,8 @@
         steps += [b - a for a, b in zip(resident, resident[1:], strict=False)]
         whole = resident[-1]
         table.add(hosts, blocks, *steps, whole, peak, whole / target.MEMORY_MB)
-    table.fit(4, "MB a host")
-    table.fit(5, "MB a host")
+    table.fit(4)
+    table.fit(5)
     return table
 
 
@@ -79,7 +74,7 @@
     table = Table("build-memory", ["blocks", "peak MB while building"])
     for blocks in target.BLOCK_COUNTS:
         table.add(blocks, *_run("build", str(blocks)))
-    table.fit(1, "MB a block", target.BLOCKS)
+    table.fit(1)
     return table
 
 
@@ -98,8 +93,10 @@
 
 
 def _read_peak() -> float:
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return usage.ru_maxrss / KB_PER_MB
+    # The peak of `getrusage` would count what the parent had at the fork.
+    with open("/proc/self/status", encoding="ascii") as file:
+        match = re.search(r"VmHWM:\s+(\d+) kB", file.read())
+    return int(match[1]) / KB_PER_MB
 
 
 def _list_stages(hosts: int, bodies_path: str) -> list[float]:
--- a/bench/capacity/processes.py
+++ b/bench/capacity/processes.py
@@ -68,8 +68,8 @@
             start.add(count, *await _start(fleet))
             lookup.add(count, *await _look_up(fleet))
     for column in (1, 3, 5):
-        rest.fit(column, "a host")
-    change.fit(1, "B a host")
+        rest.fit(column)
+    change.fit(1)
     return [rest, change, start, lookup]
 
 
--- a/bench/capacity/rosters.py
+++ b/bench/capacity/rosters.py
@@ -37,9 +37,9 @@
     )
     for hosts in target.HOST_COUNTS:
         table.add(hosts, *_measure_size(hosts))
-    table.fit(2, "B a host")
+    table.fit(2)
     for column in (3, 4, 5, 6):
-        table.fit(column, "ms a host")
+        table.fit(column)
     return table
 
 
--- a/bench/capacity/store.py
+++ b/bench/capacity/store.py
@@ -35,12 +35,6 @@
     for hosts in (target.HOST_COUNTS[0], target.HOSTS):
         table.add(hosts, "rest", *_rest(hosts))
         table.add(hosts, "a zone returns", *_rush(hosts))
-    table.notes.append(
-        "Counted from the intervals of the watches, the list, the moves and "
-        "the journal at its most; a waiting watch counts as one call. Each "
-        "start reads two objects; the rush is over "
-        f"{RUSH_S:.0f} s."
-    )
     return [table]
 
 
--- a/bench/capacity/table.py
+++ b/bench/capacity/table.py
@@ -3,55 +3,64 @@
 import time
 from collections.abc import Callable
 
-from bench.capacity import target
-
 MIN_SAMPLE_S = 0.02
 SAMPLES = 5
 US_PER_S = 1e6
 
 
 class Table:
-    """Named rows of figures; `notes` are lines that go under the rows."""
+    """Named rows of figures; `lines` are fitted through some columns."""
 
-    __slots__ = ("name", "heads", "rows", "notes")
+    __slots__ = ("name", "heads", "rows", "lines", "notes")
 
     def __init__(self, name: str, heads: list[str]):
         self.name = name
         self.heads = heads
         self.rows: list[list] = []
+        self.lines: dict[int, Line] = {}
         self.notes: list[str] = []
 
     def add(self, *cells) -> None:
         """Add one row."""
         self.rows.append(list(cells))
 
-    def fit(self, column: int, unit: str, at: float | None = None) -> float:
-        """Note the line through a column over the first; return it at `at`.
-
-        `at` is by default the number of hosts of the target.
-        """
-        at = target.HOSTS if at is None else at
-        line = Line.through(
-            [row[0] for row in self.rows], [row[column] for row in self.rows]
-        )
-        self.notes.append(
-            f"{self.heads[column]}: {format_cell(line.base)} + "
-            f"{format_cell(line.slope)} {unit}; worst residual "
-            f"{line.residual:.0%} of the largest value."
-        )
-        return line.find(at)
+    def fit(self, *columns: int) -> None:
+        """Fit a line through columns over the first one."""
+        sizes = [row[0] for row in self.rows]
+        for column in columns:
+            values = [row[column] for row in self.rows]
+            self.lines[column] = Line.through(sizes, values)
 
     def to_record(self) -> dict:
         """Return the table as a JSON object."""
-        return {"heads": self.heads, "rows": self.rows, "notes": self.notes}
+        lines = {
+            self.heads[column]: [line.base, line.slope, line.residual]
+            for column, line in self.lines.items()
+        }
+        return {
+            "heads": self.heads,
+            "rows": self.rows,
+            "lines": lines,
+            "notes": self.notes,
+        }
 
     def to_markdown(self) -> str:
         """Return the table and its notes as Markdown."""
-        lines = [self.heads, ["---"] * len(self.heads)]
-        lines += [[format_cell(cell) for cell in row] for row in self.rows]
-        text = "\n".join("| " + " | ".join(line) + " |" for line in lines)
-        notes = "".join(f"\n- {note}" for note in self.notes)
-        return text + ("\n" + notes if notes else "")
+        rows = [self.heads, ["---"] * len(self.heads)]
+        rows += [[format_cell(cell) for cell in row] for row in self.rows]
+        if self.lines:
+            rows.append(["line", *self._list_lines()])
+        text = "\n".join("| " + " | ".join(row) + " |" for row in rows)
+        if not self.notes:
+            return text
+        return f"{text}\n\n{' '.join(self.notes)}"
+
+    def _list_lines(self) -> list[str]:
+        columns = range(1, len(self.heads))
+        return [
+            str(self.lines[column]) if column in self.lines else ""
+            for column in columns
+        ]
 
 
 class Line:
@@ -76,9 +85,11 @@
         worst = max(abs(y - base - slope * x) for x, y in pairs)
         return cls(base, slope, worst / (max(map(abs, ys)) or 1))
 
-    def find(self, x: float) -> float:
-        """Return the line's value at `x`."""
-        return self.base + self.slope * x
+    def __str__(self) -> str:
+        sign = "-" if self.slope < 0 else "+"
+        slope = format_cell(abs(self.slope))
+        base = format_cell(self.base)
+        return f"{base} {sign} {slope} n ({self.residual:.0%})"
 
 
 def time_call(action: Callable[[], object]) -> float:
--- a/test/bench/test_capacity.py
+++ b/test/bench/test_capacity.py
@@ -29,15 +29,14 @@
 class PageTest(unittest.TestCase):
     def test_table_replaces_what_stood_between_its_markers(self):
         table = make_table("rest")
-        fitted = table.fit(1, "B a host")
+        table.fit(1)
         page = fill_page(PAGE, {"rest": table})
         self.assertEqual(fill_page(page, {"rest": table}), page)
         self.assertNotIn("old", page)
         self.assertIn("| 450 | 910 |", page)
-        self.assertIn("10 + 2 B a host; worst residual 0%", page)
+        self.assertIn("| line | 10 + 2 n (0%) |", page)
         self.assertTrue(page.startswith("Before.\n"))
         self.assertIn("kept", page)
-        self.assertAlmostEqual(fitted, 910.0)
 
     def test_table_without_a_place_is_an_error(self):
         with self.assertRaisesRegex(KeyError, "missing"):
