--- a/bench/capacity/processes.py
+++ b/bench/capacity/processes.py
@@ -16,6 +16,35 @@
 LOOKUPS = 4000
 LOOKUP_TASKS = 8
 MS_PER_S = 1000
+HEADS = {
+    "rest": [
+        "hosts",
+        "core, mean",
+        "core, most",
+        "B/s in, mean",
+        "B/s out, mean",
+        "resident MB, mean",
+        "resident MB, most",
+        "store calls/s",
+    ],
+    "change": [
+        "hosts",
+        "bytes in a host and change",
+        "bytes out a host and change",
+        "core ms a host and change",
+        "in force everywhere s, most",
+    ],
+    "start": [
+        "hosts",
+        "ready s",
+        "core s",
+        "bytes in",
+        "bytes out",
+        "store reads",
+        "store writes, fleet",
+    ],
+    "lookup-http": ["hosts", "core us", "core at the target"],
+}
 
 
 def measure() -> list[Table]:
@@ -24,42 +53,8 @@
 
 
 async def _measure() -> list[Table]:
-    rest = Table(
-        "rest",
-        [
-            "hosts",
-            "core, mean",
-            "core, most",
-            "B/s in, mean",
-            "B/s out, mean",
-            "resident MB, mean",
-            "resident MB, most",
-            "store calls/s",
-        ],
-    )
-    change = Table(
-        "change",
-        [
-            "hosts",
-            "bytes in a host and change",
-            "bytes out a host and change",
-            "core ms a host and change",
-            "in force everywhere s, most",
-        ],
-    )
-    start = Table(
-        "start",
-        [
-            "hosts",
-            "ready s",
-            "core s",
-            "bytes in",
-            "bytes out",
-            "store reads",
-            "store writes, fleet",
-        ],
-    )
-    lookup = Table("lookup-http", ["hosts", "core us", "core at the target"])
+    tables = [Table(name, heads) for name, heads in HEADS.items()]
+    rest, change, start, lookup = tables
     for count in FLEET_SIZES:
         async with run_fleet(count) as fleet:
             usage = await _rest(fleet)
@@ -67,10 +62,9 @@
             change.add(count, *await _change(fleet, usage))
             start.add(count, *await _start(fleet))
             lookup.add(count, *await _look_up(fleet))
-    for column in (1, 3, 5):
-        rest.fit(column)
+    rest.fit(1, 3, 5)
     change.fit(1)
-    return [rest, change, start, lookup]
+    return tables
 
 
 async def _read_all(fleet: MeasuredFleet) -> list[Usage]:
