--- /dev/null
+++ b/bench/limits_model.py
@@ -0,0 +1,211 @@
+"""A model of hosts, delays and faults that divisions of a limit run on.
+
+Hosts sit on an event heap; one-way delays are fixed by region, in seconds.
+"""
+
+import heapq
+import itertools
+import random
+
+from radishstile.workspace.settings import AdmissionSettings
+
+HOSTS = 22
+REGIONS = 3
+RATE_PER_S = 1000.0
+BURST = 100
+NEAR_S = 0.0015
+FAR_S = 0.055
+HOME = 0
+NEXT_HOME = 1
+HOLDER = 5
+FIRST_TARGET = 7
+SECOND_TARGET = 11
+START_S = 1.0
+EVIDENCE_S = 1.0
+SEED = 20
+MIN_WAIT_S = 0.001
+SETTINGS = AdmissionSettings()
+
+
+class Scenario:
+    """A load in requests a second, where it goes, and one fault.
+
+    The fault lasts from `fault_at_s` to `fault_end_s`, after which the run
+    goes on to `length_s`.
+    """
+
+    __slots__ = (
+        "name",
+        "load_per_s",
+        "target",
+        "fault",
+        "burst",
+        "fault_at_s",
+        "fault_end_s",
+        "length_s",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        load_per_s: float = 900.0,
+        target: str = "even",
+        fault: str = "",
+        burst: int = BURST,
+        fault_at_s: float = 5.0,
+        fault_end_s: float = 10.0,
+        length_s: float = 10.0,
+    ):
+        self.name = name
+        self.load_per_s = load_per_s
+        self.target = target
+        self.fault = fault
+        self.burst = burst
+        self.fault_at_s = fault_at_s
+        self.fault_end_s = fault_end_s
+        self.length_s = length_s
+
+    def choose_host(self, draw: random.Random, now: float) -> int:
+        """Return the host that a request at `now` meets."""
+        if self.target == "even":
+            return draw.randrange(HOSTS)
+        if self.target == "moves" and now > self.fault_at_s:
+            return SECOND_TARGET
+        return FIRST_TARGET
+
+    def draw_arrivals(self, seed: int) -> list[tuple[float, int]]:
+        """Return the times and hosts of all requests."""
+        draw = random.Random(seed)
+        now = START_S
+        arrivals = []
+        while now < START_S + self.length_s:
+            now += draw.expovariate(self.load_per_s)
+            arrivals.append((now, self.choose_host(draw, now)))
+        return arrivals
+
+
+class Request:
+    """One request: when and where it arrived, and whether it has ended."""
+
+    __slots__ = ("host", "at", "is_ended")
+
+    def __init__(self, host: int, at: float):
+        self.host = host
+        self.at = at
+        self.is_ended = False
+
+
+class Result:
+    """What one scheme did in one scenario; times in seconds."""
+
+    __slots__ = ("spends", "waits", "refused", "messages", "requests")
+
+    def __init__(self):
+        self.spends: list[float] = []
+        self.waits: list[float] = []
+        self.refused = 0
+        self.messages = 0
+        self.requests = 0
+
+
+class World:
+    """The event heap, the delays, and which hosts can talk."""
+
+    __slots__ = (
+        "scenario",
+        "result",
+        "now",
+        "home_at",
+        "dead",
+        "fault_on",
+        "_heap",
+        "_order",
+        "_inbox",
+    )
+
+    def __init__(self, scenario: Scenario):
+        self.scenario = scenario
+        self.result = Result()
+        self.now = 0.0
+        self.home_at = HOME
+        self.dead: set[int] = set()
+        self.fault_on = False
+        self._heap: list = []
+        self._order = itertools.count()
+        self._inbox: list = []
+
+    def at(self, when: float, act, *parts) -> None:
+        """Put an event on the heap."""
+        heapq.heappush(self._heap, (when, next(self._order), act, parts))
+
+    def run(self) -> None:
+        """Let time pass until every request has ended."""
+        end = START_S + self.scenario.length_s + 2 * SETTINGS.admit_wait_s
+        while self._heap:
+            when, _, act, parts = heapq.heappop(self._heap)
+            if when > end:
+                return
+            self.now = when
+            act(*parts)
+
+    def send(self, host: int, act, *parts) -> None:
+        """Carry a message between a host and the home, if it gets through.
+
+        A paused home reads what came in when it wakes.
+        """
+        self.result.messages += 1
+        if not self.is_reachable(host):
+            return
+        self.at(self.now + self.find_delay(host), act, *parts)
+
+    def hold(self, act, *parts) -> bool:
+        """Keep a message for a paused home; return whether it is paused."""
+        if self.is_paused(self.home_at):
+            self._inbox.append((act, parts))
+            return True
+        return False
+
+    def wake(self) -> None:
+        """Let the paused home read its messages."""
+        self.fault_on = False
+        inbox, self._inbox = self._inbox, []
+        for act, parts in inbox:
+            act(*parts)
+
+    def is_reachable(self, host: int) -> bool:
+        """Return whether messages pass between a host and the home."""
+        if self.home_at in self.dead or host in self.dead:
+            return False
+        if self.fault_on and self.scenario.fault == "cut":
+            return host % REGIONS == self.home_at % REGIONS
+        return True
+
+    def is_paused(self, host: int) -> bool:
+        """Return whether a host's process stands still."""
+        is_pause = self.fault_on and self.scenario.fault == "pause"
+        return is_pause and host == HOME
+
+    def is_serving(self, host: int) -> bool:
+        """Return whether a host takes requests."""
+        return host not in self.dead and not self.is_paused(host)
+
+    def find_delay(self, host: int) -> float:
+        """Return the one-way delay between a host and the home."""
+        if host == self.home_at:
+            return 0.0
+        is_near = host % REGIONS == self.home_at % REGIONS
+        return NEAR_S if is_near else FAR_S
+
+    def admit(self, request: Request) -> None:
+        """Send a request on with a token."""
+        request.is_ended = True
+        self.result.spends.append(self.now)
+        self.result.waits.append(self.now - request.at)
+
+    def refuse(self, request: Request) -> None:
+        """Refuse a request that waited for a token in vain."""
+        if request.is_ended:
+            return
+        request.is_ended = True
+        if request.host not in self.dead:
+            self.result.refused += 1
