--- a/bench/limits.py
+++ b/bench/limits.py
@@ -2,7 +2,8 @@
 
 Usage: python -m bench.limits [PATH], where PATH takes the results as JSON.
 `above` is the most requests sent above the limit in any window; `wrong` is
-the part refused that one ideal bucket with the same wait admits.
+the part refused that one ideal bucket with the same wait admits; `used` is
+the part of the rate that is sent after the first second.
 """
 
 import json
@@ -16,6 +17,7 @@
     RATE_PER_S,
     SEED,
     SETTINGS,
+    START_S,
     Request,
     Result,
     Scenario,
@@ -24,6 +26,7 @@
 from bench.limits_schemes import SCHEMES
 
 WINDOWS_S = (0.1, 1.0, 10.0)
+SETTLE_S = 1.0
 SLACK = 1e-6
 SCENARIOS = (
     Scenario("even"),
@@ -126,6 +129,9 @@
         count_excess(result.spends, window_s, scenario.burst)
         for window_s in WINDOWS_S
     ]
+    loaded_s = scenario.length_s - SETTLE_S
+    began = START_S + SETTLE_S
+    sent = sum(began <= at < began + loaded_s for at in result.spends)
     wrong = max(0.0, refused - count_ideal(scenario, seed))
     return {
         "scenario": scenario.name,
@@ -133,6 +139,7 @@
         "requests": result.requests,
         "above": max(excesses),
         "wrong_pct": wrong * 100,
+        "used_pct": sent / loaded_s / RATE_PER_S * 100,
         "p50_ms": waits[len(waits) // 2] * 1000,
         "p99_ms": waits[len(waits) * 99 // 100] * 1000,
         "messages": result.messages / max(1, result.requests),
@@ -143,7 +150,8 @@
     """Print one cell."""
     print(
         f"{row['scenario']:21} {row['scheme']:7} above {row['above']:4.0f}"
-        f"  wrong {row['wrong_pct']:7.3f}%  p50 {row['p50_ms']:6.1f}"
+        f"  wrong {row['wrong_pct']:7.3f}%"
+        f"  used {row['used_pct']:5.1f}%  p50 {row['p50_ms']:6.1f}"
         f"  p99 {row['p99_ms']:6.1f} ms  messages {row['messages']:.2f}",
         flush=True,
     )
--- a/radishstile/fleet/home.py
+++ b/radishstile/fleet/home.py
@@ -15,6 +15,7 @@
 
 RESEND_S = 0.25
 MAX_PENDING = 8
+OVERLOAD_AFTER_S = 1.0
 
 
 class Home:
@@ -36,6 +37,7 @@
         "_awaited",
         "_ended",
         "_accounts",
+        "_within_at",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         self._awaited = set(self._members)
         self._ended: set[Identity] = set()
         self._accounts: dict[Identity, Account] = {}
+        self._within_at = now
         self._resize_pool(now)
 
     @property
@@ -198,7 +201,7 @@
     def _recall(self, account: Account, share: Share, now: float) -> Dispatch:
         rate = min(account.current_rate, share.rate)
         burst = min(account.current_burst, share.burst)
-        allotment = self._build(account, rate, burst)
+        allotment = self._build(account, rate, burst, now)
         account.issue(allotment, now)
         return Dispatch(account.holder, allotment)
 
@@ -220,7 +223,7 @@
             return
         level = self._choose_level(account, more_burst)
         allotment = self._build(
-            account, account.rate + more_rate, account.burst + more_burst
+            account, account.rate + more_rate, account.burst + more_burst, now
         )
         allotment.level = level
         pool.take(level)
@@ -236,16 +239,24 @@
         awaited = min(account.waiting, self._pool.level, more_burst)
         return min(more_burst, max(part, awaited))
 
-    def _build(self, account: Account, rate: float, burst: int) -> Allotment:
+    def _build(
+        self, account: Account, rate: float, burst: int, now: float
+    ) -> Allotment:
         allotment = Allotment(
             self.resource, self.epoch, account.sent_number + 1, rate, burst
         )
-        allotment.is_exhausted = self._is_exhausted()
+        allotment.is_exhausted = self._is_exhausted(now)
         return allotment
 
-    def _is_exhausted(self) -> bool:
+    def _is_exhausted(self, now: float) -> bool:
+        """Return whether demand has been above the whole limit for a while.
+
+        A load that moves is counted twice until its former host claims.
+        """
         demand = sum(item.demand for item in self._accounts.values())
-        return demand > self.rate and self._pool.level < 1
+        if demand <= self.rate:
+            self._within_at = now
+        return now - self._within_at > OVERLOAD_AFTER_S
 
     def _serve_all(self, now: float, dispatches: list[Dispatch]) -> None:
         """Give tokens to requests that have waited for the opening."""
@@ -263,7 +274,7 @@
         if wanted <= 0 or len(account.pending) >= MAX_PENDING:
             return
         allotment = self._build(
-            account, account.current_rate, account.current_burst
+            account, account.current_rate, account.current_burst, now
         )
         if at_once > 0:
             allotment.at_once = at_once
--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -9,6 +9,7 @@
 
 DEMAND_CHANGE = 0.25
 SILENCE_GAPS = 5
+DEVIATIONS = 4
 
 
 class Reservation:
@@ -70,6 +71,8 @@
         "_returned",
         "_serial",
         "_demand",
+        "_steady_demand",
+        "_steady_since",
         "_demand_at",
         "_claimed_at",
         "_claimed",
@@ -97,6 +100,8 @@
         self._returned = 0.0
         self._serial = 0
         self._demand = 0.0
+        self._steady_demand = 0.0
+        self._steady_since = now
         self._demand_at = now
         self._claimed_at = -math.inf
         self._claimed: Claim | None = None
@@ -124,9 +129,15 @@
 
     def note_arrival(self, now: float) -> None:
         """Count one request towards the demand."""
-        self._demand = self._measure_demand(now)
+        window_s = self._choose_window(now)
+        steady = self._decay(self._steady_demand, window_s, now)
+        self._demand = self._measure_recent(now)
         self._demand += 1 / self.settings.demand_window_s
+        self._steady_demand = steady + 1 / window_s
         self._demand_at = now
+        if self._is_unsteady():
+            self._steady_demand = self._demand
+            self._steady_since = now
 
     def note_waiting(self, change: int) -> None:
         """Count the requests that wait, and drop tokens that none needs."""
@@ -257,15 +268,38 @@
         )
 
     def _measure_demand(self, now: float) -> float:
+        """Return the demand over a long window, unless it has changed."""
         elapsed_s = max(0.0, now - self._demand_at)
         if elapsed_s >= self.settings.idle_return_s:
             return 0.0
-        decayed = self._demand * math.exp(
-            -elapsed_s / self.settings.demand_window_s
-        )
+        window_s = self._choose_window(now)
+        demand = self._decay(self._steady_demand, window_s, now)
         if elapsed_s <= 0:
-            return decayed
-        return min(decayed, SILENCE_GAPS / elapsed_s)
+            return demand
+        return min(demand, SILENCE_GAPS / elapsed_s)
+
+    def _measure_recent(self, now: float) -> float:
+        return self._decay(self._demand, self.settings.demand_window_s, now)
+
+    def _decay(self, demand: float, window_s: float, now: float) -> float:
+        elapsed_s = max(0.0, now - self._demand_at)
+        return demand * math.exp(-elapsed_s / window_s)
+
+    def _choose_window(self, now: float) -> float:
+        """Return the seconds that the steady demand is averaged over."""
+        shortest_s = self.settings.demand_window_s
+        longest_s = self.settings.steady_window_s
+        return min(longest_s, max(shortest_s, now - self._steady_since))
+
+    def _is_unsteady(self) -> bool:
+        """Return whether the recent demand is no chance deviation.
+
+        Arrivals at random deviate by the root of half the count in a window.
+        """
+        window_s = self.settings.demand_window_s
+        deviation = math.sqrt((self._steady_demand + 1) / (2 * window_s))
+        change = abs(self._demand - self._steady_demand)
+        return change > DEVIATIONS * deviation
 
     def _is_idle(self, now: float) -> bool:
         quiet_s = now - self._demand_at
--- a/radishstile/workspace/settings.py
+++ b/radishstile/workspace/settings.py
@@ -7,7 +7,9 @@
     `admit_wait_s` bounds the wait for a token; `exhausted_wait_s` does so
     while the workspace is above its rate. Claims are at least
     `claim_spacing_s` apart, and `idle_claim_s` when nothing waits. A host
-    without requests for `idle_return_s` gives back what it holds.
+    without requests for `idle_return_s` gives back what it holds. Demand is
+    averaged over up to `steady_window_s`, and over `demand_window_s` after
+    it changed.
     """
 
     __slots__ = (
@@ -18,6 +20,7 @@
         "idle_claim_s",
         "idle_return_s",
         "demand_window_s",
+        "steady_window_s",
     )
 
     def __init__(
@@ -29,6 +32,7 @@
         idle_claim_s: float = 1.0,
         idle_return_s: float = 5.0,
         demand_window_s: float = 1.0,
+        steady_window_s: float = 10.0,
     ):
         self.admit_wait_s = admit_wait_s
         self.exhausted_wait_s = exhausted_wait_s
@@ -37,3 +41,4 @@
         self.idle_claim_s = idle_claim_s
         self.idle_return_s = idle_return_s
         self.demand_window_s = demand_window_s
+        self.steady_window_s = steady_window_s
