--- a/bench/limits.py
+++ b/bench/limits.py
@@ -28,15 +28,17 @@
 WINDOWS_S = (0.1, 1.0, 10.0)
 SETTLE_S = 1.0
 SLACK = 1e-6
+# The home goes away once the shares are steady, and for long.
+AWAY = {"fault_at_s": 10.0, "fault_end_s": 20.0, "length_s": 22.0}
 SCENARIOS = (
     Scenario("even"),
     Scenario("one host", target="one"),
     Scenario("load moves", target="moves"),
     Scenario("holder dies", fault="holder"),
     Scenario("home dies", fault="home"),
-    Scenario("home paused, woken", fault="pause", length_s=15, fault_end_s=13),
-    Scenario("store out, home dead", fault="outage", length_s=15),
-    Scenario("region cut off, back", fault="cut", length_s=15, fault_end_s=13),
+    Scenario("home paused, woken", fault="pause", **AWAY),
+    Scenario("store out, home dead", fault="outage", **AWAY),
+    Scenario("region cut off, back", fault="cut", **AWAY),
     Scenario("burst 5, even", burst=5),
     Scenario("overload 5x", load_per_s=5000, length_s=5),
 )
