Bring a block table from operators to every host in chunks

Cause: nothing put the table of 780,000 blocks into daemons; building one takes seconds and must not run in them.

Parts are objects `blocks/DIGEST`, named by their content, so they are written once and a change sends only what differs. The manifest's digest stands in the configuration, which brings version, history, return to a former table and the spreading along; no further watch is needed. The regions of sites are in the configuration too and change without another table. Watchers read parts from the store, other hosts from peers. A host joins chunks one by one and uses its former table until the new one is whole.

Ruled out: a manifest object `blocks` with its own conditional update, as two versions could then disagree and a rollback would need both.

--- a/radishstile/cli/command.py
+++ b/radishstile/cli/command.py
@@ -7,6 +7,7 @@
 import fire
 from fire.core import FireExit
 
+from radishstile.cli.blocks import BlockList, read_block_list, upload
 from radishstile.cli.caller import CallerClient
 from radishstile.cli.client import OperatorClient, read_json_file
 from radishstile.cli.output import render
@@ -46,9 +47,40 @@
         """Send no new work to the upstream NAME; --undo takes it back."""
         return self._run("drain-upstream", upstream=str(name), undo=undo)
 
-    def region(self, name: str, cap_per_s: float):
-        """Move all traffic out of the region NAME, at most CAP_PER_S."""
-        return self._run("drain-region", region=str(name), cap_per_s=cap_per_s)
+    def region(
+        self,
+        name: str,
+        cap_per_s: float,
+        step: float = 0.05,
+        pace_s: float = 30,
+    ):
+        """Move all traffic out of the region NAME, at most CAP_PER_S.
+
+        Each PACE_S seconds another STEP of the clients moves.
+        """
+        return self._run(
+            "drain-region",
+            region=str(name),
+            cap_per_s=cap_per_s,
+            step=step,
+            pace_s=pace_s,
+        )
+
+
+class BlockCommands:
+    """Load the table of client blocks."""
+
+    __slots__ = ("_run_upload",)
+
+    def __init__(self, run_upload):
+        self._run_upload = run_upload
+
+    def load(self, file: str, sites: str):
+        """Load the lines `CIDR,site` of FILE; --sites FILE maps to regions.
+
+        The sites' file is a JSON object from site to region.
+        """
+        return self._run_upload(read_block_list(str(file), str(sites)))
 
 
 class Commands:
@@ -58,22 +90,28 @@
     settings (default: RADISHSTILE_SETTINGS, or radishstile.ini).
     """
 
-    __slots__ = ("_settings", "_as_json", "key", "drain")
+    __slots__ = ("_settings", "_as_json", "key", "drain", "blocks")
 
     def __init__(self, settings: ClientSettings, as_json: bool):
         self._settings = settings
         self._as_json = as_json
         self.key = KeyCommands(self._run)
         self.drain = DrainCommands(self._run)
+        self.blocks = BlockCommands(self._run_upload)
 
     def _run(self, command: str, **fields) -> str:
-        settings = self._settings
-        client = OperatorClient(
-            settings.url, settings.operator, settings.token
-        )
+        client = self._open_client()
         result = asyncio.run(client.execute(command, **fields))
         return render(command, result, self._as_json)
 
+    def _run_upload(self, blocks: BlockList) -> str:
+        result = asyncio.run(upload(self._open_client(), blocks))
+        return render("publish-blocks", result, self._as_json)
+
+    def _open_client(self) -> OperatorClient:
+        settings = self._settings
+        return OperatorClient(settings.url, settings.operator, settings.token)
+
     def show(self, version: int = 0):
         """Show the configuration, or the one of VERSION."""
         return self._run("show", version=version)
--- a/radishstile/cli/output.py
+++ b/radishstile/cli/output.py
@@ -96,6 +96,7 @@
     "drain-upstream": _render_accepted,
     "drain-region": _render_accepted,
     "move": _render_accepted,
+    "publish-blocks": _render_accepted,
     "issue-key": _render_key,
     "lookup": _render_lookup,
     "send": _render_send,
--- a/radishstile/configuration/document.py
+++ b/radishstile/configuration/document.py
@@ -140,8 +140,10 @@
 class Configuration:
     """One numbered version of the whole configuration.
 
-    `links` maps (from region, to region) to Mbit/s; `zones` maps a zone to
-    its region; `capacities` maps a region to requests in flight, where set.
+    `sites` maps a site of the block table to its region, and `block_table`
+    is the digest of the table's manifest, or empty. `links` maps (from
+    region, to region) to Mbit/s; `zones` maps a zone to its region;
+    `capacities` maps a region to requests in flight, where set.
     """
 
     __slots__ = (
@@ -155,6 +157,8 @@
         "routes",
         "blocks",
         "moves",
+        "sites",
+        "block_table",
     )
 
     def __init__(self, version: int, document: dict):
@@ -178,6 +182,8 @@
         self.workspaces = _build(Workspace, document.get("workspaces", {}))
         self.routes = _build(Route, document.get("routes", {}))
         self.moves = _build(Move, document.get("moves", {}))
+        self.sites = document.get("sites", {})
+        self.block_table = document.get("block_table", "")
         self.blocks = [Block(block) for block in document.get("blocks", ())]
         self.upstreams = {
             name: UpstreamEntry(name, group, record)
@@ -236,6 +242,8 @@
             yield "links", "region", region, regions
     for block in configuration.blocks:
         yield f"blocks/{block.network}", "region", block.region, regions
+    for site, region in configuration.sites.items():
+        yield f"sites/{site}", "region", region, regions
     for name, upstream in configuration.upstreams.items():
         yield f"upstreams/{name}", "zone", upstream.zone, configuration.zones
     for name, route in configuration.routes.items():
--- a/radishstile/configuration/schema.py
+++ b/radishstile/configuration/schema.py
@@ -95,5 +95,7 @@
             "items": _record({"client": {"type": "string"}, "region": _NAME}),
         },
         "moves": _map_of(MOVE),
+        "sites": _map_of(_NAME),
+        "block_table": {"type": "string", "pattern": "^[0-9a-f]{32}$"},
     },
 )
--- /dev/null
+++ b/radishstile/daemon/blocks.py
@@ -0,0 +1,148 @@
+"""Brings the block table that the configuration names to this host."""
+
+import asyncio
+import base64
+import logging
+
+from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.peers import Peer, Peers
+from radishstile.daemon.steering import Steering
+from radishstile.errors import (
+    ConfigurationError,
+    PlatformError,
+    RefusalError,
+    VersionConflictError,
+    WireError,
+)
+from radishstile.lookup.chunk import ChunkReader, check_chunk
+from radishstile.lookup.manifest import Manifest
+from radishstile.lookup.table import BlockTable
+from radishstile.wire.messages.block import BlockQuery
+from radishstile.wire.refusals import raise_refusal
+
+_LOG = logging.getLogger("radishstile.blocks")
+_CHECK_S = 1.0
+_ASK_TIMEOUT_S = 5.0
+_PEERS_TRIED = 3
+
+
+class Blocks:
+    """Fetches the parts of a table that this host does not have.
+
+    Parts are named by their digests, so what has not changed is kept. Only
+    watchers read the store; other hosts ask their peers, which have a part
+    as soon as they fetched it.
+    """
+
+    __slots__ = ("_node", "_peers", "_steering", "_parts", "_loaded")
+
+    def __init__(self, node: Node, peers: Peers, steering: Steering):
+        self._node = node
+        self._peers = peers
+        self._steering = steering
+        self._parts: dict[str, bytes] = {}
+        self._loaded = ""
+
+    async def run(self) -> None:
+        """Load the table whenever the configuration names another."""
+        while True:
+            digest = self._node.configuration.block_table
+            if digest != self._loaded:
+                await self._try_load(digest)
+            await asyncio.sleep(_CHECK_S)
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the table in use, or none."""
+        return self._loaded
+
+    def find_part(self, digest: str) -> bytes:
+        """Return a part that is known here, or no bytes."""
+        return self._parts.get(digest, b"")
+
+    async def store_part(self, digest: str, body: bytes) -> None:
+        """Write a part to the store; raises `PlatformError`."""
+        value = {"body": base64.b64encode(body).decode()}
+        try:
+            await self._node.store.update(_name_object(digest), value, 0)
+        except VersionConflictError:
+            _LOG.debug("blocks: %s is stored already.", digest)
+
+    async def _try_load(self, digest: str) -> None:
+        try:
+            await self._load(digest)
+        except (PlatformError, WireError, TimeoutError) as error:
+            _LOG.info("blocks: Table %s waits: %s", digest, error)
+        except (ConfigurationError, RefusalError) as error:
+            _LOG.warning("blocks: Table %s: %s", digest, error)
+
+    async def _load(self, digest: str) -> None:
+        """Fetch and join a table; the former one is used meanwhile."""
+        if not digest:
+            self._steering.replace_table(BlockTable.build([]), [])
+            self._parts = {}
+            self._loaded = digest
+            return
+        encoded = await self._fetch(digest)
+        manifest = Manifest.decode(encoded, digest)
+        reader = ChunkReader()
+        for part in manifest.digests:
+            reader.add(await self._fetch_chunk(part))
+            # Requests go on between the chunks.
+            await asyncio.sleep(0)
+        table = BlockTable.from_reader(reader)
+        self._steering.replace_table(table, manifest.sites)
+        self._keep_only({digest, *manifest.digests})
+        self._loaded = digest
+        _LOG.info("blocks: %d intervals, table %s.", len(table), digest)
+
+    def _keep_only(self, digests: set[str]) -> None:
+        self._parts = {d: self._parts[d] for d in digests}
+
+    async def _fetch_chunk(self, digest: str) -> bytes:
+        is_known = digest in self._parts
+        body = await self._fetch(digest)
+        if not is_known:
+            try:
+                check_chunk(body, digest)
+            except ConfigurationError:
+                del self._parts[digest]
+                raise
+        return body
+
+    async def _fetch(self, digest: str) -> bytes:
+        body = self._parts.get(digest)
+        if body is None:
+            body = await self._fetch_away(digest)
+            self._parts[digest] = body
+        return body
+
+    async def _fetch_away(self, digest: str) -> bytes:
+        if self._node.fleet.is_watcher(read_clock()):
+            return await self._read_store(digest)
+        peers = self._peers.list_connected()
+        self._node.random.shuffle(peers)
+        for peer in peers[:_PEERS_TRIED]:
+            body = await self._ask(peer, digest)
+            if body:
+                return body
+        raise WireError(f"no peer has {digest} yet")
+
+    async def _read_store(self, digest: str) -> bytes:
+        stored = await self._node.store.read(_name_object(digest))
+        if stored is None:
+            raise ConfigurationError(f"{digest} is not in the store")
+        return base64.b64decode(stored.value["body"])
+
+    async def _ask(self, peer: Peer, digest: str) -> bytes:
+        message = BlockQuery(digest=digest)
+        try:
+            reply = await peer.client.ask(message, _ASK_TIMEOUT_S)
+            raise_refusal(reply)
+        except (WireError, RefusalError, TimeoutError):
+            return b""
+        return reply.body
+
+
+def _name_object(digest: str) -> str:
+    return f"blocks/{digest}"
--- a/radishstile/daemon/handlers.py
+++ b/radishstile/daemon/handlers.py
@@ -23,7 +23,7 @@
 from radishstile.shift.measures import MoveHint
 from radishstile.shift.progress import MoveProgress
 from radishstile.wire.exchange import Exchange
-from radishstile.wire.messages import fleet, run
+from radishstile.wire.messages import block, fleet, run
 from radishstile.wire.messages.base import Message
 from radishstile.wire.parts import PartAssembly, PartSequence
 
@@ -126,6 +126,14 @@
     await exchange.send(reply)
 
 
+@handle.register
+async def _(
+    message: block.BlockQuery, exchange: Exchange, parts: Parts
+) -> None:
+    body = parts.blocks.find_part(message.digest)
+    await exchange.send(block.BlockReply(body=body))
+
+
 @handle.register
 async def _(
     message: fleet.RouteLoadQuery, exchange: Exchange, parts: Parts
--- a/radishstile/daemon/parts.py
+++ b/radishstile/daemon/parts.py
@@ -12,6 +12,7 @@
         "lanes",
         "steering",
         "moves",
+        "blocks",
         "machines",
         "harm",
         "chooser",
--- a/radishstile/daemon/service.py
+++ b/radishstile/daemon/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from radishstile.daemon.blocks import Blocks
 from radishstile.daemon.choice import Chooser
 from radishstile.daemon.entry import Entry, Session
 from radishstile.daemon.events import log_event
@@ -120,6 +121,7 @@
             parts.replication.plan_rosters(),
             parts.machines.run(),
             parts.moves.run(),
+            parts.blocks.run(),
             self._tick(),
             self._apply_changes(),
         ]
@@ -241,6 +243,7 @@
     parts.homes.lanes = parts.lanes
     parts.steering = Steering(node, parts.lanes.gate)
     parts.moves = Moves(node, parts.peers, parts.homes, parts.steering)
+    parts.blocks = Blocks(node, parts.peers, parts.steering)
     parts.machines = Machines(node, parts.peers, parts.homes)
     parts.harm = HarmWatch(node, parts.peers)
     parts.chooser = Chooser(node, parts.peers, parts.homes, parts.steering)
--- a/radishstile/daemon/steering.py
+++ b/radishstile/daemon/steering.py
@@ -74,6 +74,7 @@
         "_guard",
         "_directory",
         "_table",
+        "_sites",
         "_site_regions",
         "_blocks",
         "_moves",
@@ -90,7 +91,8 @@
         self._budgets: dict[str, LaneBudget] = {}
         self._guard = MoveGuard(self._placement, self._budgets, 0.0)
         self._table = BlockTable.build([])
-        self._site_regions: list[str] = []
+        self._sites: list[str] = []
+        self._site_regions: dict[str, str] = {}
         self._blocks: list[dict] = []
         self._moves: dict[str, dict] = {}
         self._targets: dict[tuple[str, str], frozenset[str]] = {}
@@ -101,8 +103,10 @@
         """Take the blocks and moves of the configuration in force."""
         document = self._node.configuration.document
         blocks = document.get("blocks", [])
-        if blocks != self._blocks:
+        sites = document.get("sites", {})
+        if (blocks, sites) != (self._blocks, self._site_regions):
             self._blocks = blocks
+            self._site_regions = sites
             self._locate_blocks()
         moves = document.get("moves", {})
         if moves != self._moves:
@@ -110,17 +114,20 @@
             self._cancel_deleted()
             self._place_blocks()
 
-    def replace_table(
-        self, table: BlockTable, site_regions: list[str]
-    ) -> None:
-        """Use another table of blocks, whose sites are in these regions."""
+    def replace_table(self, table: BlockTable, sites: list[str]) -> None:
+        """Use another table of blocks, with these sites by index."""
         self._table = table
-        self._site_regions = site_regions
+        self._sites = sites
         self._locate_blocks()
 
+    def count_intervals(self) -> int:
+        """Return the number of intervals of the block table in use."""
+        return len(self._table)
+
     def _locate_blocks(self) -> None:
+        regions = [self._site_regions.get(site) for site in self._sites]
         blocks = self._node.configuration.blocks
-        self._locator = Locator(blocks, self._table, self._site_regions)
+        self._locator = Locator(blocks, self._table, regions)
 
     def _cancel_deleted(self) -> None:
         """Let a deleted move begin at share zero if it is planned again."""
--- a/radishstile/lookup/chunk.py
+++ b/radishstile/lookup/chunk.py
@@ -177,12 +177,26 @@
             raise ValueError("starts and sites differ in number")
 
 
+def check_chunk(body: bytes, digest: str) -> None:
+    """Raise `ConfigurationError` where a body is not that of `digest`."""
+    try:
+        content = _decompress(body)
+    except _DAMAGE as error:
+        raise ConfigurationError(f"block chunk: {error}") from error
+    if xxhash.xxh3_128_hexdigest(content) != digest:
+        raise ConfigurationError(f"block chunk: is not {digest}")
+
+
+def _decompress(body: bytes) -> bytes:
+    reader = zlib.decompressobj()
+    content = reader.decompress(body, MAX_BODY_BYTES)
+    if reader.unconsumed_tail or not reader.eof:
+        raise ValueError("not whole, or too large")
+    return content
+
+
 def _decode_body(body: bytes) -> _Part:
     try:
-        reader = zlib.decompressobj()
-        content = reader.decompress(body, MAX_BODY_BYTES)
-        if reader.unconsumed_tail or not reader.eof:
-            raise ValueError("not whole, or too large")
-        return _Part(msgpack.unpackb(content))
+        return _Part(msgpack.unpackb(_decompress(body)))
     except _DAMAGE as error:
         raise ConfigurationError(f"block chunk: {error}") from error
--- a/radishstile/lookup/location.py
+++ b/radishstile/lookup/location.py
@@ -9,13 +9,16 @@
     """Maps client addresses to regions.
 
     Blocks that the configuration states go before the table of sites;
-    `site_regions` gives the region of each site index.
+    `site_regions` gives the region of each site index, or None.
     """
 
     __slots__ = ("_stated", "_stated_regions", "_table", "_site_regions")
 
     def __init__(
-        self, blocks: list[Block], table: BlockTable, site_regions: list[str]
+        self,
+        blocks: list[Block],
+        table: BlockTable,
+        site_regions: list[str | None],
     ):
         regions = sorted({block.region for block in blocks})
         index = {region: number for number, region in enumerate(regions)}
--- a/radishstile/operation/command.py
+++ b/radishstile/operation/command.py
@@ -80,14 +80,23 @@
 class DrainRegion(Command):
     """Move every route's traffic out of a region under a cap.
 
-    `cap_per_s` is in requests a second over all the moves.
+    `cap_per_s` is in requests a second over all the moves; `step` and
+    `pace_s` are those of each move.
     """
 
-    __slots__ = ("region", "cap_per_s")
+    __slots__ = ("region", "cap_per_s", "step", "pace_s")
 
-    def __init__(self, region: str, cap_per_s: float):
+    def __init__(
+        self,
+        region: str,
+        cap_per_s: float,
+        step: float = 0.05,
+        pace_s: float = 30,
+    ):
         self.region = region
         self.cap_per_s = cap_per_s
+        self.step = step
+        self.pace_s = pace_s
 
 
 class MoveTraffic(Command):
@@ -128,6 +137,30 @@
         self.cancel = cancel
 
 
+class PutBlocks(Command):
+    """Store one chunk of a block table, with its body in base 64."""
+
+    __slots__ = ("digest", "body")
+
+    def __init__(self, digest: str, body: str):
+        self.digest = digest
+        self.body = body
+
+
+class PublishBlocks(Command):
+    """Put a block table in force whose chunks are stored.
+
+    `sites` maps each site to its region, in the order of their indexes;
+    `digests` are those of the chunks, in order.
+    """
+
+    __slots__ = ("sites", "digests")
+
+    def __init__(self, sites: dict, digests: list):
+        self.sites = sites
+        self.digests = digests
+
+
 class ShowStatus(Command):
     """Show the fleet, versions, homes and headroom as this host sees them."""
 
@@ -153,6 +186,8 @@
     "drain-upstream": DrainUpstream,
     "drain-region": DrainRegion,
     "move": MoveTraffic,
+    "put-blocks": PutBlocks,
+    "publish-blocks": PublishBlocks,
     "status": ShowStatus,
     "trace": FindTrace,
 }
--- a/radishstile/operation/executor.py
+++ b/radishstile/operation/executor.py
@@ -1,6 +1,7 @@
 """Carries out operators' commands on one daemon."""
 
 import asyncio
+import base64
 import json
 from functools import singledispatch
 
@@ -14,6 +15,8 @@
     StaleVersionError,
     WireError,
 )
+from radishstile.lookup.chunk import check_chunk
+from radishstile.lookup.manifest import Manifest
 from radishstile.operation import command as commands
 from radishstile.operation.status import describe_status
 from radishstile.shift.drain import plan_drain
@@ -133,6 +136,9 @@
     def make_patch(configuration: Configuration) -> dict:
         cap_per_s = command.cap_per_s
         moves = plan_drain(configuration, command.region, cap_per_s, loads)
+        for move in moves.values():
+            move["step"] = command.step
+            move["pace_s"] = command.pace_s
         return {"moves": moves}
 
     return await _edit(make_patch, operator, parts)
@@ -155,6 +161,30 @@
     return await _edit(make_patch, operator, parts)
 
 
+@carry_out.register
+async def _(command: commands.PutBlocks, operator, parts: Parts):
+    try:
+        body = base64.b64decode(command.body, validate=True)
+    except ValueError as error:
+        raise OperatorError(f"block chunk: {error}") from error
+    check_chunk(body, command.digest)
+    await parts.blocks.store_part(command.digest, body)
+    return {"digest": command.digest}
+
+
+@carry_out.register
+async def _(command: commands.PublishBlocks, operator, parts: Parts):
+    manifest = Manifest(list(command.sites), command.digests)
+    await parts.blocks.store_part(manifest.digest, manifest.encode())
+
+    def make_patch(configuration: Configuration) -> dict:
+        removed = dict.fromkeys(configuration.sites)
+        sites = {**removed, **command.sites}
+        return {"sites": sites, "block_table": manifest.digest}
+
+    return await _edit(make_patch, operator, parts)
+
+
 @carry_out.register
 async def _(command: commands.ShowStatus, operator, parts: Parts):
     return describe_status(parts, read_clock())
--- a/radishstile/operation/status.py
+++ b/radishstile/operation/status.py
@@ -18,6 +18,10 @@
             name: entry.host for name, entry in fleet.roster.homes.items()
         },
         "headroom": measure_headroom(parts, now),
+        "block_table": {
+            "digest": parts.blocks.digest,
+            "intervals": parts.steering.count_intervals(),
+        },
         "moves": [
             {
                 "name": published.progress.name,
--- a/radishstile/wire/registry.py
+++ b/radishstile/wire/registry.py
@@ -1,6 +1,6 @@
 """Numbers of the message types on the wire; a number is never reused."""
 
-from radishstile.wire.messages import control, fleet, run
+from radishstile.wire.messages import block, control, fleet, run
 
 MESSAGE_TYPES = {
     1: control.Hello,
@@ -39,6 +39,8 @@
     58: run.RunKnown,
     59: run.FinishRun,
     60: run.AwaitRun,
+    70: block.BlockQuery,
+    71: block.BlockReply,
     78: fleet.RouteLoadQuery,
     79: fleet.RouteLoadReply,
 }
--- /dev/null
+++ b/test/daemon/test_blocks.py
@@ -0,0 +1,80 @@
+"""Tests of the block table on its way through whole daemons."""
+
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+
+from radishstile.cli.blocks import read_block_list, upload
+from radishstile.errors import OperatorError
+from radishstile.lookup.address import ClientAddress
+from test._common import PausedTestCase
+from test.daemon._fleet import Fleet
+
+MISSING = "0" * 32
+SITES = {"akl-1": "akl", "wlg-1": "wlg"}
+
+
+class BlockTableTest(PausedTestCase):
+    """Operators load a table, and every host uses it."""
+
+    def read(self, *lines):
+        """Return the block list of these lines, read from files."""
+        with tempfile.TemporaryDirectory() as folder:
+            blocks, sites = Path(folder, "blocks"), Path(folder, "sites")
+            blocks.write_text("\n".join(lines))
+            sites.write_text(json.dumps(SITES))
+            return read_block_list(str(blocks), str(sites))
+
+    def find(self, fleet, host, client):
+        """Return the region that a host finds for a client."""
+        locator = fleet.daemons[host].parts.steering._locator
+        return locator.find_region(ClientAddress.parse(client))
+
+    async def wait_all(self, fleet, client, region):
+        """Wait until each host finds the client in a region."""
+        await fleet.wait(
+            lambda: all(
+                self.find(fleet, host, client) == region
+                for host in fleet.daemons
+            ),
+            f"not everywhere {region}",
+        )
+
+    async def test_every_host_uses_a_newer_table_once_it_is_whole(self):
+        # The third host of a zone is not one of its watchers.
+        async with Fleet(6, fleet={"watchers_per_zone": 2}) as fleet:
+            client = fleet.operator()
+            await upload(client, self.read("10.0.0.0/8,akl-1"))
+            await self.wait_all(fleet, "10.1.2.3", "akl")
+            # Two watchers of each zone read the store, after one write.
+            counts = fleet.store.calls.by_name
+            parts = [n for name, n in counts.items() if "blocks/" in name]
+            self.assertEqual(len(parts), 3)
+            self.assertLessEqual(max(parts), 1 + 4)
+            newer = self.read("10.0.0.0/8,akl-1", "10.1.0.0/16,wlg-1")
+            digests = [chunk.digest for chunk in newer.chunks]
+            await client.execute(
+                "publish-blocks", sites=SITES, digests=[*digests, MISSING]
+            )
+            await asyncio.sleep(10)
+            for host in fleet.hosts:
+                self.assertEqual(self.find(fleet, host, "10.1.2.3"), "akl")
+            await upload(client, newer)
+            await self.wait_all(fleet, "10.1.2.3", "wlg")
+            await self.wait_all(fleet, "10.2.2.3", "akl")
+            # A site's region changes without another table.
+            node = fleet.daemons[fleet.hosts[0]].parts.node
+            await client.execute(
+                "patch",
+                from_version=node.revision.version,
+                patch={"sites": {"wlg-1": "akl"}},
+            )
+            await self.wait_all(fleet, "10.1.2.3", "akl")
+
+    async def test_refuses_a_chunk_that_is_not_what_it_says(self):
+        async with Fleet(1) as fleet:
+            with self.assertRaisesRegex(OperatorError, "block chunk"):
+                await fleet.operate(
+                    "put-blocks", digest=MISSING, body="aGVsbG8="
+                )
