--- a/radishstile/cli/command.py
+++ b/radishstile/cli/command.py
@@ -11,6 +11,7 @@
 from fire.decorators import SetParseFn
 
 from radishstile.cli.job import (
+    BlocksJob,
     Job,
     LookupJob,
     PatchJob,
@@ -54,9 +55,38 @@
         return Job("drain-upstream", {"upstream": name, "undo": undo})
 
     @SetParseFn(str, "name")
-    def region(self, name: str, cap_per_s: float):
-        """Move all traffic out of the region NAME, at most CAP_PER_S."""
-        return Job("drain-region", {"region": name, "cap_per_s": cap_per_s})
+    def region(
+        self,
+        name: str,
+        cap_per_s: float,
+        step: float = 0.05,
+        pace_s: float = 30,
+    ):
+        """Move all traffic out of the region NAME, at most CAP_PER_S.
+
+        Each PACE_S seconds another STEP of the clients moves.
+        """
+        fields = {
+            "region": name,
+            "cap_per_s": cap_per_s,
+            "step": step,
+            "pace_s": pace_s,
+        }
+        return Job("drain-region", fields)
+
+
+class BlockCommands:
+    """Load the table of client blocks."""
+
+    __slots__ = ()
+
+    @SetParseFn(str)
+    def load(self, file: str, sites: str):
+        """Load the lines `CIDR,site` of FILE; --sites FILE maps to regions.
+
+        The sites' file is a JSON object from site to region.
+        """
+        return BlocksJob(file, sites)
 
 
 class Commands:
@@ -66,11 +96,12 @@
     settings (default: RADISHSTILE_SETTINGS, or radishstile.ini).
     """
 
-    __slots__ = ("key", "drain")
+    __slots__ = ("key", "drain", "blocks")
 
     def __init__(self):
         self.key = KeyCommands()
         self.drain = DrainCommands()
+        self.blocks = BlockCommands()
 
     def show(self, version: int = 0):
         """Show the configuration, or the one of VERSION."""
--- a/radishstile/cli/job.py
+++ b/radishstile/cli/job.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from radishstile.cli.blocks import read_block_list, upload
 from radishstile.cli.caller import CallerClient
 from radishstile.cli.client import OperatorClient, read_json_file
 from radishstile.cli.settings import ClientSettings
@@ -31,6 +32,17 @@
         self._file = file
 
 
+class BlocksJob(Job):
+    """Builds a block table from files and uploads it."""
+
+    __slots__ = ("_file", "_sites")
+
+    def __init__(self, file: str, sites: str):
+        super().__init__("publish-blocks", {})
+        self._file = file
+        self._sites = sites
+
+
 class LookupJob(Job):
     """Asks for entry hosts as a caller."""
 
@@ -69,6 +81,12 @@
     return await _operate(job, settings, {**job._fields, "patch": patch})
 
 
+@run_job.register
+async def _(job: BlocksJob, settings: ClientSettings) -> object:
+    blocks = read_block_list(job._file, job._sites)
+    return await upload(_open_client(settings), blocks)
+
+
 @run_job.register
 async def _(job: LookupJob, settings: ClientSettings) -> object:
     return await CallerClient(settings.callers).look_up(**job._fields)
@@ -80,5 +98,8 @@
 
 
 async def _operate(job: Job, settings: ClientSettings, fields: dict) -> object:
-    client = OperatorClient(settings.url, settings.operator, settings.token)
-    return await client.execute(job._command, **fields)
+    return await _open_client(settings).execute(job._command, **fields)
+
+
+def _open_client(settings: ClientSettings) -> OperatorClient:
+    return OperatorClient(settings.url, settings.operator, settings.token)
--- a/radishstile/fleet/home.py
+++ b/radishstile/fleet/home.py
@@ -83,7 +83,7 @@
 
     def add_member(self, identity: Identity, now: float) -> None:
         """Let a newly registered incarnation hold a part."""
-        if identity in self._ended:
+        if identity in self._ended or identity in self._members:
             return
         self._members.add(identity)
         self._resize_pool(now)
