Tell apart what may have run when a purchase is cut short

Cause, each shown by a test in test/daemon/test_purchases.py that was seen to fail on the code before: - A purchase whose key was withdrawn was reported as not run until the home's RunStarted had arrived, although the home sends before that. Sent again, it ran twice ("2 not less than or equal to 1 : order-0"). What may have run is now asked of the execution, whose order may be with the home. - The caller left, then the key was withdrawn: the session was forgotten, so the purchase that waited for a slot still ran. It is kept until its work ends. - After a shed attempt the session still counted as started, so that a withdrawn key did not stop the next one. - A remote home's "deadline, not run" came after the entry host's own deadline and was lost: "unknown", and the key was burnt. It says so only while its roster is current.

Ruled out: the attempt id is reused only after a proven not-run, and the record stays RUNNING over the retries of one entry host; a paused host that sends after it was put in doubt runs a key that nobody may send again.

--- a/radishstile/daemon/entry.py
+++ b/radishstile/daemon/entry.py
@@ -45,8 +45,9 @@
         return session
 
     def close_session(self, session: "Session") -> None:
-        """Forget a session whose answer has ended."""
-        self._sessions.discard(session)
+        """Forget a session whose answer and work have ended."""
+        if session.is_over:
+            self._sessions.discard(session)
 
     def make_request_id(self) -> str:
         """Return an id that is unique in the fleet, also across restarts."""
@@ -72,6 +73,9 @@
         "_call",
         "_route",
         "_workspace",
+        "_execution",
+        "_is_answered",
+        "_work",
         "is_withdrawn",
         "is_started",
     )
@@ -86,9 +90,23 @@
         self._call: Call | None = None
         self._route: Route | None = None
         self._workspace: Workspace | None = None
+        self._execution: LocalExecution | RemoteExecution | None = None
+        self._is_answered = False
+        self._work: asyncio.Task | None = None
         self.is_withdrawn = False
         self.is_started = False
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether neither the caller nor its work is left."""
+        is_working = self._work is not None and not self._work.done()
+        return self._is_answered and not is_working
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the last attempt may have reached an upstream."""
+        return self._execution is not None and self._execution.may_have_run
+
     async def serve(self, call: Call) -> Answer:
         """Return the answer to `call`, or raise `RefusalError`."""
         try:
@@ -99,8 +117,20 @@
             asyncio.current_task().uncancel()
             raise RefusalError(Reason.KEY_WITHDRAWN, Outcome.UNKNOWN) from None
 
+    def begin_work(self, work: asyncio.Task) -> None:
+        """Keep the session until `work` ends, also if the caller leaves."""
+        self._work = work
+
+    def end_work(self) -> None:
+        """Note that the work has ended."""
+        self._work = None
+        self._entry.close_session(self)
+
     def check_key(self) -> None:
-        """Cancel this session if its key is no longer in force."""
+        """Cancel this session if its key is no longer in force.
+
+        Work that outlives the caller is ended unless it has started.
+        """
         if self._workspace is None or self.is_withdrawn:
             return
         configuration = self._entry.node.configuration
@@ -109,12 +139,15 @@
         except RefusalError:
             self.is_withdrawn = True
             self._task.cancel()
+            if self._work is not None and not self.is_started:
+                self._work.cancel()
 
     async def end(self, error: BaseException | None) -> None:
         """Free what the call holds, and count its end."""
         try:
             await self._stack.aclose()
         finally:
+            self._is_answered = True
             self._entry.close_session(self)
             self._count(error)
 
@@ -204,6 +237,10 @@
             return answer
 
     async def _attempt(self, order: Order, stack: AsyncExitStack) -> Answer:
+        # Work that had started when the key was withdrawn ends by itself,
+        # but starts no second time.
+        if self.is_withdrawn:
+            raise RefusalError(Reason.KEY_WITHDRAWN)
         self._entry.parts.harm.check(order)
         targets = self._entry.parts.chooser.choose(self._call, self._route)
         if not targets:
@@ -236,6 +273,8 @@
         for target in targets:
             order.zone = target.zone
             execution = self._make_execution(order, target)
+            self._execution = execution
+            self.is_started = False
             async with AsyncExitStack() as stack:
                 await stack.enter_async_context(execution)
                 try:
--- a/radishstile/daemon/execution.py
+++ b/radishstile/daemon/execution.py
@@ -55,6 +55,9 @@
 from radishstile.wire.refusals import raise_refusal
 
 _CONNECT_WAIT_S = 1.0
+# A home's clock starts when the order arrives, so that its word that an order
+# was not run comes that much after the deadline.
+_START_GRACE_S = 0.25
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 _SHED_RETRY_S = 1.0
@@ -93,6 +96,11 @@
         self._span = node.tracing.start_span("dispatch", order.traceparent)
         self._stack = AsyncExitStack()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the request may have reached an upstream."""
+        return self._lease is not None
+
     async def __aenter__(self) -> "LocalExecution":
         return self
 
@@ -220,6 +228,15 @@
         self._is_started = False
         self._assembly = PartAssembly(order.request_id, node.wire)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the home may have passed the order on.
+
+        The home sends as soon as it has a slot, before its word of that
+        arrives here.
+        """
+        return self._exchange is not None and self._exchange.is_sent
+
     async def __aenter__(self) -> "RemoteExecution":
         return self
 
@@ -233,7 +250,7 @@
             await self._send_order()
         except (PeerLostError, WireError) as error:
             raise self._lose(error) from error
-        message = await self._receive()
+        message = await self._receive(_START_GRACE_S)
         if type(message) is not RunStarted:
             raise self._lose(FrameError("the home sent no start"))
         self._is_started = True
@@ -260,13 +277,13 @@
             await self._exchange.send(part)
         await self._exchange.send(sequence.end(BodyEnd))
 
-    async def _receive(self) -> Message:
-        left_s = self._order.deadline - read_clock()
+    async def _receive(self, grace_s: float = 0.0) -> Message:
+        left_s = self._order.deadline + grace_s - read_clock()
         try:
             message = await self._exchange.receive(max(0.0, left_s))
             if type(message) is ReportCrash:
                 await self._harm.take_report(read_report(message))
-                return await self._receive()
+                return await self._receive(grace_s)
             raise_refusal(message)
         except WireError as error:
             raise self._lose(error) from error
--- a/radishstile/daemon/handlers.py
+++ b/radishstile/daemon/handlers.py
@@ -7,7 +7,7 @@
 
 from radishstile.daemon.execution import LocalExecution
 from radishstile.daemon.harm import make_message, read_report
-from radishstile.daemon.journals import answer_journal, make_known
+from radishstile.daemon.journals import make_known
 from radishstile.daemon.node import read_clock
 from radishstile.daemon.order import Order
 from radishstile.daemon.parts import Parts
@@ -166,8 +166,7 @@
         raise RefusalError(
             Reason.RECORD_UNAVAILABLE, retry_after=_RETRY_AFTER_S
         )
-    known = await answer_journal(message, keeper.journal)
-    await exchange.send(make_known(known))
+    await exchange.send(make_known(await keeper.answer(message)))
 
 
 @handle.register
--- a/radishstile/daemon/journals.py
+++ b/radishstile/daemon/journals.py
@@ -7,7 +7,6 @@
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
 from radishstile.errors import RefusalError, WireError
-from radishstile.fleet.state import Evidence
 from radishstile.run.partition import choose_partition, name_resource
 from radishstile.run.record import (
     RunAnswer,
@@ -28,7 +27,8 @@
 _LOG = logging.getLogger("radishstile.journals")
 _RETRY_S = 0.2
 _FOLLOW_S = 1.0
-_FINISH_TRIES = 5
+# The time that a journal may need to find its next home.
+_FINISH_S = 60.0
 _FINISH_TIMEOUT_S = 2.0
 _MS_PER_S = 1000
 
@@ -53,6 +53,19 @@
             await self.journal.run()
             follower.cancel()
 
+    async def answer(self, message: Message) -> RunAnswer:
+        """Carry out a message about a run of this partition.
+
+        A home that may have been replaced unknown to it can't say that a
+        key has not run: the next home may have recorded a run of it.
+        """
+        answer = await answer_journal(message, self.journal)
+        if answer.verdict is not Verdict.UNAVAILABLE:
+            return answer
+        if self._node.fleet.find_outdated_reason(read_clock()) is None:
+            return answer
+        return RunAnswer(Verdict.NOT_HOME)
+
     async def _follow_ends(self) -> None:
         while True:
             self._note_ended()
@@ -63,10 +76,10 @@
             if end.identity in self._lost:
                 continue
             self._lost.add(end.identity)
-            # A host that released itself has reported all its attempts.
-            if end.evidence is not Evidence.RELEASED:
-                host, incarnation = end.identity
-                self.journal.lose_host(f"{host}#{incarnation}")
+            # A host that released itself may have stopped waiting for its
+            # last attempts; a report that still comes settles the doubt.
+            host, incarnation = end.identity
+            self.journal.lose_host(f"{host}#{incarnation}")
 
 
 class JournalClient:
@@ -113,14 +126,24 @@
             has_answer=report.answer is not None,
             answer=report.answer or b"",
         )
-        for _ in range(_FINISH_TRIES):
-            try:
-                await self._ask(message, _FINISH_TIMEOUT_S)
+        until = read_clock() + _FINISH_S
+        delay_s = _RETRY_S
+        while not await self._try_finish(message):
+            if read_clock() + delay_s >= until:
+                _LOG.warning(
+                    "journals: The end of %s is lost.", report.attempt
+                )
                 return
-            except (RefusalError, WireError, TimeoutError) as error:
-                _LOG.info("journals: End not reported: %s", error)
-                await asyncio.sleep(_RETRY_S)
-        _LOG.warning("journals: The end of %s is lost.", report.attempt)
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, _FINISH_TIMEOUT_S)
+
+    async def _try_finish(self, message: FinishRun) -> bool:
+        try:
+            reply = await self._ask(message, _FINISH_TIMEOUT_S)
+        except (RefusalError, WireError, TimeoutError) as error:
+            _LOG.info("journals: End not reported: %s", error)
+            return False
+        return read_known(reply).verdict is not Verdict.NOT_HOME
 
     async def _ask_until(
         self, message: RecordRun | AwaitRun, until: float
@@ -148,7 +171,7 @@
             keeper = self._homes.find_service(name)
             if keeper is None:
                 return _NOT_HOME
-            return make_known(await answer_journal(message, keeper.journal))
+            return make_known(await keeper.answer(message))
         reply = await self._peers.ask(home, message, timeout_s)
         raise_refusal(reply)
         return reply
--- a/radishstile/daemon/purchases.py
+++ b/radishstile/daemon/purchases.py
@@ -57,12 +57,8 @@
             )
         key = hash_key(order.workspace, call.idempotency_key)
         work = self._group.create_task(self._serve(session, order, key))
-        try:
-            result = await asyncio.shield(work)
-        except asyncio.CancelledError:
-            if session.is_withdrawn and not session.is_started:
-                work.cancel()
-            raise
+        session.begin_work(work)
+        result = await asyncio.shield(work)
         if isinstance(result, RefusalError):
             raise result
         return result
@@ -70,8 +66,7 @@
     async def _serve(
         self, session, order: Order, key: bytes
     ) -> Answer | RefusalError:
-        self._running += 1
-        self._idle.clear()
+        self._begin()
         try:
             return await self._record_and_run(session, order, key)
         except RefusalError as refusal:
@@ -82,16 +77,37 @@
             _LOG.exception("purchases: %s failed.", order.request_id)
             return RefusalError(Reason.INTERNAL, Outcome.UNKNOWN)
         finally:
-            self._running -= 1
-            if not self._running:
-                self._idle.set()
+            session.end_work()
+            self._end()
+
+    def _begin(self) -> None:
+        self._running += 1
+        self._idle.clear()
+
+    def _end(self) -> None:
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+
+    def _report(self, report: RunReport) -> None:
+        """Report an end in a task of its own.
+
+        An answer doesn't wait for a journal that is away.
+        """
+        self._begin()
+        self._group.create_task(self._finish(report))
+
+    async def _finish(self, report: RunReport) -> None:
+        try:
+            await self._journal.finish(report)
+        finally:
+            self._end()
 
     async def _record_and_run(
         self, session, order: Order, key: bytes
     ) -> Answer:
-        fingerprint = hash_request(order.method, order.target, order.body)
         attempt = order.request_id
-        known = await self._record(key, fingerprint, attempt, order)
+        known = await self._record(key, attempt, order)
         if known.verdict is Verdict.RECORDED:
             return await self._run(session, order, key, attempt)
         if known.verdict is Verdict.RAN and known.answer is not None:
@@ -99,10 +115,27 @@
         raise build_refusal(known)
 
     async def _record(
-        self, key: bytes, fingerprint: bytes, attempt: str, order: Order
+        self, key: bytes, attempt: str, order: Order
+    ) -> RunAnswer:
+        """Record the attempt, or report that it will not be sent.
+
+        The home may have recorded it although its answer did not come.
+        """
+        verdict = Verdict.NOT_HOME
+        try:
+            known = await self._ask_record(key, attempt, order)
+            verdict = known.verdict
+        finally:
+            if verdict is Verdict.NOT_HOME:
+                self._report(RunReport(key, attempt, RunState.NOT_RUN))
+        return known
+
+    async def _ask_record(
+        self, key: bytes, attempt: str, order: Order
     ) -> RunAnswer:
         """Record the attempt, after the end of another one if there is."""
         record = self._journal.record
+        fingerprint = hash_request(order.method, order.target, order.body)
         known = await record(key, fingerprint, attempt, order.deadline)
         if known.verdict is not Verdict.RUNNING:
             return known
@@ -114,6 +147,9 @@
     async def _run(
         self, session, order: Order, key: bytes, attempt: str
     ) -> Answer:
+        # Any whole answer counts as a run, also one with an error status:
+        # only the upstream knows what a failed run has changed, and another
+        # run could change it again. What it states as not run is a refusal.
         state = RunState.UNKNOWN
         status = 0
         body = None
@@ -127,12 +163,11 @@
             state = _STATES[refusal.outcome]
             raise
         except asyncio.CancelledError:
-            if not session.is_started:
+            if not session.may_have_run:
                 state = RunState.NOT_RUN
             raise
         finally:
-            report = RunReport(key, attempt, state, status, body)
-            await self._journal.finish(report)
+            self._report(RunReport(key, attempt, state, status, body))
         answer.parts = _iterate(body)
         return answer
 
--- a/radishstile/run/refusal.py
+++ b/radishstile/run/refusal.py
@@ -12,6 +12,7 @@
     Verdict.UNKNOWN: (Reason.DUPLICATE, Outcome.UNKNOWN),
     Verdict.MISMATCH: (Reason.BAD_REQUEST, Outcome.NOT_RUN),
     Verdict.NOT_RUN: (Reason.RECORD_UNAVAILABLE, Outcome.NOT_RUN),
+    # A current home holds each earlier record, and there is none.
     Verdict.UNAVAILABLE: (Reason.RECORD_UNAVAILABLE, Outcome.NOT_RUN),
     # Another home may hold a record of an earlier attempt.
     Verdict.NOT_HOME: (Reason.RECORD_UNAVAILABLE, Outcome.UNKNOWN),
