Judge suspects again where they waited, and run each once at a time

Cause: a request was judged only on its entry host, before it waited for a slot.

A home now judges an order again when it has the slot, runs a suspect once at a time, and lets a suspect wait where all upstreams are barred instead of refusing it as no-upstream (seen: an innocent request beside the harmful one got 503). The refusal as harmful is final and is not passed on.

Left: orders of the same request that start before the first crash is known still crash one upstream each, and on probation each home of the group, one for each zone, may try one. Stopping these would need the fleet's agreement before every request.

--- a/radishstile/daemon/entry.py
+++ b/radishstile/daemon/entry.py
@@ -24,6 +24,7 @@
 from radishstile.workspace.limiter import Reservation
 
 _RETRY_AFTER_S = 1.0
+_FINAL = (Reason.DEADLINE, Reason.HARMFUL)
 
 
 class Entry:
@@ -336,10 +337,7 @@
 
 
 def _may_pass_on(refusal: RefusalError) -> bool:
-    return (
-        refusal.outcome is Outcome.NOT_RUN
-        and refusal.reason is not Reason.DEADLINE
-    )
+    return refusal.outcome is Outcome.NOT_RUN and refusal.reason not in _FINAL
 
 
 def check_path(path: str) -> None:
--- a/radishstile/daemon/execution.py
+++ b/radishstile/daemon/execution.py
@@ -39,6 +39,7 @@
     SlotResult,
     TimedOut,
     Unreachable,
+    Unused,
 )
 from radishstile.wire.exchange import Exchange
 from radishstile.wire.messages.base import Message
@@ -118,19 +119,43 @@
     async def start(self) -> str:
         """Wait for a slot and return its upstream's name."""
         order = self._order
-        self._lease = await self._dispatcher.acquire(
-            order.workspace,
-            order.weight,
-            order.route,
-            order.deadline,
-            order.excluded | self._harm.list_barred(order),
-        )
+        self._lease = await self._acquire()
         self._harm.note_started(order, self._lease)
         self._span.set_attribute("upstream", self._lease.upstream)
         self._span.set_attribute("workspace", order.workspace)
         self._sent_at = read_clock()
         return self._lease.upstream
 
+    async def _acquire(self) -> SlotLease:
+        """Take a slot where the order may run.
+
+        Others may have crashed upstreams while it waited.
+        """
+        order = self._order
+        while True:
+            await self._harm.wait_turn(order)
+            barred = self._harm.list_barred(order)
+            try:
+                lease = await self._take_slot(order.excluded | barred)
+            except RefusalError as refusal:
+                if not barred or refusal.reason is not Reason.NO_UPSTREAM:
+                    raise
+                await self._harm.wait_ended(order)
+                continue
+            if self._harm.may_start(order, lease):
+                return lease
+            self._dispatcher.release(lease, Unused())
+
+    async def _take_slot(self, excluded: frozenset[str]) -> SlotLease:
+        order = self._order
+        return await self._dispatcher.acquire(
+            order.workspace,
+            order.weight,
+            order.route,
+            order.deadline,
+            excluded,
+        )
+
     async def open_answer(self) -> Answer:
         """Send the request and return the answer's head and parts."""
         lease = self._lease
--- a/radishstile/daemon/harm.py
+++ b/radishstile/daemon/harm.py
@@ -49,6 +49,7 @@
         "_running",
         "_broken",
         "_numbers",
+        "_ended",
     )
 
     def __init__(self, node: Node, peers):
@@ -58,6 +59,7 @@
         self._running: dict[str, dict[str, bytes]] = {}
         self._broken: list[Broken] = []
         self._numbers = itertools.count(1)
+        self._ended = asyncio.Event()
 
     def check(self, order: Order) -> None:
         """Refuse an order that crashed upstreams before."""
@@ -79,6 +81,44 @@
             if any(map(self._is_suspect, running.values()))
         )
 
+    async def wait_turn(self, order: Order) -> None:
+        """Wait while the same suspect runs here; raises `RefusalError`.
+
+        A suspect runs once at a time, so that it can crash one more upstream
+        and not all at once.
+        """
+        self.check(order)
+        while self._is_running(order.fingerprint):
+            await self.wait_ended(order)
+        self.check(order)
+
+    async def wait_ended(self, order: Order) -> None:
+        """Wait until any order ends here; raises `RefusalError`."""
+        self._ended.clear()
+        try:
+            async with asyncio.timeout_at(order.deadline):
+                await self._ended.wait()
+        except TimeoutError as error:
+            raise RefusalError(Reason.DEADLINE) from error
+
+    def may_start(self, order: Order, lease: SlotLease) -> bool:
+        """Return whether an order may run on the slot that it waited for."""
+        verdict = self._ledger.check(order.fingerprint, read_clock())
+        if verdict is HarmVerdict.ALLOWED:
+            return True
+        if verdict is HarmVerdict.REFUSED:
+            return False
+        if self._is_running(order.fingerprint):
+            return False
+        return lease.upstream not in self.list_barred(order)
+
+    def _is_running(self, fingerprint: bytes) -> bool:
+        """Return whether a suspect runs on an upstream of this home."""
+        return self._is_suspect(fingerprint) and any(
+            fingerprint in running.values()
+            for running in self._running.values()
+        )
+
     def note_started(self, order: Order, lease: SlotLease) -> None:
         """Record that an order runs on an upstream."""
         running = self._running.setdefault(lease.upstream, {})
@@ -90,6 +130,7 @@
         running.pop(order.request_id, None)
         if not running:
             self._running.pop(lease.upstream, None)
+        self._ended.set()
 
     async def note_completed(self, order: Order) -> None:
         """Clear a suspect that ran to its end."""
