Name the next home of slots before a leaving one stops

A planned stop drained the slots first and released them, and only then a planner named the next home: for as long as the longest request ran, the zone's slots had none. Now the roster names the successor as soon as a home says that it leaves, and the leaving one goes on until it is asked. It then refuses what waits as not run, and answers with what it has in flight; the successor holds just those slots and asks again until none is left.

The successor sends nothing before that answer or evidence of the former home's end, and no time stands in for either. A successor that ends before it may have asked leaves both to the next, which waits for the one and then asks the other. A home that counts what others left names no successor and releases instead, as before.

Entry hosts that a home refuses as stopping, or that find it gone before anything was sent, wait for the next home within the deadline and for at most home_wait_s. The same bound, from the first request that misses a home, holds where none is known; after that requests are refused at once.

Slots that are held are named by address and port, so that a renamed upstream can't get them twice. A service of slots that failed goes on with what it knows, since a new one would take its slots for free. take_over wakes the dispatcher: it slept until the longer hold before.

--- a/radishstile/daemon/choice.py
+++ b/radishstile/daemon/choice.py
@@ -1,10 +1,15 @@
 """Where a request may run: the zones of its group, in order."""
 
+import asyncio
+
 from radishstile.call import Call
 from radishstile.configuration.document import Route
+from radishstile.daemon.homes import Homes
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
+from radishstile.daemon.replication import Replication
 from radishstile.daemon.resources import SlotsResource
+from radishstile.daemon.steering import Steering
 from radishstile.lookup.address import ClientAddress
 from radishstile.member import Member
 from radishstile.route.choice import (
@@ -16,6 +21,8 @@
 from radishstile.route.settings import ChoiceSettings
 
 _UNKNOWN_DELAY_S = 0.1
+_RECHECK_S = 0.25
+_SETTLE_S = 0.01
 
 
 class Target:
@@ -32,14 +39,62 @@
 class Chooser:
     """Orders the homes of a group's slots for one request."""
 
-    __slots__ = ("_node", "_peers", "_homes", "_steering", "_settings")
+    __slots__ = (
+        "_node",
+        "_peers",
+        "_homes",
+        "_steering",
+        "_settings",
+        "_replication",
+        "_missing_since",
+    )
 
-    def __init__(self, node: Node, peers: Peers, homes, steering):
+    def __init__(
+        self,
+        node: Node,
+        peers: Peers,
+        homes: Homes,
+        steering: Steering,
+        replication: Replication,
+    ):
         self._node = node
         self._peers = peers
         self._homes = homes
         self._steering = steering
         self._settings = ChoiceSettings()
+        self._replication = replication
+        self._missing_since: dict[str, float] = {}
+
+    async def wait_targets(
+        self, call: Call, route: Route, deadline: float
+    ) -> list[Target]:
+        """Return the homes to try, or none where there has been none lately.
+
+        Requests wait for a home that is being replaced, but only for a
+        short time after it was missed first.
+        """
+        while True:
+            targets = self.choose(call, route)
+            now = read_clock()
+            if targets:
+                self._missing_since.pop(route.group, None)
+                return targets
+            since = self._missing_since.setdefault(route.group, now)
+            limit = since + self._node.settings.fleet.home_wait_s
+            if now >= min(limit, deadline):
+                return []
+            await self.wait_change(min(limit, deadline))
+
+    async def wait_change(self, until: float) -> None:
+        """Wait for a new roster, for other news, or until a moment."""
+        until = min(until, read_clock() + _RECHECK_S)
+        try:
+            async with asyncio.timeout_at(until):
+                await self._replication.is_changed.wait()
+        except TimeoutError:
+            return
+        # What follows the roster here follows in its own task.
+        await asyncio.sleep(_SETTLE_S)
 
     def choose(self, call: Call, route: Route) -> list[Target]:
         """Return the homes to try, the first to try first."""
--- a/radishstile/daemon/entry.py
+++ b/radishstile/daemon/entry.py
@@ -204,8 +204,25 @@
             return answer
 
     async def _attempt(self, order: Order, stack: AsyncExitStack) -> Answer:
-        self._entry.parts.harm.check(order)
-        targets = self._entry.parts.chooser.choose(self._call, self._route)
+        """Try the homes once, and again while one is being replaced."""
+        parts = self._entry.parts
+        wait_s = self._entry.node.settings.fleet.home_wait_s
+        limit = min(order.deadline, read_clock() + wait_s)
+        while True:
+            parts.harm.check(order)
+            targets = await parts.chooser.wait_targets(
+                self._call, self._route, order.deadline
+            )
+            try:
+                return await self._try_admitted(order, targets, stack)
+            except RefusalError as refusal:
+                if read_clock() >= limit or not _lacks_home(refusal):
+                    raise
+            await parts.chooser.wait_change(limit)
+
+    async def _try_admitted(
+        self, order: Order, targets: list[Target], stack: AsyncExitStack
+    ) -> Answer:
         if not targets:
             raise RefusalError(Reason.NO_UPSTREAM, retry_after=_RETRY_AFTER_S)
         token = await self._reserve(order.deadline)
@@ -269,7 +286,7 @@
         resource = SlotsResource(order.group, order.zone).name
         service = entry.parts.homes.find_service(resource)
         if service is None:
-            raise RefusalError(Reason.NO_UPSTREAM, retry_after=_RETRY_AFTER_S)
+            raise RefusalError(Reason.STOPPING, retry_after=_RETRY_AFTER_S)
         return LocalExecution(entry.parts, service.dispatcher, order)
 
     async def _hold(self, answer: Answer) -> Answer:
@@ -296,6 +313,14 @@
         yield part
 
 
+def _lacks_home(refusal: RefusalError) -> bool:
+    """Return whether the home that refused is about to be replaced."""
+    return refusal.outcome is Outcome.NOT_RUN and refusal.reason in (
+        Reason.STOPPING,
+        Reason.PEER_LOST,
+    )
+
+
 def _may_pass_on(refusal: RefusalError) -> bool:
     return (
         refusal.outcome is Outcome.NOT_RUN
--- a/radishstile/daemon/handlers.py
+++ b/radishstile/daemon/handlers.py
@@ -116,6 +116,14 @@
     parts.homes.apply_leaving(frozenset(message.away))
 
 
+@handle.register
+async def _(message: fleet.HandOver, exchange: Exchange, parts: Parts) -> None:
+    deadlines = parts.homes.hand_over(message.resource, message.epoch)
+    if deadlines is None:
+        raise RefusalError(Reason.STOPPING, retry_after=_RETRY_AFTER_S)
+    await exchange.send(fleet.HandedOver(deadlines=deadlines))
+
+
 @handle.register
 async def _(
     message: fleet.LoadQuery, exchange: Exchange, parts: Parts
@@ -176,8 +184,8 @@
     order = Order.from_message(message, body, read_clock())
     resource = SlotsResource(order.group, order.zone).name
     home = parts.homes.find_service(resource)
-    if home is None or not parts.node.fleet.is_home(resource):
-        raise RefusalError(Reason.NO_UPSTREAM, retry_after=_RETRY_AFTER_S)
+    if home is None or not parts.homes.may_serve(resource):
+        raise RefusalError(Reason.STOPPING, retry_after=_RETRY_AFTER_S)
     await _run_order(order, home, exchange, parts)
 
 
--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -26,6 +26,7 @@
 from radishstile.shift.guard import size_burst
 
 _LOG = logging.getLogger("radishstile.homes")
+_RERUN_S = 1.0
 
 
 class OpenHome:
@@ -43,7 +44,16 @@
 class Homes:
     """Opens a service for each resource that the roster gives this host."""
 
-    __slots__ = ("_node", "_peers", "lanes", "_open", "_leaving")
+    __slots__ = (
+        "_node",
+        "_peers",
+        "lanes",
+        "_open",
+        "_leaving",
+        "_handed",
+        "_epochs",
+        "_closed",
+    )
 
     def __init__(self, node: Node, peers: Peers):
         self._node = node
@@ -51,15 +61,23 @@
         self.lanes = None
         self._open: dict[str, OpenHome] = {}
         self._leaving: frozenset[str] = frozenset()
+        # Homes of slots that were closed, until the process ends, and the
+        # epochs of those who asked for them.
+        self._handed: dict[str, SlotsHome] = {}
+        self._epochs: dict[str, int] = {}
+        self._closed = asyncio.Event()
 
     async def sync(self, group: asyncio.TaskGroup) -> None:
         """Open, update and close services after a change of versions."""
         entries = self._list_entries()
         for name in list(self._open):
             entry = entries.get(name)
-            if entry is None or entry.epoch != self._open[name].epoch:
+            is_kept = entry and entry.epoch == self._open[name].epoch
+            if not is_kept and not self._is_awaited(name):
                 self._close(name)
         for name, entry in entries.items():
+            if entry.epoch < self._epochs.get(name, 0):
+                continue
             if name in self._open:
                 await self._update(self._open[name].resource, name)
             else:
@@ -113,6 +131,38 @@
         if home is not None and home.epoch < epoch:
             self._close(name)
 
+    def may_serve(self, name: str) -> bool:
+        """Return whether a resource is served here, maybe not for long."""
+        return self._node.fleet.is_home(name) or self._is_awaited(name)
+
+    def _is_awaited(self, name: str) -> bool:
+        """Return whether the next home has yet to ask this one to stop."""
+        me = self._node.me.identity
+        entry = self._node.fleet.roster.homes.get(name)
+        if name not in self._open or entry is None:
+            return False
+        if self._node.fleet.find_evidence(me) is not None:
+            return False
+        return entry.predecessor == me and self._open[name].epoch < entry.epoch
+
+    def hand_over(self, name: str, epoch: int) -> dict | None:
+        """Stop serving slots for the home of `epoch`; return what is left.
+
+        Returns None as long as this home can't tell what is in flight.
+        """
+        self._epochs[name] = max(epoch, self._epochs.get(name, 0))
+        home = self._open.get(name)
+        if home is not None and home.epoch < epoch:
+            if not home.service.handover.resolved.is_set():
+                return None
+            self._close(name)
+        slots = self._handed.get(name)
+        if slots is None:
+            return {}
+        if not slots.handover.resolved.is_set():
+            return None
+        return slots.dispatcher.hand_over()
+
     def apply_leaving(self, names: frozenset[str]) -> None:
         """Take the platform's list of upstreams that leave or are gone."""
         if names == self._leaving:
@@ -122,12 +172,35 @@
             slots.apply_leaving(names)
 
     async def release_all(self) -> None:
-        """Let what runs finish, and hand every resource back."""
+        """Let what runs finish, and hand every resource back.
+
+        Slots go to their next home first, if one is named in time.
+        """
+        await self._await_successors()
         for slots in self.list_slots():
             slots.dispatcher.close()
-        for name, home in list(self._open.items()):
-            await self._drain(home.resource, home.service)
-            self._node.fleet.release(name)
+        async with asyncio.TaskGroup() as group:
+            for name, home in list(self._open.items()):
+                group.create_task(self._release(name, home))
+            for slots in self._handed.values():
+                group.create_task(slots.dispatcher.drained())
+
+    async def _release(self, name: str, home: OpenHome) -> None:
+        await self._drain(home.resource, home.service)
+        self._node.fleet.release(name)
+
+    async def _await_successors(self) -> None:
+        fleet = self._node.fleet
+        if not fleet.list_entry_members(read_clock()):
+            return
+        wait_s = self._node.settings.fleet.handover_wait_s
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.list_slots():
+                    self._closed.clear()
+                    await self._closed.wait()
+        except TimeoutError:
+            _LOG.info("homes: No host takes the slots over yet.")
 
     def _list_entries(self) -> dict[str, HomeEntry]:
         fleet = self._node.fleet
@@ -144,25 +217,41 @@
         service = self._make_service(resource, entry)
         if service is None:
             return
-        task = group.create_task(self._run(name, service))
+        task = group.create_task(self._run(resource, service))
         self._open[name] = OpenHome(resource, entry.epoch, service, task)
         _LOG.info("homes: Serving %s, epoch %d.", name, entry.epoch)
 
-    async def _run(self, name: str, service) -> None:
-        try:
-            await service.run()
-        except Exception:
-            # One resource must not end the others.
-            _LOG.exception("homes: Service of %s failed.", name)
+    async def _run(self, resource: Resource, service) -> None:
+        name = resource.name
+        may_go_on = True
+        while may_go_on:
+            try:
+                await service.run()
+            except Exception:
+                # One resource must not end the others.
+                _LOG.exception("homes: Service of %s failed.", name)
+            may_go_on = await self._wait_rerun(resource)
         home = self._open.get(name)
         if home is not None and home.service is service:
             # The next sync opens it again if it is still served here.
             del self._open[name]
 
+    @singledispatchmethod
+    async def _wait_rerun(self, resource: Resource) -> bool:
+        """Return whether a failed service goes on with what it knows."""
+        return False
+
+    @_wait_rerun.register
+    async def _(self, resource: SlotsResource) -> bool:
+        # A new service would not know what occupies the slots.
+        await asyncio.sleep(_RERUN_S)
+        return True
+
     def _close(self, name: str) -> None:
         home = self._open.pop(name)
         self._stop(home.resource, home.service)
         home.task.cancel()
+        self._closed.set()
         _LOG.info("homes: No longer serving %s.", name)
 
     @singledispatchmethod
@@ -188,7 +277,7 @@
 
     @_make_service.register
     def _(self, resource: SlotsResource, entry: HomeEntry):
-        home = SlotsHome(resource, self._node, entry.former)
+        home = SlotsHome(resource, self._node, self._peers, entry)
         home.apply_leaving(self._leaving)
         return home
 
@@ -237,7 +326,8 @@
 
     @_stop.register
     def _(self, resource: SlotsResource, service: SlotsHome) -> None:
-        service.dispatcher.close()
+        service.dispatcher.hand_over()
+        self._handed[resource.name] = service
 
     @singledispatchmethod
     async def _drain(self, resource: Resource, service) -> None:
@@ -247,4 +337,5 @@
     @_drain.register
     async def _(self, resource: SlotsResource, service: SlotsHome) -> None:
         service.dispatcher.close()
+        await service.handover.resolved.wait()
         await service.dispatcher.drained()
--- a/radishstile/daemon/replication.py
+++ b/radishstile/daemon/replication.py
@@ -7,7 +7,7 @@
 from radishstile.configuration.entry import Revision
 from radishstile.configuration.ledger import OBJECT
 from radishstile.daemon.node import Node, read_clock
-from radishstile.daemon.resources import list_wanted
+from radishstile.daemon.resources import list_movable, list_wanted
 from radishstile.errors import (
     ConfigurationError,
     PlatformError,
@@ -124,7 +124,10 @@
         node = self._node
         wanted = list_wanted(node.configuration, node.settings.runs)
         registered = [node.me, *node.fleet.list_unregistered()]
-        planned = node.fleet.plan_roster(wanted, registered, read_clock())
+        movable = list_movable(wanted)
+        planned = node.fleet.plan_roster(
+            wanted, registered, read_clock(), movable
+        )
         if planned is None:
             return
         try:
--- a/radishstile/daemon/resources.py
+++ b/radishstile/daemon/resources.py
@@ -1,5 +1,7 @@
 """The fleet's resources by kind, and which ones a configuration needs."""
 
+from collections.abc import Iterable
+
 from radishstile.configuration.document import Configuration
 from radishstile.run.partition import name_resource as name_journal
 from radishstile.run.settings import RunSettings
@@ -95,3 +97,9 @@
     for partition in range(runs.partitions):
         wanted[name_journal(partition)] = None
     return wanted
+
+
+def list_movable(wanted: Iterable[str]) -> frozenset[str]:
+    """Return the resources whose homes hand over while they go on."""
+    prefix = SlotsResource.prefix
+    return frozenset(name for name in wanted if name.startswith(prefix))
--- a/radishstile/daemon/service.py
+++ b/radishstile/daemon/service.py
@@ -252,7 +252,9 @@
     parts.moves = Moves(node, parts.peers, parts.homes, parts.steering)
     parts.machines = Machines(node, parts.peers, parts.homes)
     parts.harm = HarmWatch(node, parts.peers)
-    parts.chooser = Chooser(node, parts.peers, parts.homes, parts.steering)
+    parts.chooser = Chooser(
+        node, parts.peers, parts.homes, parts.steering, parts.replication
+    )
     journal = JournalClient(node, parts.peers, parts.homes)
     parts.purchases = Purchases(journal)
     parts.entry = Entry(parts, Retries(node.settings.runs, node.random))
--- a/radishstile/daemon/slots.py
+++ b/radishstile/daemon/slots.py
@@ -6,10 +6,12 @@
 import aiohttp
 
 from radishstile.configuration.document import UpstreamEntry
+from radishstile.daemon.handover import Handover
 from radishstile.daemon.node import Node, read_clock
+from radishstile.daemon.peers import Peers
 from radishstile.daemon.resources import SlotsResource
 from radishstile.errors import RadishstileError
-from radishstile.fleet.roster import FormerHome
+from radishstile.fleet.roster import HomeEntry
 from radishstile.region.capacity import RegionShare, split_capacity
 from radishstile.region.link import LinkBudget
 from radishstile.region.settings import RegionSettings
@@ -39,13 +41,14 @@
 class SlotsHome:
     """Serves one `slots/GROUP/ZONE` for as long as this host is its home.
 
-    `former` tells which requests of a former home may be in flight;
-    `rate_per_s` is the smoothed rate of answered requests.
+    `handover` knows what a former home may have in flight; `rate_per_s` is
+    the smoothed rate of answered requests.
     """
 
     __slots__ = (
         "resource",
         "dispatcher",
+        "handover",
         "_node",
         "_entries",
         "_share",
@@ -55,7 +58,11 @@
     )
 
     def __init__(
-        self, resource: SlotsResource, node: Node, former: FormerHome
+        self,
+        resource: SlotsResource,
+        node: Node,
+        peers: Peers,
+        entry: HomeEntry,
     ):
         self.resource = resource
         self._node = node
@@ -69,19 +76,21 @@
             SlotPool(node.settings.upstreams),
             FairQueue(QueueSettings()),
         )
-        self._take_over(former)
+        self.handover = Handover(
+            resource.name,
+            entry,
+            node,
+            peers,
+            self.dispatcher,
+            self._find_longest_deadline(),
+        )
         self.apply_configuration()
 
-    def _take_over(self, former: FormerHome) -> None:
-        if former is FormerHome.CLOSED:
-            self.dispatcher.take_over_closed()
-        if former is FormerHome.LOST:
-            self.dispatcher.take_over(self._find_longest_deadline())
-
     async def run(self) -> None:
         """Dispatch, probe and poll until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.dispatcher.run())
+            group.create_task(self.handover.run())
             group.create_task(self._probe())
             group.create_task(self._poll_reports())
             while True:
--- a/radishstile/fleet/fleet.py
+++ b/radishstile/fleet/fleet.py
@@ -373,31 +373,60 @@
         wanted: dict[str, str | None],
         registered: Iterable[Member],
         now: float,
+        movable: frozenset[str] = frozenset(),
     ) -> Roster | None:
         """Return the next roster, or None if nothing has to change.
 
         `wanted` maps a resource to its preferred zone or None; `registered`
-        are the store's host records. A record of a host that nobody hears
+        are the store's host records; `movable` are the resources that a
+        leaving home hands over. A record of a host that nobody hears
         is not taken in, since nobody could learn of its end.
         """
         registered = list(registered)
         for member in registered:
             self.directory.learn(member, now)
         candidates = {m.identity for m in self.list_entry_members(now)}
+        ended = self._judge_ends(registered)
+        heard = [m for m in registered if m.identity in candidates]
+        releases = set(self._releases)
+        regions = self.directory.find_regions()
+        plan = Plan(
+            wanted,
+            heard,
+            candidates,
+            ended,
+            releases,
+            regions,
+            self._list_leaving(),
+            movable,
+        )
+        return plan_roster(self.roster, plan)
+
+    def _judge_ends(
+        self, registered: list[Member]
+    ) -> dict[tuple[str, int], FormerHome]:
+        """Return what those that ended may still use, by identity."""
         members = [*self.roster.members.values(), *registered]
         identities = {member.identity for member in members}
-        ended = {
-            identity: self._judge_end(identity)
+        entries = self.roster.homes.values()
+        identities |= {entry.predecessor for entry in entries} - {None}
+        return {
+            identity: self.judge_end(identity)
             for identity in identities
             if self.find_evidence(identity)
         }
-        heard = [m for m in registered if m.identity in candidates]
-        releases = set(self._releases)
-        regions = self.directory.find_regions()
-        plan = Plan(wanted, heard, candidates, ended, releases, regions)
-        return plan_roster(self.roster, plan)
 
-    def _judge_end(self, identity: tuple[str, int]) -> FormerHome:
+    def _list_leaving(self) -> frozenset[tuple[str, int]]:
+        leaving = {
+            known.identity
+            for known in self.directory.list_present()
+            if known.is_leaving
+        }
+        if self.is_leaving:
+            leaving.add(self.me.identity)
+        return frozenset(leaving)
+
+    def judge_end(self, identity: tuple[str, int]) -> FormerHome:
         """Return what an incarnation that has ended may still occupy."""
         if self.find_evidence(identity) is Evidence.RELEASED:
             return FormerHome.RELEASED
--- a/radishstile/fleet/roster.py
+++ b/radishstile/fleet/roster.py
@@ -1,6 +1,7 @@
 """The registered members and the home of each resource, by version."""
 
 from collections import Counter
+from collections.abc import Iterable
 from enum import IntEnum
 
 import xxhash
@@ -26,10 +27,11 @@
     """The incarnation that owns a resource's whole limit.
 
     `epoch` is the roster version that assigned it; `former` tells what the
-    homes before it may still use.
+    homes before it may still use. `predecessor` is the identity of a home
+    that goes on until this one asks it to hand over, or None.
     """
 
-    __slots__ = ("host", "incarnation", "epoch", "former")
+    __slots__ = ("host", "incarnation", "epoch", "former", "predecessor")
 
     def __init__(
         self,
@@ -37,11 +39,13 @@
         incarnation: int,
         epoch: int,
         former: FormerHome = FormerHome.RELEASED,
+        predecessor: Iterable | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
         self.epoch = epoch
         self.former = FormerHome(former)
+        self.predecessor = None if predecessor is None else tuple(predecessor)
 
     @property
     def identity(self) -> tuple[str, int]:
@@ -60,6 +64,7 @@
             self.incarnation,
             self.epoch,
             self.former.value,
+            self.predecessor,
         ]
 
 
@@ -143,7 +148,8 @@
     live members, by identity; `ended` maps the identities with evidence of
     their end to what they may still use; `releases` are what homes said that
     they gave up; `regions` maps a zone to its region, also where all members
-    of the zone have ended.
+    of the zone have ended. `leaving` are identities that leave, `movable`
+    the resources that their homes hand over when they are asked.
     """
 
     __slots__ = (
@@ -153,6 +159,8 @@
         "ended",
         "releases",
         "regions",
+        "leaving",
+        "movable",
     )
 
     def __init__(
@@ -163,6 +171,8 @@
         ended: dict[tuple[str, int], FormerHome],
         releases: set[Release],
         regions: dict[str, str],
+        leaving: frozenset[tuple[str, int]] = frozenset(),
+        movable: frozenset[str] = frozenset(),
     ):
         self.wanted = wanted
         self.registered = registered
@@ -170,6 +180,8 @@
         self.ended = ended
         self.releases = releases
         self.regions = regions
+        self.leaving = leaving
+        self.movable = movable
 
 
 def plan_roster(roster: Roster, plan: Plan) -> Roster | None:
@@ -179,7 +191,8 @@
     homes = _keep_homes(roster, members, plan)
     unclean = roster.unclean | _find_unclean(roster, homes, plan)
     pool = [m for m in members.values() if m.identity in plan.candidates]
-    _assign_homes(homes, pool, plan, version, unclean)
+    _assign_homes(roster, homes, pool, plan, version, unclean)
+    _name_successors(roster, homes, pool, plan, version)
     if homes == roster.homes and members == roster.members:
         return None
     homeless = {
@@ -231,7 +244,7 @@
 ) -> dict[str, FormerHome]:
     """Return what the homes that are lost now may still use, by resource."""
     lost = {
-        resource: _judge_former(entry, plan)
+        resource: _judge_former(roster, entry, plan)
         for resource, entry in roster.homes.items()
         if resource not in kept and not _is_released(resource, entry, plan)
     }
@@ -242,7 +255,7 @@
     }
 
 
-def _judge_former(entry: HomeEntry, plan: Plan) -> FormerHome:
+def _judge_former(roster: Roster, entry: HomeEntry, plan: Plan) -> FormerHome:
     """Return what a home that did not release its resource may still use.
 
     It may have ended before what its own former home used was over.
@@ -250,10 +263,13 @@
     ended = plan.ended.get(entry.identity, FormerHome.LOST)
     if ended is FormerHome.RELEASED:
         return ended
-    return max(ended, entry.former)
+    if _is_at_work(roster, entry.predecessor, plan):
+        return max(ended, entry.former)
+    return max(ended, entry.former, _judge_before(entry, plan))
 
 
 def _assign_homes(
+    roster: Roster,
     homes: dict[str, HomeEntry],
     pool: list[Member],
     plan: Plan,
@@ -262,18 +278,91 @@
 ) -> None:
     counts = Counter(entry.host for entry in homes.values())
     for resource in sorted(plan.wanted.keys() - homes.keys()):
-        zone = plan.wanted[resource]
-        near = _narrow(pool, zone, plan.regions.get(zone))
-        if not near:
+        home = _choose_home(resource, pool, plan, counts)
+        if home is None:
             continue
-        home = min(near, key=lambda m: _weigh(m, resource, counts))
-        counts[home.host] += 1
         former = unclean.get(resource, FormerHome.RELEASED)
+        predecessor = _find_predecessor(roster, resource, plan)
         homes[resource] = HomeEntry(
-            home.host, home.incarnation, version, former
+            home.host, home.incarnation, version, former, predecessor
         )
 
 
+def _name_successors(
+    roster: Roster,
+    homes: dict[str, HomeEntry],
+    pool: list[Member],
+    plan: Plan,
+    version: int,
+) -> None:
+    """Give what leaving members hand over to others, while they go on.
+
+    A home that may still count what others before it left keeps its part:
+    it releases that once all of it is over.
+    """
+    counts = Counter(entry.host for entry in homes.values())
+    for resource in sorted(plan.movable & homes.keys()):
+        entry = homes[resource]
+        is_leaving = entry.identity in plan.leaving
+        if not is_leaving or not _is_alone(roster, entry, plan):
+            continue
+        home = _choose_home(resource, pool, plan, counts)
+        if home is None:
+            continue
+        homes[resource] = HomeEntry(
+            home.host,
+            home.incarnation,
+            version,
+            FormerHome.RELEASED,
+            entry.identity,
+        )
+
+
+def _choose_home(
+    resource: str, pool: list[Member], plan: Plan, counts: Counter
+) -> Member | None:
+    zone = plan.wanted[resource]
+    near = _narrow(pool, zone, plan.regions.get(zone))
+    if not near:
+        return None
+    home = min(near, key=lambda member: _weigh(member, resource, counts))
+    counts[home.host] += 1
+    return home
+
+
+def _is_alone(roster: Roster, entry: HomeEntry, plan: Plan) -> bool:
+    """Return whether no home before this one may use the resource."""
+    if _is_at_work(roster, entry.predecessor, plan):
+        return False
+    return max(entry.former, _judge_before(entry, plan)) == 0
+
+
+def _is_at_work(
+    roster: Roster, identity: tuple[str, int] | None, plan: Plan
+) -> bool:
+    return roster.is_registered(identity) and identity not in plan.ended
+
+
+def _judge_before(entry: HomeEntry, plan: Plan) -> FormerHome:
+    """Return what a predecessor that has ended may still use."""
+    if entry.predecessor is None:
+        return FormerHome.RELEASED
+    return plan.ended.get(entry.predecessor, FormerHome.LOST)
+
+
+def _find_predecessor(
+    roster: Roster, resource: str, plan: Plan
+) -> tuple[str, int] | None:
+    """Return the home that one which ended may not have asked, if any."""
+    entry = roster.homes.get(resource)
+    if entry is None or _is_released(resource, entry, plan):
+        return None
+    if plan.ended.get(entry.identity) is FormerHome.RELEASED:
+        return None
+    is_at_work = _is_at_work(roster, entry.predecessor, plan)
+    return entry.predecessor if is_at_work else None
+
+
 def _weigh(member: Member, resource: str, counts: Counter) -> tuple[int, int]:
     return counts[member.host], -rank(resource, member.host)
 
--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -244,6 +244,7 @@
         self._awaits_handover = False
         now = asyncio.get_running_loop().time()
         self._pool.take_over(now, max_deadline_s)
+        self._note_change()
 
     def take_over_closed(self) -> None:
         """Hold all slots until upstreams have noticed a home's end.
@@ -254,6 +255,7 @@
         self._awaits_handover = False
         now = asyncio.get_running_loop().time()
         self._pool.take_over_closed(now)
+        self._note_change()
 
     def await_handover(self, max_deadline_s: float) -> None:
         """Hold all slots, as long as the former home can't be asked.
@@ -272,7 +274,7 @@
         self._serve()
 
     def note_handover(self, deadlines: dict[str, list[float]]) -> None:
-        """Hold only the slots that the former home had in flight."""
+        """Hold only the slots that the former home has in flight."""
         self._awaits_handover = False
         now = asyncio.get_running_loop().time()
         self._pool.note_handover(deadlines, now)
--- a/radishstile/upstream/pool.py
+++ b/radishstile/upstream/pool.py
@@ -9,6 +9,11 @@
 from radishstile.upstream.slot import SlotLease, SlotResult
 
 
+def name_endpoint(entry: UpstreamEntry) -> str:
+    """Return `ADDRESS:PORT`, by which hosts name the same upstream."""
+    return f"{entry.address}:{entry.port}"
+
+
 class SlotPool:
     """Gives out the slots of the upstreams of one group in one zone.
 
@@ -23,6 +28,8 @@
         "_leaving",
         "_number",
         "_closed_until",
+        "_former",
+        "_former_leases",
         "_has_entries",
     )
 
@@ -33,6 +40,9 @@
         self._leaving: frozenset[str] = frozenset()
         self._number = 0
         self._closed_until = 0.0
+        # What a former home has in flight, by endpoint, and its leases here.
+        self._former: dict[str, list[float]] = {}
+        self._former_leases: list[tuple[PooledUpstream, int]] = []
         self._has_entries = False
 
     def apply_upstreams(
@@ -60,6 +70,7 @@
             upstream = PooledUpstream(self._settings, entry, now, is_warm)
             upstream.table.close(self._closed_until)
             self._upstreams[endpoint] = upstream
+            self._occupy_former(upstream)
         upstream.apply_entry(entry, now)
 
     def _drop_removed(self, now: float) -> None:
@@ -97,19 +108,30 @@
     def note_handover(
         self, deadlines: dict[str, list[float]], now: float
     ) -> None:
-        """Hold only the slots that the former home had in flight.
+        """Hold only the slots that the former home has in flight.
 
         `deadlines` is what `list_deadlines` of the former home returned,
-        after it had sent its last request.
+        after it had sent its last request; it replaces an earlier one.
         """
         self._close(0.0)
+        for upstream, number in self._former_leases:
+            upstream.table.free(number)
+        self._former_leases = []
+        self._former = {
+            endpoint: [now + left_s for left_s in times]
+            for endpoint, times in deadlines.items()
+        }
         for upstream in self._upstreams.values():
-            for left_s in deadlines.get(upstream.entry.name, ()):
-                self._number += 1
-                upstream.table.occupy(self._number, now + left_s)
+            self._occupy_former(upstream)
+
+    def _occupy_former(self, upstream: PooledUpstream) -> None:
+        for until in self._former.get(name_endpoint(upstream.entry), ()):
+            self._number += 1
+            upstream.table.occupy(self._number, until)
+            self._former_leases.append((upstream, self._number))
 
     def list_deadlines(self, now: float) -> dict[str, list[float]]:
-        """Return the occupied slots of each upstream for a successor.
+        """Return the occupied slots of each endpoint for a successor.
 
         Each is given as the seconds from `now` after which it is surely
         free, since clocks of hosts have nothing in common.
@@ -118,7 +140,9 @@
         for upstream in self._upstreams.values():
             entry = upstream.entry
             times = upstream.table.list_deadlines(now, entry.slots)
-            deadlines[entry.name] = [until - now for until in times]
+            if times:
+                left = [until - now for until in times]
+                deadlines[name_endpoint(entry)] = left
         return deadlines
 
     def _close(self, until: float) -> None:
--- a/radishstile/wire/messages/fleet.py
+++ b/radishstile/wire/messages/fleet.py
@@ -53,6 +53,27 @@
     away: list[str]
 
 
+class HandOver(Message):
+    """Asks a former home to stop, for the home named under `epoch`."""
+
+    __slots__ = ("resource", "epoch")
+
+    resource: str
+    epoch: int
+
+
+class HandedOver(Message):
+    """Answers with what the former home still has in flight.
+
+    `deadlines` maps an upstream's `ADDRESS:PORT` to the seconds after which
+    each of its occupied slots is surely free.
+    """
+
+    __slots__ = ("deadlines",)
+
+    deadlines: dict
+
+
 class LoadQuery(Message):
     """Asks a home for the load of the upstream groups it dispatches to."""
 
--- a/radishstile/wire/registry.py
+++ b/radishstile/wire/registry.py
@@ -28,6 +28,8 @@
     35: fleet.MovePush,
     36: fleet.ReportSuccess,
     37: fleet.MachinesPush,
+    40: fleet.HandOver,
+    41: fleet.HandedOver,
     50: run.RunRequest,
     51: run.BodyPart,
     52: run.BodyEnd,
--- a/test/fleet/test_roster.py
+++ b/test/fleet/test_roster.py
@@ -100,6 +100,61 @@
         roster = self.plan(empty, newer, set())
         self.assertIs(roster.homes["rate/0"].former, FormerHome.CLOSED)
 
+    def hand_over(self, roster, leaving, ended=None):
+        """Plan while `leaving` leaves, and return rate/0's next entry."""
+        live = [m for m in self.members if m.identity != leaving]
+        plan = Plan(
+            self.wanted,
+            self.members,
+            {m.identity for m in live} - (ended or {}).keys(),
+            ended or {},
+            set(),
+            {zone: zone[0] for zone in ZONES},
+            frozenset({leaving}),
+            frozenset({"rate/0"}),
+        )
+        following = plan_roster(roster, plan) or roster
+        return following, following.homes["rate/0"]
+
+    def test_leaving_home_goes_on_until_its_successor_asks(self):
+        before = self.roster.homes["rate/0"]
+        roster, entry = self.hand_over(self.roster, before.identity)
+        self.assertNotEqual(entry.host, before.host)
+        self.assertEqual(entry.predecessor, before.identity)
+        self.assertIs(entry.former, FormerHome.RELEASED)
+        again = Roster.from_record(json.loads(json.dumps(roster.to_record())))
+        predecessor = again.homes["rate/0"].predecessor
+        self.assertEqual(predecessor, before.identity)
+        # Others of the same host keep their part until it is released.
+        for resource, kept in self.roster.homes.items():
+            if resource != "rate/0":
+                self.assertEqual(roster.homes[resource], kept)
+
+    def test_successor_that_may_not_have_asked_hands_nothing_over(self):
+        before = self.roster.homes["rate/0"].identity
+        roster, entry = self.hand_over(self.roster, before)
+        again, kept = self.hand_over(roster, entry.identity)
+        self.assertEqual(kept, entry)
+        ended = {before: FormerHome.RELEASED}
+        _, third = self.hand_over(roster, entry.identity, ended)
+        self.assertEqual(third.predecessor, entry.identity)
+        ended = {before: FormerHome.LOST}
+        _, kept = self.hand_over(roster, entry.identity, ended)
+        self.assertEqual(kept, entry)
+
+    def test_end_of_a_successor_leaves_both_to_the_next(self):
+        before = self.roster.homes["rate/0"].identity
+        roster, entry = self.hand_over(self.roster, before)
+        for former in (FormerHome.CLOSED, FormerHome.LOST):
+            ended = {entry.identity: former}
+            _, third = self.hand_over(roster, before, ended)
+            self.assertEqual(third.predecessor, before)
+            self.assertIs(third.former, former)
+        ended = {before: FormerHome.LOST, entry.identity: FormerHome.CLOSED}
+        _, third = self.hand_over(roster, before, ended)
+        self.assertIsNone(third.predecessor)
+        self.assertIs(third.former, FormerHome.LOST)
+
     def test_record_keeps_everything(self):
         record = json.loads(json.dumps(self.roster.to_record()))
         again = Roster.from_record(record)
--- a/test/upstream/test_dispatcher.py
+++ b/test/upstream/test_dispatcher.py
@@ -147,6 +147,20 @@
         await self._acquire()
         self.assertEqual(self.now, 31)
 
+    async def test_handover_holds_the_slots_of_a_renamed_upstream(self):
+        self._start()
+        former = self.dispatcher
+        await self._acquire(deadline=20.0)
+        deadlines = former.hand_over()
+        self._start()
+        entries = make_entries(1, 1)
+        entries[0].name = "renamed"
+        self.dispatcher.apply_upstreams([])
+        self.dispatcher.note_handover(deadlines)
+        self.dispatcher.apply_upstreams(entries)
+        await self._acquire()
+        self.assertEqual(self.now, 21)
+
     async def test_successor_of_a_closed_home_waits_for_the_grace(self):
         self._start()
         self.dispatcher.take_over_closed()
