--- a/radishstile/daemon/journals.py
+++ b/radishstile/daemon/journals.py
@@ -30,6 +30,7 @@
 _FOLLOW_S = 1.0
 _FINISH_TRIES = 5
 _FINISH_TIMEOUT_S = 2.0
+_ANSWER_S = 0.5
 _MS_PER_S = 1000
 
 
@@ -129,7 +130,9 @@
             left_s = until - read_clock()
             if left_s <= 0:
                 return RunAnswer(Verdict.NOT_HOME)
-            message.wait_ms = max(1, int(left_s * _MS_PER_S))
+            # The home's word must arrive before this host stops waiting.
+            wait_s = left_s - min(_ANSWER_S, left_s / 2)
+            message.wait_ms = max(1, int(wait_s * _MS_PER_S))
             try:
                 answer = read_known(await self._ask(message, left_s))
             except (RefusalError, WireError, TimeoutError) as error:
