Cut single hosts off from the store in tests

The HTTP client connects its sockets itself, so the cut is made where sockets connect; a cut in create_connection alone let the host's watch of the store come back at once, and it rightly went on serving keyed routes.

--- a/test/daemon/_network.py
+++ b/test/daemon/_network.py
@@ -20,6 +20,7 @@
         self._transports: dict[str, list[asyncio.Transport]] = {}
         self._peer_ports: dict[int, str] = {}
         self._cuts: set[tuple[str, str]] = set()
+        self._closed: set[tuple[str, int]] = set()
         self._dead: set[str] = set()
         self._wrap()
 
@@ -43,6 +44,21 @@
         for transport in self._list_links(sender, receiver):
             transport.resume_reading()
 
+    def cut_port(self, host: str, port: int) -> None:
+        """Cut a host off from the store or an upstream at `port`.
+
+        Open connections break and new ones wait until their time-out.
+        """
+        self._closed.add((host, port))
+        for transport in self._transports.get(host, []):
+            peer = transport.get_extra_info("peername")
+            if peer is not None and peer[1] == port:
+                transport.abort()
+
+    def heal_port(self, host: str, port: int) -> None:
+        """End a cut of a port."""
+        self._closed.discard((host, port))
+
     async def kill(self, host: str) -> None:
         """Close a host's sockets, then end its tasks.
 
@@ -79,9 +95,12 @@
         loop = self._loop
         self._create_server = loop.create_server
         self._create_connection = loop.create_connection
+        self._sock_connect = loop.sock_connect
         self._make_transport = loop._make_socket_transport
         loop.create_server = self._open_server
         loop.create_connection = self._open_connection
+        # The HTTP client connects its sockets itself.
+        loop.sock_connect = self._connect_socket
         loop._make_socket_transport = self._open_transport
         loop.set_task_factory(self._start_task)
 
@@ -106,6 +125,11 @@
             await asyncio.Event().wait()
         return await self._create_connection(factory, host, port, **options)
 
+    async def _connect_socket(self, sock, address) -> None:
+        if (HOST.get(), address[1]) in self._closed:
+            await asyncio.Event().wait()
+        await self._sock_connect(sock, address)
+
     def _open_transport(self, *args, **options) -> asyncio.Transport:
         transport = self._make_transport(*args, **options)
         kept = self._transports.setdefault(HOST.get(), [])
