Compare whole sessions with golden files

Each session is a script over real daemons on the paused clock; its text says who asked what, what was answered and what the upstreams ran. The clock shows when a step began, and counts stand where the order is open, so the text is the same each run. 'make golden' writes the files; the tests only compare.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,11 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+golden: $(READY)
+	$(RUN) -m test.golden
+
+matrix: $(READY)
+	$(RUN) -m test.matrix
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/test/golden/__init__.py
@@ -0,0 +1,1 @@
+"""Golden files of whole sessions."""
--- /dev/null
+++ b/test/golden/__main__.py
@@ -0,0 +1,23 @@
+"""Writes the golden files anew, all of them or those named."""
+
+import asyncio
+import logging
+import sys
+
+from test._common import PausedLoopPolicy
+from test.golden.scripts import SCRIPTS, find_file, record
+
+
+def main() -> int:
+    """Run each session on the paused clock and write its text."""
+    logging.disable(logging.CRITICAL)
+    asyncio.set_event_loop_policy(PausedLoopPolicy())
+    for name in sys.argv[1:] or SCRIPTS:
+        text = asyncio.run(record(name))
+        find_file(name).write_text(text, encoding="utf-8")
+        print(f"wrote {find_file(name).name}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/test/golden/test_sessions.py
@@ -0,0 +1,27 @@
+"""Compares each session with its golden file."""
+
+from test._common import PausedTestCase
+from test.golden.scripts import FOLDER, SCRIPTS, find_file, record
+
+
+class SessionsTest(PausedTestCase):
+    """Each session goes as its golden file says."""
+
+    maxDiff = None
+
+    def test_each_file_has_a_session(self):
+        names = {path.stem for path in FOLDER.glob("*.txt")}
+        self.assertEqual(names, set(SCRIPTS))
+
+
+def _make_test(name: str):
+    async def test(self):
+        golden = find_file(name).read_text(encoding="utf-8")
+        self.assertMultiLineEqual(golden, await record(name))
+
+    test.__doc__ = SCRIPTS[name].__doc__
+    return test
+
+
+for _name in SCRIPTS:
+    setattr(SessionsTest, f"test_{_name}", _make_test(_name))
