--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,11 @@
 matrix: $(READY)
 	$(RUN) -m test.matrix
 
+bench: $(READY)
+	$(RUN) -m bench $(NAMES)
+
+capacity: $(READY)
+	$(RUN) -m bench.capacity $(if $(JSON),--json $(JSON))
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/radishstile/daemon/service.py
+++ b/radishstile/daemon/service.py
@@ -64,7 +64,7 @@
 
     def look_up(self, route: str, client: str) -> dict:
         """Return the answer to a look-up."""
-        self._node.metrics.lookups.inc({})
+        self._node.metrics.lookup_count += 1
         return self.parts.steering.look_up(route, client)
 
     def open_session(self, traceparent: str | None) -> Session:
@@ -184,15 +184,23 @@
         _LOG.info("service: Stopping.")
         node.fleet.leave()
         self._callers.leave()
+        is_drained = await self._try_drain()
+        node.is_stopping = True
+        if is_drained:
+            node.fleet.finish(read_clock())
+        self.parts.peers.notify()
+        await asyncio.sleep(node.settings.fleet.heartbeat_s)
+
+    async def _try_drain(self) -> bool:
         try:
-            async with asyncio.timeout(node.settings.http.stop_timeout_s):
+            async with asyncio.timeout(
+                self._node.settings.http.stop_timeout_s
+            ):
                 await self._drain()
         except TimeoutError:
             _LOG.warning("service: Stopped with requests still running.")
-        node.is_stopping = True
-        node.fleet.finish(read_clock())
-        self.parts.peers.notify()
-        await asyncio.sleep(node.settings.fleet.heartbeat_s)
+            return False
+        return True
 
     async def _drain(self) -> None:
         # Callers follow an answer for its TTL, so requests still arrive.
@@ -204,8 +212,9 @@
     async def _close(self) -> None:
         node = self._node
         await self._operators.stop()
-        await self._server.stop()
+        # Peers that find the port closed take these connections for closed.
         await node.upstreams.close()
+        await self._server.stop()
         await node.store.close()
         node.tracing.close()
         _LOG.info("service: %s has stopped.", node.me)
@@ -214,6 +223,7 @@
         node = self._node
         metrics = node.metrics
         now = read_clock()
+        metrics.lookups.set({}, metrics.lookup_count)
         for region, free in measure_headroom(self.parts, now).items():
             metrics.headroom.set({"region": region}, free)
         calls = node.store.calls
