--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,12 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+golden: $(READY)
+	$(RUN) -m test.golden
+
+matrix: $(READY)
+	$(RUN) -m test.matrix
+
 bench: $(READY)
 	$(RUN) -m bench $(NAMES)
 
--- a/radishstile/daemon/journals.py
+++ b/radishstile/daemon/journals.py
@@ -30,6 +30,7 @@
 # The time that a journal may need to find its next home.
 _FINISH_S = 60.0
 _FINISH_TIMEOUT_S = 2.0
+_ANSWER_S = 0.5
 _MS_PER_S = 1000
 
 
@@ -152,7 +153,9 @@
             left_s = until - read_clock()
             if left_s <= 0:
                 return RunAnswer(Verdict.NOT_HOME)
-            message.wait_ms = max(1, int(left_s * _MS_PER_S))
+            # The home's word must arrive before this host stops waiting.
+            wait_s = left_s - min(_ANSWER_S, left_s / 2)
+            message.wait_ms = max(1, int(wait_s * _MS_PER_S))
             try:
                 answer = read_known(await self._ask(message, left_s))
             except (RefusalError, WireError, TimeoutError) as error:
