--- a/bench/processes.py
+++ b/bench/processes.py
@@ -21,6 +21,7 @@
 _READY_TIMEOUT_S = 90.0
 _POLL_S = 0.2
 _SEEDS = 3
+_TAIL_LINES = 4
 _COUNTER = re.compile(r'^radishstile_wire\{counter="bytes_\w+"\} (\S+)$', re.M)
 
 
@@ -93,10 +94,13 @@
         await self._spawn("upstreams", "standin.upstream", TREE)
         for host in self.plan.hosts:
             await self._spawn(host, "radishstile.daemon.command", self.tree)
-        async with asyncio.timeout(_READY_TIMEOUT_S):
-            await self._configure()
-            for host in self.plan.hosts:
-                await self._wait_ready(host)
+        try:
+            async with asyncio.timeout(_READY_TIMEOUT_S):
+                await self._configure()
+                for host in self.plan.hosts:
+                    await self._wait_ready(host)
+        except TimeoutError as error:
+            raise RuntimeError(await self._describe()) from error
 
     async def stop(self) -> None:
         """End the daemons, then the rest."""
@@ -163,6 +167,21 @@
         )
         return status["homes"][resource]
 
+    async def _describe(self) -> str:
+        """Return the state of each process, for a fleet that isn't ready."""
+        lines = ["the fleet is not ready"]
+        for name, process in self._processes.items():
+            log = (self.folder / f"{name}.log").read_text(errors="replace")
+            tail = " | ".join(log.splitlines()[-_TAIL_LINES:])
+            lines.append(f"{name}: status {process.returncode}: {tail}")
+        for host in self.plan.hosts:
+            try:
+                status = await self.operate(host).execute("status")
+            except OperatorError as error:
+                status = error
+            lines.append(f"{host}: {status}")
+        return "\n".join(lines)
+
     def _write_settings(self) -> None:
         for host in self.plan.hosts:
             self._write(host, self._format_host(host))
