Claim for queues that local tokens serve too late, and tell overload apart

Before, it was judged only when an allotment was built, so the first after a quiet while told of overload.

--- a/radishstile/fleet/home.py
+++ b/radishstile/fleet/home.py
@@ -15,7 +15,7 @@
 
 RESEND_S = 0.25
 MAX_PENDING = 8
-OVERLOAD_AFTER_S = 1.0
+OVERLOAD_AFTER_S = 0.4
 
 
 class Home:
@@ -119,6 +119,7 @@
         if claim.serial <= account.serial:
             return []
         returned = account.apply(claim)
+        self._note_demand(now)
         is_opening = self._stop_awaiting(claim.holder)
         self._resize_pool(now)
         self._pool.add(returned)
@@ -133,6 +134,7 @@
 
     def tick(self, now: float) -> list[Dispatch]:
         """Send again what was not acknowledged, and divide by demand."""
+        self._note_demand(now)
         if not self.is_open:
             return self.list_inquiries() if not self.is_closed else []
         again = [
@@ -245,18 +247,19 @@
         allotment = Allotment(
             self.resource, self.epoch, account.sent_number + 1, rate, burst
         )
-        allotment.is_exhausted = self._is_exhausted(now)
+        overload_s = now - self._within_at
+        allotment.is_exhausted = overload_s > OVERLOAD_AFTER_S
         return allotment
 
-    def _is_exhausted(self, now: float) -> bool:
-        """Return whether demand has been above the whole limit for a while.
+    def _note_demand(self, now: float) -> None:
+        """Note when demand was last within the whole limit.
 
-        A load that moves is counted twice until its former host claims.
+        A load that moves is counted twice until its former host claims, so
+        only a demand that stays above the limit is an overload.
         """
         demand = sum(item.demand for item in self._accounts.values())
         if demand <= self.rate:
             self._within_at = now
-        return now - self._within_at > OVERLOAD_AFTER_S
 
     def _serve_all(self, now: float, dispatches: list[Dispatch]) -> None:
         """Give tokens to requests that have waited for the opening."""
--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -315,7 +315,7 @@
             return 0.0 if is_needed else math.inf
         if self._has_news(claimed):
             return self.settings.claim_spacing_s
-        if self.waiting > self._credit:
+        if self._is_queue_long(now):
             if self.is_exhausted:
                 return self.settings.exhausted_claim_s
             return self.settings.claim_spacing_s
@@ -323,6 +323,13 @@
             return self.settings.idle_claim_s
         return math.inf
 
+    def _is_queue_long(self, now: float) -> bool:
+        """Return whether an answer can come before the tokens held here."""
+        if self.waiting <= self._credit:
+            return False
+        wait_s = self.time_to_token(now, self.waiting)
+        return wait_s > self.settings.short_wait_s
+
     def _is_holding(self) -> bool:
         return self._holding.rate > 0 or self._holding.burst > 0
 
--- a/radishstile/workspace/settings.py
+++ b/radishstile/workspace/settings.py
@@ -9,7 +9,8 @@
     `claim_spacing_s` apart, and `idle_claim_s` when nothing waits. A host
     without requests for `idle_return_s` gives back what it holds. Demand is
     averaged over up to `steady_window_s`, and over `demand_window_s` after
-    it changed.
+    it changed. Requests that
+    will have tokens within `short_wait_s` don't make the host claim more.
     """
 
     __slots__ = (
@@ -21,6 +22,7 @@
         "idle_return_s",
         "demand_window_s",
         "steady_window_s",
+        "short_wait_s",
     )
 
     def __init__(
@@ -33,6 +35,7 @@
         idle_return_s: float = 5.0,
         demand_window_s: float = 1.0,
         steady_window_s: float = 10.0,
+        short_wait_s: float = 0.15,
     ):
         self.admit_wait_s = admit_wait_s
         self.exhausted_wait_s = exhausted_wait_s
@@ -42,3 +45,4 @@
         self.idle_return_s = idle_return_s
         self.demand_window_s = demand_window_s
         self.steady_window_s = steady_window_s
+        self.short_wait_s = short_wait_s
--- a/test/fleet/_fleet.py
+++ b/test/fleet/_fleet.py
@@ -10,6 +10,8 @@
 RESOURCE = "rate/press"
 RATE = 200.0
 BURST = 40
+DELAY_S = 0.02
+MAX_DELAY_S = 0.5
 
 
 class Meter:
@@ -88,7 +90,7 @@
         draw = self.random.random
         copies = 0 if draw() < self.loss else 2 if draw() < self.loss else 1
         for _ in range(copies):
-            delay_s = draw() * (0.5 if draw() < 0.1 else 0.02)
+            delay_s = draw() * (MAX_DELAY_S if draw() < 0.1 else DELAY_S)
             self.mail.append((self.now + delay_s, identity, message))
 
     def advance(self, seconds: float) -> None:
--- a/test/fleet/test_home.py
+++ b/test/fleet/test_home.py
@@ -5,7 +5,7 @@
 
 from radishstile.fleet.allotment import Claim
 from radishstile.fleet.home import Home
-from test.fleet._fleet import BURST, RATE, RESOURCE, Fleet
+from test.fleet._fleet import BURST, MAX_DELAY_S, RATE, RESOURCE, Fleet
 
 SLACK = 1e-6
 
@@ -114,6 +114,20 @@
                     sent = home.note_ended(("b", 1), 1.0)
                 self.assertIn(("a", 1), [item.holder for item in sent])
 
+    def test_only_demand_that_stays_above_the_limit_is_overload(self):
+        home = Home(RESOURCE, 1, RATE, BURST, [("a", 1)], 0.0)
+        told = []
+        for serial in range(1, 21):
+            now = serial * 0.1
+            # A load that moves is counted at both of its hosts for a while.
+            demand = 2 * RATE if serial in (3, 4) or serial >= 10 else RATE
+            claim = Claim(RESOURCE, ("a", 1), serial, 1, serial)
+            claim.demand, claim.waiting = demand, 50
+            sent = home.receive(claim, now)
+            told.append(any(item.message.is_exhausted for item in sent))
+        self.assertFalse(any(told[:10]))
+        self.assertTrue(any(told[10:]))
+
     def test_units_of_ended_host_come_back_without_tokens(self):
         fleet, home, hosts = self.start()
         fleet.run_plain(3, hosts[1], 0.9 * RATE)
@@ -128,7 +142,7 @@
         fleet.run_plain(1, hosts[1], RATE)
         hosts[0].is_paused = True
         fleet.assign_home(hosts[2].identity)
-        fleet.step(0.1)
+        fleet.step(MAX_DELAY_S)
         held = hosts[1].limiter.holding.number
         claim = Claim(RESOURCE, hosts[1].identity, 10_000, old.epoch)
         claim.waiting = 5
@@ -153,7 +167,7 @@
         fleet.run_plain(3, hosts[1], 0.9 * RATE)
         fleet.send_all(home.set_limit(RATE / 4, BURST / 4, fleet.now))
         self.assertEqual(home.pool.rate_per_s, 0)
-        fleet.step(0.2)
+        fleet.step(MAX_DELAY_S)
         rate, burst, _ = fleet.measure_held()
         self.assertLessEqual(rate, RATE / 4 + SLACK)
         self.assertLessEqual(burst, BURST / 4 + SLACK)
--- a/test/workspace/test_gate.py
+++ b/test/workspace/test_gate.py
@@ -1,6 +1,7 @@
 """Tests of the admission of requests on paused time."""
 
 import asyncio
+import random
 
 from radishstile.errors import PeerLostError, RefusalError
 from radishstile.fleet.allotment import Allotment, Claim, Inquiry
@@ -159,6 +160,36 @@
         self.assertIsNone(self.limiter.reserve(0.0))
         self.assertAlmostEqual(self.limiter.time_to_token(0.0), 0.1)
 
+    async def state_demand(self, limiter, arrivals):
+        for at in arrivals:
+            limiter.note_arrival(at)
+        return limiter.make_claim(arrivals[-1]).demand
+
+    async def test_stated_demand_is_steady_and_follows_a_change(self):
+        draw = random.Random(1)
+        now = 0.0
+        arrivals = []
+        while now < 60:
+            now += draw.expovariate(50.0)
+            arrivals.append(now)
+        for seconds in (20, 30, 40, 50, 60):
+            limiter = self.start()
+            part = [at for at in arrivals if at < seconds]
+            demand = await self.state_demand(limiter, part)
+            self.assertAlmostEqual(demand, 50, delta=50 * 0.1)
+        burst = [60 + number / 500 for number in range(250)]
+        limiter = self.start()
+        demand = await self.state_demand(limiter, arrivals + burst)
+        self.assertGreater(demand, 100)
+
+    async def test_short_queue_is_served_here_without_a_claim(self):
+        self.give(self.limiter, 1, rate=100.0, burst=5)
+        self.limiter.make_claim(0.0)
+        self.limiter.note_waiting(2)
+        self.assertGreater(self.limiter.claim_due_at(0.0), 0.5)
+        self.limiter.note_waiting(50)
+        self.assertLess(self.limiter.claim_due_at(0.0), 0.05)
+
     async def test_tokens_are_applied_once_for_each_number(self):
         for _ in range(3):
             self.give(self.limiter, 1, burst=5, level=1.0)
