--- a/bench/limits_model.py
+++ b/bench/limits_model.py
@@ -39,6 +39,7 @@
         "load_per_s",
         "target",
         "fault",
+        "rate_per_s",
         "burst",
         "fault_at_s",
         "fault_end_s",
@@ -51,6 +52,7 @@
         load_per_s: float = 900.0,
         target: str = "even",
         fault: str = "",
+        rate_per_s: float = RATE_PER_S,
         burst: int = BURST,
         fault_at_s: float = 5.0,
         fault_end_s: float = 10.0,
@@ -60,6 +62,7 @@
         self.load_per_s = load_per_s
         self.target = target
         self.fault = fault
+        self.rate_per_s = rate_per_s
         self.burst = burst
         self.fault_at_s = fault_at_s
         self.fault_end_s = fault_end_s
--- a/radishstile/fleet/home.py
+++ b/radishstile/fleet/home.py
@@ -72,6 +72,13 @@
         """Return the part of the limit that nobody else can have."""
         return self._pool
 
+    def count_given(self) -> tuple[float, float]:
+        """Return the most rate and burst that holders can have together."""
+        accounts = self._accounts.values()
+        rate = sum(item.counted_rate for item in accounts)
+        burst = sum(item.counted_burst for item in accounts)
+        return rate, burst
+
     def list_inquiries(self) -> list[Dispatch]:
         """Return an inquiry for each member that has not answered yet."""
         return [self._inquire(holder) for holder in sorted(self._awaited)]
@@ -163,10 +170,10 @@
         if not self.is_open:
             self._pool.resize(0.0, 0.0, now)
             return
-        accounts = self._accounts.values()
-        rate = self.rate - sum(item.counted_rate for item in accounts)
-        burst = self.burst - sum(item.counted_burst for item in accounts)
-        self._pool.resize(max(0.0, rate), max(0.0, burst), now)
+        given_rate, given_burst = self.count_given()
+        rate = max(0.0, self.rate - given_rate)
+        burst = max(0.0, self.burst - given_burst)
+        self._pool.resize(rate, burst, now)
 
     def _rebalance(self, now: float) -> list[Dispatch]:
         """Shrink holders above their share, then grow those below it."""
