--- a/radishstile/fleet/home.py
+++ b/radishstile/fleet/home.py
@@ -15,7 +15,7 @@
 
 RESEND_S = 0.25
 MAX_PENDING = 8
-OVERLOAD_AFTER_S = 1.0
+OVERLOAD_AFTER_S = 0.4
 
 
 class Home:
@@ -72,6 +72,13 @@
         """Return the part of the limit that nobody else can have."""
         return self._pool
 
+    def count_given(self) -> tuple[float, float]:
+        """Return the most rate and burst that holders can have together."""
+        accounts = self._accounts.values()
+        rate = sum(item.counted_rate for item in accounts)
+        burst = sum(item.counted_burst for item in accounts)
+        return rate, burst
+
     def list_inquiries(self) -> list[Dispatch]:
         """Return an inquiry for each member that has not answered yet."""
         return [self._inquire(holder) for holder in sorted(self._awaited)]
@@ -119,6 +126,7 @@
         if claim.serial <= account.serial:
             return []
         returned = account.apply(claim)
+        self._note_demand(now)
         is_opening = self._stop_awaiting(claim.holder)
         self._resize_pool(now)
         self._pool.add(returned)
@@ -133,6 +141,7 @@
 
     def tick(self, now: float) -> list[Dispatch]:
         """Send again what was not acknowledged, and divide by demand."""
+        self._note_demand(now)
         if not self.is_open:
             return self.list_inquiries() if not self.is_closed else []
         again = [
@@ -161,10 +170,10 @@
         if not self.is_open:
             self._pool.resize(0.0, 0.0, now)
             return
-        accounts = self._accounts.values()
-        rate = self.rate - sum(item.counted_rate for item in accounts)
-        burst = self.burst - sum(item.counted_burst for item in accounts)
-        self._pool.resize(max(0.0, rate), max(0.0, burst), now)
+        given_rate, given_burst = self.count_given()
+        rate = max(0.0, self.rate - given_rate)
+        burst = max(0.0, self.burst - given_burst)
+        self._pool.resize(rate, burst, now)
 
     def _rebalance(self, now: float) -> list[Dispatch]:
         """Shrink holders above their share, then grow those below it."""
@@ -245,18 +254,19 @@
         allotment = Allotment(
             self.resource, self.epoch, account.sent_number + 1, rate, burst
         )
-        allotment.is_exhausted = self._is_exhausted(now)
+        overload_s = now - self._within_at
+        allotment.is_exhausted = overload_s > OVERLOAD_AFTER_S
         return allotment
 
-    def _is_exhausted(self, now: float) -> bool:
-        """Return whether demand has been above the whole limit for a while.
+    def _note_demand(self, now: float) -> None:
+        """Note when demand was last within the whole limit.
 
-        A load that moves is counted twice until its former host claims.
+        A load that moves is counted twice until its former host claims, so
+        only a demand that stays above the limit is an overload.
         """
         demand = sum(item.demand for item in self._accounts.values())
         if demand <= self.rate:
             self._within_at = now
-        return now - self._within_at > OVERLOAD_AFTER_S
 
     def _serve_all(self, now: float, dispatches: list[Dispatch]) -> None:
         """Give tokens to requests that have waited for the opening."""
