Let a moved request wait for a unit, and ease a braked move by equal parts

A small burst divided among the hosts leaves less than one unit with some, which the home keeps for requests that wait, and moved requests never waited. They now wait at most 0.1 s, and stay in their region after that.

A braked move rose by a factor from near zero, so a target that had been hot for 15 s was slowed for most of a minute after it had cooled; it rises by a tenth of the cap now.

The test of the block table stores the newer chunks before it publishes a manifest with a missing one; it passed with a table that was not whole.

--- a/radishstile/daemon/choice.py
+++ b/radishstile/daemon/choice.py
@@ -41,12 +41,12 @@
         self._steering = steering
         self._settings = ChoiceSettings()
 
-    def choose(self, call: Call, route: Route) -> list[Target]:
+    async def choose(self, call: Call, route: Route) -> list[Target]:
         """Return the homes to try, the first to try first."""
+        client = ClientAddress.parse(call.client_address)
+        steer = await self._steering.steer(route.name, client)
         now = read_clock()
         targets = self._list_targets(route.group)
-        client = ClientAddress.parse(call.client_address)
-        steer = self._steering.steer(route.name, client, now)
         candidates = [
             self._make_candidate(target, route.group, now)
             for target in targets.values()
--- a/radishstile/daemon/entry.py
+++ b/radishstile/daemon/entry.py
@@ -205,7 +205,8 @@
 
     async def _attempt(self, order: Order, stack: AsyncExitStack) -> Answer:
         self._entry.parts.harm.check(order)
-        targets = self._entry.parts.chooser.choose(self._call, self._route)
+        chooser = self._entry.parts.chooser
+        targets = await chooser.choose(self._call, self._route)
         if not targets:
             raise RefusalError(Reason.NO_UPSTREAM, retry_after=_RETRY_AFTER_S)
         token = await self._reserve(order.deadline)
--- a/radishstile/daemon/moves.py
+++ b/radishstile/daemon/moves.py
@@ -302,9 +302,10 @@
 
     async def _ease(self, name: str) -> None:
         brake = self._brakes[name]
-        if not brake.ease(read_clock()):
+        cap_per_s = self._node.configuration.moves[name].cap_per_s
+        if not brake.ease(cap_per_s, read_clock()):
             return
-        if brake.rate_per_s >= self._node.configuration.moves[name].cap_per_s:
+        if brake.rate_per_s >= cap_per_s:
             await self._release_brake(name)
             return
         await self._homes.brake_move(name, brake.rate_per_s)
--- a/radishstile/daemon/steering.py
+++ b/radishstile/daemon/steering.py
@@ -15,9 +15,11 @@
 from radishstile.shift.measures import MoveHint
 from radishstile.shift.offered import OfferedLoads
 from radishstile.shift.progress import MoveProgress
-from radishstile.shift.share import Placement
+from radishstile.shift.share import Place, Placement
 from radishstile.workspace.gate import Gate
 
+_UNIT_WAIT_S = 0.1
+
 
 class LaneBudget:
     """The units of one move's cap that this host holds."""
@@ -32,6 +34,18 @@
         """Spend one unit; return False where there is none."""
         return self._gate.try_take(self._resource, now)
 
+    async def wait(self, deadline: float) -> bool:
+        """Spend one unit that may come in time; return False if none did.
+
+        The part of a small cap that falls to one host holds less than one
+        unit, so the home keeps it and gives out units as requests wait.
+        """
+        try:
+            reservation = await self._gate.admit(self._resource, deadline)
+        except RefusalError:
+            return False
+        return reservation.spend(read_clock())
+
 
 class Steer:
     """What moves say of one request.
@@ -187,11 +201,14 @@
         ]
         return {"hosts": hosts, "ttl_s": answer.ttl_s}
 
-    def steer(self, route: str, client: ClientAddress, now: float) -> Steer:
+    async def steer(self, route: str, client: ClientAddress) -> Steer:
         """Return what the moves say of one request, and count it."""
         region = self._locator.find_region(client) or self._node.me.region
         self._offered.count(route, region)
+        now = read_clock()
         place = self._guard.choose(route, region, client.block, now)
+        if place.move is not None and place.region == region:
+            place = await self._wait_unit(place)
         if place.region != region:
             return Steer(place.region)
         targets = self._targets.get((route, region))
@@ -201,6 +218,17 @@
         # block that has not moved is not left to this host's own region.
         return Steer(region, targets if place.move else frozenset())
 
+    async def _wait_unit(self, place: Place) -> Place:
+        """Return where a request runs that had no unit at once."""
+        move = self._node.configuration.moves.get(place.move)
+        budget = self._budgets.get(place.move)
+        if move is None or budget is None:
+            return place
+        if not await budget.wait(read_clock() + _UNIT_WAIT_S):
+            return place
+        self._guard.note_moved(place.move)
+        return Place(move.to_region, move.name)
+
     def _place_blocks(self) -> None:
         moves = self._node.configuration.moves
         progresses = {
--- a/radishstile/shift/brake.py
+++ b/radishstile/shift/brake.py
@@ -2,7 +2,7 @@
 
 from radishstile.shift.settings import ShiftSettings
 
-EASE_FACTOR = 1.25
+EASE_PART = 0.1
 
 
 class Brake:
@@ -10,6 +10,8 @@
 
     The move's home can put it in force at once and without the store, while
     a published step needs both the store and the TTL of callers' answers.
+    The rate falls by a factor and rises by equal parts of the cap, so it
+    settles near what the target can take.
     """
 
     __slots__ = ("rate_per_s", "_pace_s", "_changed_at")
@@ -21,15 +23,20 @@
 
     def tighten(self, part: float, now: float) -> bool:
         """Take off `part` of the rate; return whether it was time to."""
-        return self._scale(1 - part, now)
+        if not self._is_due(now):
+            return False
+        self.rate_per_s *= 1 - part
+        return True
 
-    def ease(self, now: float) -> bool:
-        """Raise the rate a little; return whether it was time to."""
-        return self._scale(EASE_FACTOR, now)
+    def ease(self, cap_per_s: float, now: float) -> bool:
+        """Add a part of the cap; return whether it was time to."""
+        if not self._is_due(now):
+            return False
+        self.rate_per_s += EASE_PART * cap_per_s
+        return True
 
-    def _scale(self, factor: float, now: float) -> bool:
+    def _is_due(self, now: float) -> bool:
         if now - self._changed_at < self._pace_s:
             return False
-        self.rate_per_s *= factor
         self._changed_at = now
         return True
--- a/radishstile/shift/guard.py
+++ b/radishstile/shift/guard.py
@@ -93,6 +93,12 @@
             return Place(move.to_region, move.name)
         return Place(region)
 
+    def note_moved(self, move: str) -> None:
+        """Count a request that got its unit after it was held back."""
+        counter = self._counters.get(move)
+        if counter is not None:
+            counter.moved += 1
+
     def take_hints(self, source: str, now: float) -> list[MoveHint]:
         """Return each move's rates since the last hints, and start anew.
 
--- a/test/daemon/test_blocks.py
+++ b/test/daemon/test_blocks.py
@@ -1,6 +1,7 @@
 """Tests of the block table on its way through whole daemons."""
 
 import asyncio
+import base64
 import json
 import tempfile
 from pathlib import Path
@@ -54,6 +55,11 @@
             self.assertLessEqual(max(parts), 1 + 4)
             newer = self.read("10.0.0.0/8,akl-1", "10.1.0.0/16,wlg-1")
             digests = [chunk.digest for chunk in newer.chunks]
+            for chunk in newer.chunks:
+                body = base64.b64encode(chunk.body).decode()
+                await client.execute(
+                    "put-blocks", digest=chunk.digest, body=body
+                )
             await client.execute(
                 "publish-blocks", sites=SITES, digests=[*digests, MISSING]
             )
