--- a/radishstile/daemon/choice.py
+++ b/radishstile/daemon/choice.py
@@ -9,7 +9,7 @@
 from radishstile.daemon.peers import Peers
 from radishstile.daemon.replication import Replication
 from radishstile.daemon.resources import SlotsResource
-from radishstile.daemon.steering import Steering
+from radishstile.daemon.steering import Steer, Steering
 from radishstile.lookup.address import ClientAddress
 from radishstile.member import Member
 from radishstile.route.choice import (
@@ -68,13 +68,16 @@
     async def wait_targets(
         self, call: Call, route: Route, deadline: float
     ) -> list[Target]:
-        """Return the homes to try, or none where there has been none lately.
+        """Return the homes to try, the first to try first.
 
+        There is none where there has been no home lately.
         Requests wait for a home that is being replaced, but only for a
         short time after it was missed first.
         """
+        client = ClientAddress.parse(call.client_address)
+        steer = await self._steering.steer(route.name, client)
         while True:
-            targets = self.choose(call, route)
+            targets = self._choose(route, steer)
             now = read_clock()
             if targets:
                 self._missing_since.pop(route.group, None)
@@ -96,12 +99,9 @@
         # What follows the roster here follows in its own task.
         await asyncio.sleep(_SETTLE_S)
 
-    def choose(self, call: Call, route: Route) -> list[Target]:
-        """Return the homes to try, the first to try first."""
+    def _choose(self, route: Route, steer: Steer) -> list[Target]:
         now = read_clock()
         targets = self._list_targets(route.group)
-        client = ClientAddress.parse(call.client_address)
-        steer = self._steering.steer(route.name, client, now)
         candidates = [
             self._make_candidate(target, route.group, now)
             for target in targets.values()
