Serve small bursts from the pool, and wait there

With a burst below one token for each host, the first claimers kept all of it and the others were refused at once: a share below one token counted as nothing lacking, so nothing was recalled; and a host without a burst judged waiting as vain by tokens that it never has.

--- a/radishstile/fleet/home.py
+++ b/radishstile/fleet/home.py
@@ -199,7 +199,7 @@
         """Return whether a holder lacks more than the pool has free."""
         pool = self._pool
         lacking = sum(
-            max(0.0, share.rate - account.current_rate)
+            share.measure_lack(account)
             for account, share in zip(accounts, shares, strict=True)
         )
         held = sum(account.current_rate for account in accounts)
@@ -264,7 +264,8 @@
         A load that moves is counted twice until its former host claims, so
         only a demand that stays above the limit is an overload.
         """
-        demand = sum(item.demand for item in self._accounts.values())
+        accounts = self._accounts.values()
+        demand = sum(item.demand for item in accounts)
         if demand <= self.rate:
             self._within_at = now
 
--- a/radishstile/fleet/share.py
+++ b/radishstile/fleet/share.py
@@ -20,6 +20,14 @@
         self.rate = rate
         self.burst = burst
 
+    def measure_lack(self, account: Account) -> float:
+        """Return the rate that the holder lacks, here or in the pool.
+
+        A holder without a share is served by the pool, as it demands.
+        """
+        needed = self.rate if self.burst >= MIN_BURST else account.demand
+        return max(0.0, needed - account.current_rate)
+
     def is_below(self, account: Account) -> bool:
         """Return whether the holder has clearly more than its share."""
         margin = 1 + RECALL_TOLERANCE
--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -175,8 +175,11 @@
         return self._bucket.measure_wait(tokens - self._credit, now)
 
     def is_vain(self, now: float) -> bool:
-        """Return whether one more request would wait for nothing."""
-        if not self.is_exhausted:
+        """Return whether one more request would wait for nothing.
+
+        Without a burst here, only the home can tell.
+        """
+        if not self.is_exhausted or self._holding.burst < 1:
             return False
         wait_s = self.time_to_token(now, self.waiting + 1)
         return wait_s > self.settings.exhausted_wait_s
