--- a/radishstile/workspace/gate.py
+++ b/radishstile/workspace/gate.py
@@ -57,7 +57,9 @@
 
     `send_claim` carries a claim to the resource's home and returns the
     messages that came back; it raises `PeerLostError` where the home can't
-    be reached. Neither it nor the gate calls the store.
+    be reached. Neither it nor the gate calls the store. While the home is
+    away, requests are admitted by what is held here, and those that find
+    nothing are refused as overloaded, not as above their rate.
     """
 
     __slots__ = ("settings", "_send_claim", "_lanes")
--- a/radishstile/workspace/key.py
+++ b/radishstile/workspace/key.py
@@ -69,6 +69,10 @@
 
     An open route needs no key, but a wrong one is refused there too: its
     caller believes that it is known, and a withdrawn key stays withdrawn.
+    `Route.workspaces` limits a closed route to those named, and all may use
+    it where none is; on an open route it means nothing, since a caller that
+    left its key out would get in. A call without a key counts against no
+    workspace's rate; one with a key does, on open routes too.
     """
     if not text:
         if route.is_open:
--- /dev/null
+++ b/test/fleet/test_account.py
@@ -0,0 +1,69 @@
+"""Tests of a home's view of one holder."""
+
+import unittest
+
+from radishstile.fleet.account import Account
+from radishstile.fleet.allotment import Allotment, Claim
+from radishstile.fleet.holding import Holding
+from radishstile.fleet.share import divide
+
+RESOURCE = "rate/press"
+HOLDER = ("entry", 1)
+
+
+class AccountTest(unittest.TestCase):
+    def setUp(self):
+        self.account = Account(HOLDER)
+
+    def state(self, serial, number=0, **amounts):
+        claim = Claim(RESOURCE, HOLDER, serial, 1, number, **amounts)
+        return self.account.apply(claim)
+
+    def issue(self, number, rate=0.0, burst=0, **tokens):
+        allotment = Allotment(RESOURCE, 1, number, rate, burst, **tokens)
+        self.account.issue(allotment, 0.0)
+
+    def test_counts_the_most_of_what_is_stated_and_in_flight(self):
+        self.state(1, rate=10.0, burst=4, borrowed=2)
+        self.issue(1, rate=5.0, burst=1)
+        self.issue(2, rate=7.0, burst=6, level=3.0, at_once=1)
+        self.assertEqual(self.account.counted_rate, 10.0)
+        self.assertEqual(self.account.counted_burst, 4 + 3 + 2 + 1)
+        self.state(2, 1, rate=5.0, burst=1, borrowed=2)
+        self.assertEqual(self.account.counted_rate, 7.0)
+        self.assertEqual(self.account.counted_burst, 6 + 2 + 1)
+
+    def test_tokens_come_back_once(self):
+        self.assertEqual(self.state(1, returned=2.0), 2.0)
+        self.assertEqual(self.state(1, returned=9.0), 0.0)
+        self.assertEqual(self.state(2, returned=3.0), 1.0)
+
+    def test_tokens_returned_before_an_allotment_in_flight_do_not_count(self):
+        self.issue(1, burst=3)
+        self.assertEqual(self.state(1, returned=2.0), 0.0)
+        self.assertEqual(self.state(2, 1, returned=1.0), 1.0)
+
+    def test_return_under_a_new_number_is_counted_anew(self):
+        self.state(1, returned=2.0)
+        self.issue(1, burst=3)
+        self.assertEqual(self.state(2, 1, returned=2.0), 2.0)
+
+    def test_little_demand_leaves_half_in_the_pool(self):
+        self.state(1, demand=1.0)
+        share = divide(1000.0, 100, [self.account])[0]
+        self.assertEqual((share.rate, share.burst), (500.0, 50))
+
+
+class HoldingTest(unittest.TestCase):
+    def accept(self, holding, epoch, number):
+        return holding.accept(Allotment(RESOURCE, epoch, number, 1.0, 1))
+
+    def test_numbers_start_anew_under_a_newer_epoch_alone(self):
+        holding = Holding(RESOURCE, 2)
+        self.assertFalse(self.accept(holding, 3, 1))
+        self.assertFalse(self.accept(holding, 1, 1))
+        self.assertTrue(self.accept(holding, 2, 7))
+        self.assertFalse(self.accept(holding, 2, 7))
+        self.assertFalse(holding.adopt(2))
+        self.assertTrue(holding.adopt(3))
+        self.assertTrue(self.accept(holding, 3, 1))
--- a/test/fleet/test_home.py
+++ b/test/fleet/test_home.py
@@ -149,6 +149,19 @@
         self.assertFalse(any(told[:10]))
         self.assertTrue(any(told[10:]))
 
+    def test_burst_below_one_for_each_is_recalled_into_the_pool(self):
+        members = [(f"host{number}", 1) for number in range(10)]
+        home = Home(RESOURCE, 1, RATE, 5, members, 0.0)
+        first = Claim(RESOURCE, members[0], 1, 1, rate=RATE, burst=5)
+        first.demand = 1.0
+        home.receive(first, 0.0)
+        sent = []
+        for member in members[1:]:
+            claim = Claim(RESOURCE, member, 1, 1, demand=RATE / 9, waiting=1)
+            sent += home.receive(claim, 0.0)
+        recalled = [s.message for s in sent if s.holder == members[0]]
+        self.assertEqual([message.burst for message in recalled], [0])
+
     def test_units_of_ended_host_come_back_without_tokens(self):
         fleet, home, hosts = self.start()
         fleet.run_plain(3, hosts[1], 0.9 * RATE)
--- a/test/workspace/test_gate.py
+++ b/test/workspace/test_gate.py
@@ -190,6 +190,13 @@
         self.limiter.note_waiting(50)
         self.assertLess(self.limiter.claim_due_at(0.0), 0.05)
 
+    async def test_host_without_a_burst_waits_under_overload(self):
+        for burst, is_vain in ((0, False), (1, True)):
+            limiter = self.start()
+            self.give(limiter, 1, rate=1.0, burst=burst, is_exhausted=True)
+            limiter.note_waiting(5)
+            self.assertEqual(limiter.is_vain(0.0), is_vain)
+
     async def test_tokens_are_applied_once_for_each_number(self):
         for _ in range(3):
             self.give(self.limiter, 1, burst=5, level=1.0)
