--- a/radishstile/workspace/settings.py
+++ b/radishstile/workspace/settings.py
@@ -29,7 +29,7 @@
         self,
         admit_wait_s: float = 1.0,
         exhausted_wait_s: float = 0.25,
-        claim_spacing_s: float = 0.01,
+        claim_spacing_s: float = 0.02,
         exhausted_claim_s: float = 0.25,
         idle_claim_s: float = 1.0,
         idle_return_s: float = 5.0,
