--- a/radishstile/operation/executor.py
+++ b/radishstile/operation/executor.py
@@ -285,8 +285,9 @@
 
 
 async def _measure_moving(parts: Parts) -> dict[str, float]:
-    moves = parts.node.configuration.moves
-    return {name: await parts.moves.find_moved(name) for name in moves}
+    names = list(parts.node.configuration.moves)
+    found = await asyncio.gather(*map(parts.moves.find_moved, names))
+    return dict(zip(names, found, strict=True))
 
 
 async def _explain_stale(
--- a/test/daemon/test_moves.py
+++ b/test/daemon/test_moves.py
@@ -13,6 +13,7 @@
 from test.daemon._fleet import Fleet
 
 CAP_PER_S = 5.0
+LOWER_CAP_PER_S = 3.0
 BURST = 1
 DELAY_S = 0.2
 BLOCKS = 24
@@ -150,11 +151,16 @@
         first = self.fleet.daemons[self.fleet.hosts[0]].parts.node.fleet
         victim = first.find_home("move/m").host
         spare = next(h for h in self.fleet.hosts if h != victim)
+        # An operator lowers the cap while the driver dies.
+        await self.move(cap_per_s=LOWER_CAP_PER_S)
+        lowered_at = self.now + 1
+        await asyncio.sleep(6)
         self.fleet.hosts.remove(victim)
         await self.fleet.kill(victim)
         await self.fleet.wait(lambda: self.is_past(0.5), f"{spare} is stuck")
         await asyncio.sleep(10)
         self.assertGreater(self.check_cap(), 10)
+        self.check_cap(LOWER_CAP_PER_S, since=lowered_at)
 
     async def test_holds_without_measurements_and_goes_on(self):
         await self.move()
@@ -182,6 +188,25 @@
             lambda: self.read().state == "done", "it waits for the dead host"
         )
 
+    async def test_goes_on_while_another_moves_peers_are_silent(self):
+        ask_region = Loads.ask_region
+
+        async def ask(loads, region, group):
+            if region == "akl":
+                await asyncio.Event().wait()
+            return await ask_region(loads, region, group)
+
+        with patch.object(Loads, "ask_region", ask):
+            back = {"from_region": "wlg", "to_region": "akl"}
+            # Some of them have the same home as the other move.
+            for number in range(5):
+                fields = {**MOVE, **back, "name": f"back-{number}"}
+                await self.fleet.operate("move", **fields)
+            await self.move(target_share=0.25)
+            await self.fleet.wait(
+                lambda: self.is_past(0.25), "held up by the other", 30
+            )
+
     async def test_gives_way_to_operators(self):
         await self.move()
         await self.fleet.wait(lambda: self.is_past(0.5), "no step")
