Keep a damaged block table from ending a daemon

Cause: a part that is not what it should be could raise an error outside the tree in the task that loads tables, which ends the daemon's task group. Digests are checked when a table is published, other faults are logged, and a table that can't be had is tried each 3 s and not each second. The new check fails without the rule on digests.

--- a/radishstile/daemon/blocks.py
+++ b/radishstile/daemon/blocks.py
@@ -22,6 +22,7 @@
 
 _LOG = logging.getLogger("radishstile.blocks")
 _CHECK_S = 1.0
+_RETRY_S = 3.0
 _ASK_TIMEOUT_S = 5.0
 _PEERS_TRIED = 3
 
@@ -47,9 +48,10 @@
         """Load the table whenever the configuration names another."""
         while True:
             digest = self._node.configuration.block_table
-            if digest != self._loaded:
-                await self._try_load(digest)
-            await asyncio.sleep(_CHECK_S)
+            if digest == self._loaded or await self._try_load(digest):
+                await asyncio.sleep(_CHECK_S)
+            else:
+                await asyncio.sleep(_RETRY_S)
 
     @property
     def digest(self) -> str:
@@ -68,13 +70,19 @@
         except VersionConflictError:
             _LOG.debug("blocks: %s is stored already.", digest)
 
-    async def _try_load(self, digest: str) -> None:
+    async def _try_load(self, digest: str) -> bool:
+        """Return whether the table is in use now."""
         try:
             await self._load(digest)
+            return True
         except (PlatformError, WireError, TimeoutError) as error:
             _LOG.info("blocks: Table %s waits: %s", digest, error)
         except (ConfigurationError, RefusalError) as error:
             _LOG.warning("blocks: Table %s: %s", digest, error)
+        except Exception:
+            # A damaged part must not end the daemon.
+            _LOG.exception("blocks: Table %s can't be read.", digest)
+        return False
 
     async def _load(self, digest: str) -> None:
         """Fetch and join a table; the former one is used meanwhile."""
--- a/radishstile/operation/executor.py
+++ b/radishstile/operation/executor.py
@@ -174,6 +174,8 @@
 
 @carry_out.register
 async def _(command: commands.PublishBlocks, operator, parts: Parts):
+    if not all(type(digest) is str for digest in command.digests):
+        raise OperatorError("publish-blocks: digests: expected texts")
     manifest = Manifest(list(command.sites), command.digests)
     await parts.blocks.store_part(manifest.digest, manifest.encode())
 
--- a/test/daemon/test_blocks.py
+++ b/test/daemon/test_blocks.py
@@ -84,3 +84,5 @@
                 await fleet.operate(
                     "put-blocks", digest=MISSING, body="aGVsbG8="
                 )
+            with self.assertRaisesRegex(OperatorError, "expected texts"):
+                await fleet.operate("publish-blocks", sites={}, digests=[{}])
