--- a/radishstile/operation/executor.py
+++ b/radishstile/operation/executor.py
@@ -174,6 +174,8 @@
 
 @carry_out.register
 async def _(command: commands.PublishBlocks, operator, parts: Parts):
+    if not all(type(digest) is str for digest in command.digests):
+        raise OperatorError("publish-blocks: digests: expected texts")
     manifest = Manifest(list(command.sites), command.digests)
     await parts.blocks.store_part(manifest.digest, manifest.encode())
 
@@ -285,8 +287,9 @@
 
 
 async def _measure_moving(parts: Parts) -> dict[str, float]:
-    moves = parts.node.configuration.moves
-    return {name: await parts.moves.find_moved(name) for name in moves}
+    names = list(parts.node.configuration.moves)
+    found = await asyncio.gather(*map(parts.moves.find_moved, names))
+    return dict(zip(names, found, strict=True))
 
 
 async def _explain_stale(
