Refuse two upstreams with one address and port

One process under two names would get its slots twice, since each zone's home counts its own. The new test fails without the check.

--- a/bench/moves.py
+++ b/bench/moves.py
@@ -31,8 +31,8 @@
         upstreams = {
             f"{group}-{number}": {
                 "zone": zones[number % len(zones)],
-                "address": "127.0.0.1",
-                "port": 80,
+                "address": group,
+                "port": 80 + number,
                 "slots": slots,
             }
             for number in range(count)
--- a/radishstile/configuration/document.py
+++ b/radishstile/configuration/document.py
@@ -226,6 +226,7 @@
         if name not in known:
             raise ConfigurationError(f"{place}: unknown {kind} {name!r}")
     _check_unique_names(configuration)
+    _check_unique_endpoints(configuration)
 
 
 def _list_references(configuration: Configuration, regions: set):
@@ -263,3 +264,15 @@
     )
     if count != len(configuration.upstreams):
         raise ConfigurationError("groups: an upstream's name is not unique")
+
+
+def _check_unique_endpoints(configuration: Configuration) -> None:
+    """Refuse one process under two names: its slots would count twice."""
+    seen: dict[tuple[str, int], str] = {}
+    for name, upstream in configuration.upstreams.items():
+        endpoint = upstream.address, upstream.port
+        other = seen.setdefault(endpoint, name)
+        if other != name:
+            place = f"upstreams/{name}"
+            detail = f"same address and port as {other!r}"
+            raise ConfigurationError(f"{place}: {detail}")
--- a/test/configuration/test_ledger.py
+++ b/test/configuration/test_ledger.py
@@ -71,3 +71,23 @@
             with self.assertRaisesRegex(ConfigurationError, message):
                 await self.submit(0, body)
         self.assertEqual((await self.ledger.read_current()).version, 0)
+
+    async def test_one_process_under_two_names_is_refused(self):
+        body = {"regions": {"akl": {}}, "zones": {"a": {"region": "akl"}}}
+        body["groups"] = {
+            group: {
+                "upstreams": {
+                    f"{group}-1": {
+                        "zone": "a",
+                        "address": "10.0.0.1",
+                        "port": 80,
+                        "slots": 6,
+                    }
+                }
+            }
+            for group in ("press", "archive")
+        }
+        with self.assertRaisesRegex(ConfigurationError, "archive-1.*press-1"):
+            await self.submit(0, body)
+        body["groups"]["archive"]["upstreams"]["archive-1"]["port"] = 81
+        await self.submit(0, body)
--- a/test/shift/_common.py
+++ b/test/shift/_common.py
@@ -21,10 +21,10 @@
                     f"press-{region}": {
                         "zone": f"{region}-a",
                         "address": "127.0.0.1",
-                        "port": 80,
+                        "port": 80 + number,
                         "slots": SLOTS,
                     }
-                    for region in REGIONS
+                    for number, region in enumerate(REGIONS)
                 }
             }
         },
