Show that the dispatcher does not spin on a timer that fires early

The event loop fires timers up to its clock's resolution of 1 ns early. The test before took an opening 0.6 us after a step, which fires in time, so it passed either way.

--- a/test/upstream/test_dispatcher.py
+++ b/test/upstream/test_dispatcher.py
@@ -4,11 +4,25 @@
 
 from radishstile.errors import RefusalError
 from radishstile.outcome import Outcome, Reason
+from radishstile.upstream.pool import SlotPool
+from radishstile.upstream.settings import UpstreamSettings
 from radishstile.upstream.slot import Cancelled, Completed, Unreachable
 from test._common import PausedTestCase
 from test.upstream._common import make_dispatcher, make_entries, make_pool
 
 
+class WatchedPool(SlotPool):
+    """Fails once it is looked at more often than a waiting task would."""
+
+    __slots__ = ("looks",)
+
+    def find_next_opening(self, now):
+        self.looks = getattr(self, "looks", 0) + 1
+        if self.looks > 20:
+            raise AssertionError("the dispatcher spins")
+        return super().find_next_opening(now)
+
+
 class DispatcherTest(PausedTestCase):
     def _start(self, count: int = 1, slots: int = 1):
         self.dispatcher = make_dispatcher(make_pool(count, slots))
@@ -185,10 +199,16 @@
         await self._expect_refusal(Reason.OVERLOADED, deadline=30.0)
 
     async def test_timer_that_fires_early_does_not_spin(self):
-        self._start()
-        # The loop's clock has steps of 1 us, so this is between two steps.
-        lease = await self._acquire(deadline=10.0000006)
+        self.pool = WatchedPool(UpstreamSettings())
+        self.pool.apply_upstreams(make_entries(1, 1), 0)
+        self.dispatcher = make_dispatcher(self.pool)
+        task = asyncio.create_task(self.dispatcher.run())
+        self.addCleanup(task.cancel)
+        # Timers fire up to 1 ns early, and the paused clock stands still
+        # between its steps of 1 us.
+        lease = await self._acquire(deadline=10.0000000005)
         waiting = await self._wait()
         self.dispatcher.release(lease, Cancelled(is_over=False))
+        self.pool.looks = 0
         await waiting
         self.assertAlmostEqual(self.now, 11, places=2)
