--- /dev/null
+++ b/test/daemon/test_choice.py
@@ -0,0 +1,83 @@
+"""Tests of waiting for a home that is being replaced."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from radishstile.daemon.choice import Chooser
+from radishstile.fleet.settings import FleetSettings
+from test._common import PausedTestCase
+
+ROUTE = SimpleNamespace(name="print", group="press")
+
+
+class FakeFleet:
+    """Names one home of everything, or none."""
+
+    __slots__ = ("home",)
+
+    def __init__(self):
+        self.home = None
+
+    def find_home(self, resource):
+        return self.home
+
+
+class ChooserTest(PausedTestCase):
+    async def asyncSetUp(self):
+        self.fleet = FakeFleet()
+        self.changed = asyncio.Event()
+        node = SimpleNamespace(
+            fleet=self.fleet,
+            me=SimpleNamespace(region="akl", zone="akl-a"),
+            random=random.Random(1),
+            settings=SimpleNamespace(fleet=FleetSettings()),
+            list_zones=lambda group: ["akl-a"],
+            find_region=lambda zone: "akl",
+        )
+        peers = SimpleNamespace(
+            find_delay=lambda home: 0.001,
+            find_hint=lambda home, resource: None,
+        )
+        steer = SimpleNamespace(barred_regions=(), region=None)
+        self.chooser = Chooser(
+            node,
+            peers,
+            None,
+            SimpleNamespace(steer=lambda *_: steer),
+            SimpleNamespace(is_changed=self.changed),
+        )
+        self.call = SimpleNamespace(client_address="10.0.0.1")
+
+    async def wait(self, deadline=60.0):
+        return await self.chooser.wait_targets(self.call, ROUTE, deadline)
+
+    async def test_requests_wait_for_the_next_home(self):
+        waiting = asyncio.create_task(self.wait())
+        await asyncio.sleep(1)
+        self.assertFalse(waiting.done())
+        self.fleet.home = "akl-a-2"
+        self.changed.set()
+        targets = await waiting
+        self.assertEqual(targets[0].home, "akl-a-2")
+        self.assertLess(self.now, 1.1)
+
+    async def test_wait_is_bounded_for_all_requests_together(self):
+        first = asyncio.create_task(self.wait())
+        await asyncio.sleep(3)
+        self.assertEqual(await self.wait(), [])
+        self.assertAlmostEqual(self.now, 5, places=1)
+        self.assertEqual(await first, [])
+        before = self.now
+        self.assertEqual(await self.wait(), [])
+        self.assertEqual(self.now, before)
+        # A home that comes and goes starts the wait afresh.
+        self.fleet.home = "akl-a-2"
+        await self.wait()
+        self.fleet.home = None
+        self.assertEqual(await self.wait(), [])
+        self.assertAlmostEqual(self.now, before + 5, places=1)
+
+    async def test_wait_ends_with_the_request(self):
+        self.assertEqual(await self.wait(deadline=0.5), [])
+        self.assertAlmostEqual(self.now, 0.5, places=1)
