Keep a region's cap through changes of home and new pools

A home that opened took its pool's share at once, so one that took over within a minute of a patch used the larger share while others had not yet shrunk; and a pool that was new beside others began with its whole share. Each host now follows the shares of all pools, also of those served elsewhere, and a home that opens goes on with what its host knows; a new pool begins with nothing. The cost: its capped pool gives no slot for 60 s.

The bound: a share grows 60 s after its host learnt of it, which is more than the 13 s for a configuration to be in force everywhere and the 30 s of the longest request. It rests on time and not on a right. A host that has just started knows one version only and uses its shares at once.

--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -17,11 +17,13 @@
     parse_resource,
 )
 from radishstile.daemon.rights import RightsHome
+from radishstile.daemon.shares import RegionShares
 from radishstile.daemon.slots import SlotsHome
 from radishstile.errors import PeerLostError
 from radishstile.fleet.allotment import Allotment, Claim, Inquiry
 from radishstile.fleet.home import Home
 from radishstile.fleet.roster import HomeEntry
+from radishstile.region.settings import RegionSettings
 from radishstile.route.choice import ZoneHint
 from radishstile.shift.guard import size_burst
 
@@ -50,6 +52,7 @@
         "lanes",
         "_open",
         "_leaving",
+        "_shares",
         "_handed",
         "_epochs",
         "_closed",
@@ -61,6 +64,7 @@
         self.lanes = None
         self._open: dict[str, OpenHome] = {}
         self._leaving: frozenset[str] = frozenset()
+        self._shares = RegionShares(RegionSettings())
         # Homes of slots that were closed, until the process ends, and the
         # epochs of those who asked for them.
         self._handed: dict[str, SlotsHome] = {}
@@ -69,6 +73,7 @@
 
     async def sync(self, group: asyncio.TaskGroup) -> None:
         """Open, update and close services after a change of versions."""
+        self._shares.apply(self._node.configuration, read_clock())
         entries = self._list_entries()
         for name in list(self._open):
             entry = entries.get(name)
@@ -277,7 +282,13 @@
 
     @_make_service.register
     def _(self, resource: SlotsResource, entry: HomeEntry):
-        home = SlotsHome(resource, self._node, self._peers, entry)
+        home = SlotsHome(
+            resource,
+            self._node,
+            self._peers,
+            entry,
+            self._shares.find(resource.name),
+        )
         home.apply_leaving(self._leaving)
         return home
 
--- /dev/null
+++ b/radishstile/daemon/shares.py
@@ -0,0 +1,61 @@
+"""The shares of each region's cap, as this host has seen them change."""
+
+from radishstile.configuration.document import Configuration
+from radishstile.daemon.resources import SlotsResource
+from radishstile.region.capacity import RegionShare, split_capacity
+from radishstile.region.settings import RegionSettings
+
+
+class RegionShares:
+    """Follows the share of every pool, also of those served elsewhere.
+
+    A home that opens here goes on with the share that the former one had,
+    so that a larger share waits no less long after a change of home. A pool
+    that is new beside others begins with nothing, as theirs must shrink.
+    """
+
+    __slots__ = ("_settings", "_shares", "_present")
+
+    def __init__(self, settings: RegionSettings):
+        self._settings = settings
+        self._shares: dict[str, RegionShare] = {}
+        self._present: set[str] = set()
+
+    def apply(self, configuration: Configuration, now: float) -> None:
+        """Take the caps and upstreams of a configuration."""
+        before = self._present
+        self._present = set()
+        for region in configuration.regions:
+            slots = list_region_slots(configuration, region)
+            capacity = configuration.capacities.get(region)
+            shares = {}
+            if capacity is not None:
+                shares = split_capacity(capacity, slots)
+            self._present |= slots.keys()
+            for name in slots:
+                share = self.find(name)
+                if before and name not in before and capacity is not None:
+                    share.apply(0, now)
+                share.apply(shares.get(name), now)
+        for name in before - self._present:
+            if self.find(name).measure(now) is not None:
+                self.find(name).apply(0, now)
+
+    def find(self, name: str) -> RegionShare:
+        """Return the share of one resource."""
+        if name not in self._shares:
+            self._shares[name] = RegionShare(self._settings)
+        return self._shares[name]
+
+
+def list_region_slots(
+    configuration: Configuration, region: str | None
+) -> dict[str, int]:
+    """Return the slots of each resource in a region."""
+    slots: dict[str, int] = {}
+    for upstream in configuration.upstreams.values():
+        if configuration.zones[upstream.zone] != region:
+            continue
+        name = SlotsResource(upstream.group, upstream.zone).name
+        slots[name] = slots.get(name, 0) + upstream.slots
+    return slots
--- a/radishstile/daemon/slots.py
+++ b/radishstile/daemon/slots.py
@@ -10,9 +10,10 @@
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
 from radishstile.daemon.resources import SlotsResource
+from radishstile.daemon.shares import list_region_slots
 from radishstile.errors import RadishstileError
 from radishstile.fleet.roster import HomeEntry
-from radishstile.region.capacity import RegionShare, split_capacity
+from radishstile.region.capacity import RegionShare
 from radishstile.region.link import LinkBudget
 from radishstile.region.settings import RegionSettings
 from radishstile.upstream.dispatcher import Dispatcher
@@ -63,6 +64,7 @@
         node: Node,
         peers: Peers,
         entry: HomeEntry,
+        share: RegionShare,
     ):
         self.resource = resource
         self._node = node
@@ -70,7 +72,7 @@
         self._links: dict[str, LinkBudget] = {}
         self.rate_per_s = 0.0
         self._completed = 0
-        self._share = RegionShare(RegionSettings())
+        self._share = share
         self.dispatcher = Dispatcher(
             resource.name,
             SlotPool(node.settings.upstreams),
@@ -106,7 +108,6 @@
             resource.group, resource.zone
         )
         self.dispatcher.apply_upstreams(self._entries)
-        self._share.apply(self._find_share(), read_clock())
         self.dispatcher.apply_limit(self._share.measure(read_clock()))
         self._apply_links()
 
@@ -130,32 +131,11 @@
         deadlines = [r.deadline_s for r in routes if r.group == group]
         return max(deadlines, default=0.0)
 
-    def _list_region_slots(self) -> dict[str, int]:
-        """Return the slots of each resource in this resource's region."""
-        configuration = self._node.configuration
-        region = configuration.zones.get(self.resource.zone)
-        slots: dict[str, int] = {}
-        for upstream in configuration.upstreams.values():
-            if configuration.zones[upstream.zone] != region:
-                continue
-            name = SlotsResource(upstream.group, upstream.zone).name
-            slots[name] = slots.get(name, 0) + upstream.slots
-        return slots
-
-    def _find_share(self) -> int | None:
-        configuration = self._node.configuration
-        region = configuration.zones.get(self.resource.zone)
-        capacity = configuration.capacities.get(region)
-        if capacity is None:
-            return None
-        shares = split_capacity(capacity, self._list_region_slots())
-        return shares.get(self.resource.name, 0)
-
     def _apply_links(self) -> None:
         """Divide each link evenly among the region's dispatching homes."""
         configuration = self._node.configuration
         region = configuration.zones.get(self.resource.zone)
-        share = 1 / max(1, len(self._list_region_slots()))
+        share = 1 / max(1, len(list_region_slots(configuration, region)))
         now = read_clock()
         links = {}
         for (source, target), mbit_per_s in configuration.links.items():
