Hold an upstream that moved between zones back until its former home let go

The new zone's home gave it work as soon as it had the configuration, while the former one might not have it yet, or still ran requests there: up to twice its slots. Every host follows where each address and port was, and holds one that moved for the same 60 s that a region's share waits: 13 s for a configuration to be in force everywhere, and 30 s for the longest request. The cost is a minute without work for that upstream; it rests on time, not on the former home's word.

--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -8,6 +8,7 @@
 from radishstile.daemon.journals import JournalKeeper
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
+from radishstile.daemon.placements import Placements
 from radishstile.daemon.resources import (
     JournalResource,
     MoveResource,
@@ -53,6 +54,7 @@
         "_open",
         "_leaving",
         "_shares",
+        "_placements",
         "_handed",
         "_epochs",
         "_closed",
@@ -65,6 +67,7 @@
         self._open: dict[str, OpenHome] = {}
         self._leaving: frozenset[str] = frozenset()
         self._shares = RegionShares(RegionSettings())
+        self._placements = Placements(RegionSettings())
         # Homes of slots that were closed, until the process ends, and the
         # epochs of those who asked for them.
         self._handed: dict[str, SlotsHome] = {}
@@ -74,6 +77,7 @@
     async def sync(self, group: asyncio.TaskGroup) -> None:
         """Open, update and close services after a change of versions."""
         self._shares.apply(self._node.configuration, read_clock())
+        self._placements.apply(self._node.configuration, read_clock())
         entries = self._list_entries()
         for name in list(self._open):
             entry = entries.get(name)
@@ -288,6 +292,7 @@
             self._peers,
             entry,
             self._shares.find(resource.name),
+            self._placements,
         )
         home.apply_leaving(self._leaving)
         return home
--- a/radishstile/daemon/slots.py
+++ b/radishstile/daemon/slots.py
@@ -9,6 +9,7 @@
 from radishstile.daemon.handover import Handover
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
+from radishstile.daemon.placements import Placements
 from radishstile.daemon.resources import SlotsResource
 from radishstile.daemon.shares import list_region_slots
 from radishstile.errors import RadishstileError
@@ -53,6 +54,7 @@
         "_node",
         "_entries",
         "_share",
+        "_placements",
         "_links",
         "rate_per_s",
         "_completed",
@@ -65,6 +67,7 @@
         peers: Peers,
         entry: HomeEntry,
         share: RegionShare,
+        placements: Placements,
     ):
         self.resource = resource
         self._node = node
@@ -73,6 +76,7 @@
         self.rate_per_s = 0.0
         self._completed = 0
         self._share = share
+        self._placements = placements
         self.dispatcher = Dispatcher(
             resource.name,
             SlotPool(node.settings.upstreams),
@@ -107,7 +111,8 @@
         self._entries = configuration.list_upstreams(
             resource.group, resource.zone
         )
-        self.dispatcher.apply_upstreams(self._entries)
+        held_until = self._placements.list_held(read_clock())
+        self.dispatcher.apply_upstreams(self._entries, held_until)
         self.dispatcher.apply_limit(self._share.measure(read_clock()))
         self._apply_links()
 
--- a/radishstile/upstream/dispatcher.py
+++ b/radishstile/upstream/dispatcher.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from functools import singledispatch
 
 from radishstile.configuration.document import UpstreamEntry
 from radishstile.errors import RefusalError
 from radishstile.outcome import Outcome, Reason
 from radishstile.upstream.health import HealthReport, LoadReport
-from radishstile.upstream.pool import SlotPool
+from radishstile.upstream.pool import NOTHING_HELD, SlotPool
 from radishstile.upstream.settings import PROBE_INTERVAL_S
 from radishstile.upstream.slot import (
     Completed,
@@ -220,10 +221,14 @@
         self._note_change()
         self._serve()
 
-    def apply_upstreams(self, entries: list[UpstreamEntry]) -> None:
-        """Apply the upstreams of a new configuration."""
+    def apply_upstreams(
+        self,
+        entries: list[UpstreamEntry],
+        held_until: Mapping[tuple[str, int], float] = NOTHING_HELD,
+    ) -> None:
+        """Apply the upstreams of a new configuration; see `SlotPool`."""
         now = asyncio.get_running_loop().time()
-        self._pool.apply_upstreams(entries, now)
+        self._pool.apply_upstreams(entries, now, held_until)
         self._note_change()
         self._serve()
 
--- a/radishstile/upstream/pool.py
+++ b/radishstile/upstream/pool.py
@@ -1,6 +1,7 @@
 """The upstreams of one group in one availability zone, and their slots."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
+from types import MappingProxyType
 
 from radishstile.configuration.document import UpstreamEntry
 from radishstile.upstream.health import HealthReport, LoadReport
@@ -8,6 +9,8 @@
 from radishstile.upstream.settings import UpstreamSettings
 from radishstile.upstream.slot import SlotLease, SlotResult
 
+NOTHING_HELD = MappingProxyType({})
+
 
 def name_endpoint(entry: UpstreamEntry) -> str:
     """Return `ADDRESS:PORT`, by which hosts name the same upstream."""
@@ -46,16 +49,22 @@
         self._has_entries = False
 
     def apply_upstreams(
-        self, entries: list[UpstreamEntry], now: float
+        self,
+        entries: list[UpstreamEntry],
+        now: float,
+        held_until: Mapping[tuple[str, int], float] = NOTHING_HELD,
     ) -> None:
         """Make `entries` the upstreams; those that miss get no new work.
 
         The upstreams of the first call count as warm, because they have
-        been serving under an earlier home; later ones begin cold.
+        been serving under an earlier home; later ones begin cold. Endpoints
+        in `held_until` get no work before that moment.
         """
         known = {(entry.address, entry.port): entry for entry in entries}
         for endpoint, entry in known.items():
             self._apply_entry(endpoint, entry, now)
+            until = held_until.get(endpoint, 0.0)
+            self._upstreams[endpoint].held_until = until
         self._removed = set(self._upstreams) - set(known)
         for endpoint in self._removed:
             self._upstreams[endpoint].health.fire("leave")
--- a/radishstile/upstream/pooled.py
+++ b/radishstile/upstream/pooled.py
@@ -31,6 +31,7 @@
         "health",
         "table",
         "is_probing",
+        "held_until",
         "_settings",
         "_warm_up",
         "_shed_until",
@@ -48,6 +49,7 @@
         self.health = Health(settings, HEALTHY if is_warm else COLD)
         self.table = SlotTable()
         self.is_probing = False
+        self.held_until = 0.0
         self._settings = settings
         level = float(entry.slots) if is_warm else 1.0
         self._warm_up = WarmUp(settings, entry.slow_start_s, now, level)
@@ -91,7 +93,9 @@
 
     def count_open(self, now: float) -> int:
         """Return how many slots may be used now, occupied ones included."""
-        if not self.health.is_working or now < self._shed_until:
+        if not self.health.is_working:
+            return 0
+        if now < max(self._shed_until, self.held_until):
             return 0
         if self.health.state == FAILING:
             return min(1, self.entry.slots)
@@ -183,8 +187,9 @@
     def list_openings(self, now: float) -> list[float]:
         """Return the times after `now` at which time alone opens slots."""
         times = self.table.list_openings(now)
-        if now < self._shed_until:
-            times.append(self._shed_until)
+        closed_until = max(self._shed_until, self.held_until)
+        if now < closed_until:
+            times.append(closed_until)
         if self.health.state != WARMING or not self.health.may_open(now):
             return times
         opening = self._warm_up.find_next_opening(self.entry.slots)
