Pace the bodies of requests across regions, and hint at links' headroom

Answers kept to the home's part of a link, bodies kept to none. Links are now divided: 0.2 of each for bodies, evenly over the registered hosts of the region, and 0.8 for answers, evenly over its homes of slots as before. A part that would wait longer than 5 s or than the request has left is refused as not run, since a home runs whole bodies only. The choice passes on the unused part of the entry host's own budget; that of the answers' way back is not known there.

--- a/radishstile/daemon/choice.py
+++ b/radishstile/daemon/choice.py
@@ -5,6 +5,7 @@
 from radishstile.call import Call
 from radishstile.configuration.document import Route
 from radishstile.daemon.homes import Homes
+from radishstile.daemon.links import Links
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
 from radishstile.daemon.replication import Replication
@@ -46,6 +47,7 @@
         "_steering",
         "_settings",
         "_replication",
+        "_links",
         "_missing_since",
     )
 
@@ -56,6 +58,7 @@
         homes: Homes,
         steering: Steering,
         replication: Replication,
+        links: Links,
     ):
         self._node = node
         self._peers = peers
@@ -63,6 +66,7 @@
         self._steering = steering
         self._settings = ChoiceSettings()
         self._replication = replication
+        self._links = links
         self._missing_since: dict[str, float] = {}
 
     async def wait_targets(
@@ -136,7 +140,8 @@
             target.region,
             target.zone,
             _UNKNOWN_DELAY_S if delay_s is None else delay_s,
-            hint=hint,
+            self._links.measure_headroom(target.region, now),
+            hint,
         )
 
     def find_hint(self, group: str, zone: str, now: float) -> ZoneHint | None:
--- a/radishstile/daemon/execution.py
+++ b/radishstile/daemon/execution.py
@@ -5,6 +5,7 @@
 leaving the context gives the slot back and cancels what still runs.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 
@@ -55,6 +56,7 @@
 from radishstile.wire.refusals import raise_refusal
 
 _CONNECT_WAIT_S = 1.0
+_PART_WAIT_LIMIT_S = 5.0
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 _SHED_RETRY_S = 1.0
@@ -203,6 +205,7 @@
         "_peers",
         "_harm",
         "_home",
+        "_links",
         "_order",
         "_exchange",
         "_is_started",
@@ -215,6 +218,7 @@
         self._peers = parts.peers
         self._harm = parts.harm
         self._home = home
+        self._links = parts.links
         self._order = order
         self._exchange: Exchange | None = None
         self._is_started = False
@@ -257,9 +261,26 @@
         part_bytes = self._node.settings.wire.part_bytes
         sequence = PartSequence(order.request_id, part_bytes)
         for part in sequence.cut(order.body, BodyPart):
+            await self._pace(len(part.data))
             await self._exchange.send(part)
         await self._exchange.send(sequence.end(BodyEnd))
 
+    async def _pace(self, size_bytes: int) -> None:
+        """Keep to this host's part of the link; a home runs whole bodies."""
+        budget = self._links.find(self._home.region)
+        if budget is None:
+            return
+        now = read_clock()
+        wait_s = budget.reserve(size_bytes, now)
+        # The home gives up on a body whose next part is long overdue.
+        if wait_s >= min(self._order.deadline - now, _PART_WAIT_LIMIT_S):
+            raise RefusalError(
+                Reason.OVERLOADED,
+                retry_after=_SHED_RETRY_S,
+                detail="the link's budget is used up",
+            )
+        await asyncio.sleep(wait_s)
+
     async def _receive(self) -> Message:
         left_s = self._order.deadline - read_clock()
         try:
--- a/radishstile/daemon/parts.py
+++ b/radishstile/daemon/parts.py
@@ -14,6 +14,7 @@
         "moves",
         "machines",
         "harm",
+        "links",
         "chooser",
         "purchases",
         "entry",
--- a/radishstile/daemon/service.py
+++ b/radishstile/daemon/service.py
@@ -10,6 +10,7 @@
 from radishstile.daemon.harm import HarmWatch
 from radishstile.daemon.homes import Homes
 from radishstile.daemon.journals import JournalClient
+from radishstile.daemon.links import Links
 from radishstile.daemon.machines import Machines
 from radishstile.daemon.moves import Moves
 from radishstile.daemon.node import Node, read_clock
@@ -252,8 +253,14 @@
     parts.moves = Moves(node, parts.peers, parts.homes, parts.steering)
     parts.machines = Machines(node, parts.peers, parts.homes)
     parts.harm = HarmWatch(node, parts.peers)
+    parts.links = Links(node)
     parts.chooser = Chooser(
-        node, parts.peers, parts.homes, parts.steering, parts.replication
+        node,
+        parts.peers,
+        parts.homes,
+        parts.steering,
+        parts.replication,
+        parts.links,
     )
     journal = JournalClient(node, parts.peers, parts.homes)
     parts.purchases = Purchases(journal)
--- a/radishstile/daemon/slots.py
+++ b/radishstile/daemon/slots.py
@@ -16,7 +16,7 @@
 from radishstile.fleet.roster import HomeEntry
 from radishstile.region.capacity import RegionShare
 from radishstile.region.link import LinkBudget
-from radishstile.region.settings import RegionSettings
+from radishstile.region.settings import ANSWER_SHARE, RegionSettings
 from radishstile.upstream.dispatcher import Dispatcher
 from radishstile.upstream.health import HealthReport, LoadReport
 from radishstile.upstream.pool import SlotPool
@@ -140,7 +140,8 @@
         """Divide each link evenly among the region's dispatching homes."""
         configuration = self._node.configuration
         region = configuration.zones.get(self.resource.zone)
-        share = 1 / max(1, len(list_region_slots(configuration, region)))
+        homes = max(1, len(list_region_slots(configuration, region)))
+        share = ANSWER_SHARE / homes
         now = read_clock()
         links = {}
         for (source, target), mbit_per_s in configuration.links.items():
--- a/radishstile/region/settings.py
+++ b/radishstile/region/settings.py
@@ -4,6 +4,9 @@
 LINK_BURST_S = 0.1
 HEADROOM_WINDOW_S = 1.0
 BYTES_PER_MBIT = 125_000
+# Parts of a link: bodies of requests one way, and answers to the other's.
+BODY_SHARE = 0.2
+ANSWER_SHARE = 0.8
 
 
 class RegionSettings:
--- a/test/daemon/test_choice.py
+++ b/test/daemon/test_choice.py
@@ -46,6 +46,7 @@
             None,
             SimpleNamespace(steer=lambda *_: steer),
             SimpleNamespace(is_changed=self.changed),
+            SimpleNamespace(measure_headroom=lambda region, now: 1.0),
         )
         self.call = SimpleNamespace(client_address="10.0.0.1")
 
