--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -9,6 +9,7 @@
 from radishstile.daemon.journals import JournalKeeper
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
+from radishstile.daemon.placements import Placements
 from radishstile.daemon.resources import (
     JournalResource,
     MoveResource,
@@ -18,11 +19,13 @@
     parse_resource,
 )
 from radishstile.daemon.rights import RightsHome
+from radishstile.daemon.shares import RegionShares
 from radishstile.daemon.slots import SlotsHome
 from radishstile.errors import PeerLostError
 from radishstile.fleet.allotment import Allotment, Claim, Inquiry
 from radishstile.fleet.home import Home
 from radishstile.fleet.roster import HomeEntry
+from radishstile.region.settings import RegionSettings
 from radishstile.route.choice import ZoneHint
 from radishstile.shift.guard import size_burst
 
@@ -52,6 +55,8 @@
         "_open",
         "_leaving",
         "_braked_rates",
+        "_shares",
+        "_placements",
         "_handed",
         "_epochs",
         "_closed",
@@ -65,6 +70,8 @@
         self._leaving: frozenset[str] = frozenset()
         # Rates of moves below their caps, in requests a second.
         self._braked_rates: dict[str, float] = {}
+        self._shares = RegionShares(RegionSettings())
+        self._placements = Placements(RegionSettings())
         # Homes of slots that were closed, until the process ends, and the
         # epochs of those who asked for them.
         self._handed: dict[str, SlotsHome] = {}
@@ -73,6 +80,8 @@
 
     async def sync(self, group: asyncio.TaskGroup) -> None:
         """Open, update and close services after a change of versions."""
+        self._shares.apply(self._node.configuration, read_clock())
+        self._placements.apply(self._node.configuration, read_clock())
         entries = self._list_entries()
         for name in list(self._open):
             entry = entries.get(name)
@@ -290,7 +299,14 @@
 
     @_make_service.register
     def _(self, resource: SlotsResource, entry: HomeEntry):
-        home = SlotsHome(resource, self._node, self._peers, entry)
+        home = SlotsHome(
+            resource,
+            self._node,
+            self._peers,
+            entry,
+            self._shares.find(resource.name),
+            self._placements,
+        )
         home.apply_leaving(self._leaving)
         return home
 
--- a/radishstile/daemon/parts.py
+++ b/radishstile/daemon/parts.py
@@ -15,6 +15,7 @@
         "blocks",
         "machines",
         "harm",
+        "links",
         "chooser",
         "purchases",
         "entry",
