--- a/test/golden/_session.py
+++ b/test/golden/_session.py
@@ -83,12 +83,12 @@
             return None
 
     async def operate(
-        self, command: str, host: str = "", name: str = "ana", **fields
+        self, command: str, host: str = "", operator: str = "ana", **fields
     ) -> dict | None:
         """Carry out an operator's command and note its end."""
         end, result = await self.try_operate(command, host, **fields)
         shown = _describe_fields(fields)
-        self.note(f"operator {name}", f"{command}{shown} -> {end}")
+        self.note(f"operator {operator}", f"{command}{shown} -> {end}")
         return result
 
     async def try_operate(
--- /dev/null
+++ b/test/golden/moves.py
@@ -0,0 +1,76 @@
+"""Sessions of planned moves."""
+
+from test.daemon.test_moves import BURST, CAP_PER_S, DELAY_S, Traffic, measure
+from test.golden._session import Session
+
+_MOVE = {
+    "route": "payruns",
+    "from_region": "akl",
+    "to_region": "wlg",
+    "cap_per_s": CAP_PER_S,
+    "step": 0.25,
+    "pace_s": 4.0,
+}
+
+
+async def move_traffic(session: Session) -> None:
+    """Move traffic under a cap; measurements stop and come back."""
+    async with Traffic(session.fleet) as traffic:
+        await session.wait_second(2)
+        session.note("callers", "16 requests a second, all in akl")
+        await session.operate("move", name="m", **_MOVE)
+        await session.wait(
+            30, lambda: _read_share(session) >= 0.25, "move", "has stepped"
+        )
+        await session.wait_second(40)
+        with measure():
+            session.note("measurements", "stop")
+            await session.wait(
+                30,
+                lambda: _read(session).reason == "measurements-stopped",
+                "move",
+                "holds, as measurements stopped",
+            )
+            share = _read(session).share
+            await session.wait_second(90)
+            is_same = _read(session).share == share
+            session.show("move", "has the same share", is_same)
+        session.note("measurements", "are back")
+        await session.wait(
+            60, lambda: _read(session).state != "held", "move", "goes on"
+        )
+        await session.wait_second(180)
+        session.show("callers", "all were served", traffic.failed == 0)
+    moved = _list_moved(session)
+    session.show("upstreams", "wlg ran moved requests", len(moved) > 20)
+    session.show("upstreams", "no window is above the cap", _is_capped(moved))
+
+
+def _read(session: Session):
+    fleet = session.fleet
+    parts = fleet.daemons[fleet.hosts[0]].parts
+    return parts.steering.find_progress("m").progress
+
+
+def _read_share(session: Session) -> float:
+    fleet = session.fleet
+    parts = fleet.daemons[fleet.hosts[0]].parts
+    known = parts.steering.find_progress("m")
+    return 0.0 if known is None else known.progress.share
+
+
+def _list_moved(session: Session) -> list[float]:
+    records = session.fleet.upstreams["press-2"].records
+    return sorted(r.started_at for r in records if r.has_run)
+
+
+def _is_capped(starts: list[float]) -> bool:
+    """Return whether each window between two moved requests is allowed."""
+    return all(
+        count <= CAP_PER_S * (ended - begun + DELAY_S) + BURST
+        for first, begun in enumerate(starts)
+        for count, ended in enumerate(starts[first:], 1)
+    )
+
+
+SESSIONS = (move_traffic,)
--- a/test/golden/operations.py
+++ b/test/golden/operations.py
@@ -180,5 +180,6 @@
     race_patches,
     drain_upstream,
     stop_host,
+    lose_store,
     lose_region,
 )
--- a/test/golden/scripts.py
+++ b/test/golden/scripts.py
@@ -3,7 +3,8 @@
 from pathlib import Path
 
 from test.daemon._fleet import Fleet
-from test.golden import operations, requests
+from test.daemon.test_moves import SETTINGS
+from test.golden import moves, operations, requests
 from test.golden._session import Session
 
 FOLDER = Path(__file__).parent
@@ -12,16 +13,27 @@
 HOSTS_FOR_LONG = 3
 SCRIPTS = {
     script.__name__: script
-    for module in (requests, operations)
+    for module in (requests, operations, moves)
     for script in module.SESSIONS
 }
 
 
+def make_fleet(name: str) -> Fleet:
+    """Return the fleet of a session, not started yet."""
+    if name == "lose_store":
+        return Fleet(HOSTS_FOR_LONG)
+    if name != "move_traffic":
+        return Fleet(HOSTS)
+    fleet = Fleet(HOSTS_FOR_LONG, **SETTINGS)
+    blocks = [{"client": "127.7.0.0/16", "region": "akl"}]
+    fleet.configuration["blocks"] = blocks
+    return fleet
+
+
 async def record(name: str) -> str:
     """Run one session and return its text."""
     script = SCRIPTS[name]
-    is_long = script is operations.lose_store
-    async with Fleet(HOSTS_FOR_LONG if is_long else HOSTS) as fleet:
+    async with make_fleet(name) as fleet:
         session = Session(fleet, script.__doc__)
         await script(session)
         return session.text
