--- /dev/null
+++ b/test/matrix/_steps.py
@@ -0,0 +1,76 @@
+"""The steps of a request, and where the code reaches each of them."""
+
+import asyncio
+import contextlib
+import inspect
+from unittest import mock
+
+from radishstile.configuration.ledger import Ledger
+from radishstile.daemon.choice import Chooser
+from radishstile.daemon.entry import Session
+from radishstile.daemon.execution import RemoteExecution
+from radishstile.daemon.journals import JournalClient
+from radishstile.daemon.steering import Steering
+from radishstile.upstream.dispatcher import Dispatcher
+from radishstile.workspace.gate import Gate
+from standin.upstream import UpstreamServer
+from test.matrix.table import Step
+
+HOOKS = {
+    Step.LOOK_UP: (Steering, "look_up"),
+    Step.AUTHENTICATION: (Session, "_authenticate"),
+    Step.RUN_RECORD: (JournalClient, "record"),
+    Step.REGION_CHOICE: (Chooser, "choose"),
+    Step.TOKEN: (Gate, "admit"),
+    Step.FORWARD: (RemoteExecution, "_send_order"),
+    Step.SLOT: (Dispatcher, "acquire"),
+    Step.RUN: (UpstreamServer, "work"),
+    Step.ANSWER: (RemoteExecution, "_accept"),
+    Step.RELEASE: (Dispatcher, "release"),
+    Step.PUBLISH: (Ledger, "submit"),
+}
+
+# Where a purchase comes a little later than a read, as it is recorded first.
+GATHERING = frozenset({Step.TOKEN, Step.FORWARD, Step.SLOT, Step.RUN})
+
+
+class Hook:
+    """Stops calls that reach a step until the fault is there.
+
+    With `is_single` only the first is stopped, where the fault itself needs
+    the step.
+    """
+
+    __slots__ = ("reached", "goes_on", "_is_single", "_original")
+
+    def __init__(self, original, is_single: bool):
+        self.reached = asyncio.Event()
+        self.goes_on = asyncio.Event()
+        self._is_single = is_single
+        self._original = original
+
+    def make_method(self):
+        """Return the method that takes the place of the original."""
+        original = self._original
+
+        async def wait(*args, **options):
+            is_held = not (self._is_single and self.reached.is_set())
+            self.reached.set()
+            if is_held:
+                await self.goes_on.wait()
+            return await original(*args, **options)
+
+        def note(*args, **options):
+            self.reached.set()
+            return original(*args, **options)
+
+        return wait if inspect.iscoroutinefunction(original) else note
+
+
+@contextlib.contextmanager
+def hook_step(step: Step):
+    """Yield the hook of a step."""
+    owner, name = HOOKS[step]
+    hook = Hook(getattr(owner, name), step is Step.PUBLISH)
+    with mock.patch.object(owner, name, hook.make_method()):
+        yield hook
--- /dev/null
+++ b/test/matrix/table.py
@@ -0,0 +1,111 @@
+"""The matrix as data: faults, steps and what shows each cell."""
+
+from enum import Enum
+
+
+class Fault(Enum):
+    """What fails."""
+
+    KILLED_ENTRY = "entry host killed"
+    KILLED_HOME = "home killed"
+    PAUSED = "paused and woken"
+    CUT_BOTH = "link cut in both directions"
+    CUT_ONE = "link cut in one direction"
+    SLOW_LINK = "slow link"
+    STORE_OUT = "store out"
+    STORE_SLOW = "store slow"
+    ANSWER_LOST = "answer lost after the effect"
+    LAG = "lagging read and list"
+    MEASURES_STOP = "measurements stop"
+    MEASURES_LIE = "measurements lie"
+    UPSTREAM_DIES = "upstream dies"
+    UPSTREAM_LEAVES = "upstream leaves"
+    KEY_WITHDRAWN = "key withdrawn"
+    OPERATORS_RACE = "operators race"
+    REPLACED = "host replaced"
+    REGION_CUT = "region cut"
+    RESENT = "caller resends"
+    CALLER_LEAVES = "caller leaves"
+
+
+class Step(Enum):
+    """Where it fails."""
+
+    LOOK_UP = "look-up"
+    AUTHENTICATION = "authentication"
+    TOKEN = "token"
+    RUN_RECORD = "run record"
+    REGION_CHOICE = "region choice"
+    SLOT = "slot"
+    FORWARD = "forward"
+    RUN = "run"
+    ANSWER = "answer parts"
+    RELEASE = "release"
+    PUBLISH = "publishing"
+    MOVE = "step of a move"
+    HANDOVER = "handing over"
+    STOP = "stop"
+
+
+class Cell:
+    """One fault at one step, and the tests that show it."""
+
+    __slots__ = ("mark", "tests", "reason")
+
+    def __init__(self, mark: str, tests: tuple[str, ...] = (), reason=""):
+        self.mark = mark
+        self.tests = tests
+        self.reason = reason
+
+
+RUNNER = "test.matrix.test_faults.FaultsTest"
+NOT_SHOWN = Cell("NOT SHOWN")
+
+# Steps that the runner reaches with a request, and the faults it makes.
+RUN_STEPS = (
+    Step.LOOK_UP,
+    Step.AUTHENTICATION,
+    Step.RUN_RECORD,
+    Step.REGION_CHOICE,
+    Step.TOKEN,
+    Step.FORWARD,
+    Step.SLOT,
+    Step.RUN,
+    Step.ANSWER,
+    Step.RELEASE,
+    Step.PUBLISH,
+)
+RUN_FAULTS = (
+    Fault.KILLED_ENTRY,
+    Fault.KILLED_HOME,
+    Fault.CUT_BOTH,
+    Fault.CUT_ONE,
+    Fault.STORE_OUT,
+    Fault.STORE_SLOW,
+    Fault.ANSWER_LOST,
+    Fault.LAG,
+    Fault.MEASURES_STOP,
+    Fault.MEASURES_LIE,
+    Fault.UPSTREAM_DIES,
+    Fault.UPSTREAM_LEAVES,
+    Fault.KEY_WITHDRAWN,
+    Fault.OPERATORS_RACE,
+    Fault.REPLACED,
+    Fault.REGION_CUT,
+    Fault.RESENT,
+    Fault.CALLER_LEAVES,
+)
+
+
+def name_test(fault: Fault) -> str:
+    """Return the dotted name of the runner's test of a fault."""
+    return f"{RUNNER}.test_{fault.name.lower()}"
+
+
+def list_cells() -> dict[tuple[Fault, Step], Cell]:
+    """Return every cell of the matrix."""
+    cells = {(fault, step): NOT_SHOWN for fault in Fault for step in Step}
+    for fault in RUN_FAULTS:
+        for step in RUN_STEPS:
+            cells[fault, step] = Cell("run", (name_test(fault),))
+    return cells
