--- a/radishstile/daemon/execution.py
+++ b/radishstile/daemon/execution.py
@@ -39,6 +39,7 @@
     SlotResult,
     TimedOut,
     Unreachable,
+    Unused,
 )
 from radishstile.wire.exchange import Exchange
 from radishstile.wire.messages.base import Message
@@ -55,6 +56,9 @@
 from radishstile.wire.refusals import raise_refusal
 
 _CONNECT_WAIT_S = 1.0
+# A home's clock starts when the order arrives, so that its word that an order
+# was not run comes that much after the deadline.
+_START_GRACE_S = 0.25
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 _SHED_RETRY_S = 1.0
@@ -93,6 +97,11 @@
         self._span = node.tracing.start_span("dispatch", order.traceparent)
         self._stack = AsyncExitStack()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the request may have reached an upstream."""
+        return self._lease is not None
+
     async def __aenter__(self) -> "LocalExecution":
         return self
 
@@ -110,19 +119,43 @@
     async def start(self) -> str:
         """Wait for a slot and return its upstream's name."""
         order = self._order
-        self._lease = await self._dispatcher.acquire(
-            order.workspace,
-            order.weight,
-            order.route,
-            order.deadline,
-            order.excluded | self._harm.list_barred(order),
-        )
+        self._lease = await self._acquire()
         self._harm.note_started(order, self._lease)
         self._span.set_attribute("upstream", self._lease.upstream)
         self._span.set_attribute("workspace", order.workspace)
         self._sent_at = read_clock()
         return self._lease.upstream
 
+    async def _acquire(self) -> SlotLease:
+        """Take a slot where the order may run.
+
+        Others may have crashed upstreams while it waited.
+        """
+        order = self._order
+        while True:
+            await self._harm.wait_turn(order)
+            barred = self._harm.list_barred(order)
+            try:
+                lease = await self._take_slot(order.excluded | barred)
+            except RefusalError as refusal:
+                if not barred or refusal.reason is not Reason.NO_UPSTREAM:
+                    raise
+                await self._harm.wait_ended(order)
+                continue
+            if self._harm.may_start(order, lease):
+                return lease
+            self._dispatcher.release(lease, Unused())
+
+    async def _take_slot(self, excluded: frozenset[str]) -> SlotLease:
+        order = self._order
+        return await self._dispatcher.acquire(
+            order.workspace,
+            order.weight,
+            order.route,
+            order.deadline,
+            excluded,
+        )
+
     async def open_answer(self) -> Answer:
         """Send the request and return the answer's head and parts."""
         lease = self._lease
@@ -220,6 +253,15 @@
         self._is_started = False
         self._assembly = PartAssembly(order.request_id, node.wire)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the home may have passed the order on.
+
+        The home sends as soon as it has a slot, before its word of that
+        arrives here.
+        """
+        return self._exchange is not None and self._exchange.is_sent
+
     async def __aenter__(self) -> "RemoteExecution":
         return self
 
@@ -233,7 +275,7 @@
             await self._send_order()
         except (PeerLostError, WireError) as error:
             raise self._lose(error) from error
-        message = await self._receive()
+        message = await self._receive(_START_GRACE_S)
         if type(message) is not RunStarted:
             raise self._lose(FrameError("the home sent no start"))
         self._is_started = True
@@ -260,13 +302,13 @@
             await self._exchange.send(part)
         await self._exchange.send(sequence.end(BodyEnd))
 
-    async def _receive(self) -> Message:
-        left_s = self._order.deadline - read_clock()
+    async def _receive(self, grace_s: float = 0.0) -> Message:
+        left_s = self._order.deadline + grace_s - read_clock()
         try:
             message = await self._exchange.receive(max(0.0, left_s))
             if type(message) is ReportCrash:
                 await self._harm.take_report(read_report(message))
-                return await self._receive()
+                return await self._receive(grace_s)
             raise_refusal(message)
         except WireError as error:
             raise self._lose(error) from error
--- a/radishstile/daemon/handlers.py
+++ b/radishstile/daemon/handlers.py
@@ -7,7 +7,7 @@
 
 from radishstile.daemon.execution import LocalExecution
 from radishstile.daemon.harm import make_message, read_report
-from radishstile.daemon.journals import answer_journal, make_known
+from radishstile.daemon.journals import make_known
 from radishstile.daemon.node import read_clock
 from radishstile.daemon.order import Order
 from radishstile.daemon.parts import Parts
@@ -23,7 +23,7 @@
 from radishstile.shift.measures import MoveHint
 from radishstile.shift.progress import MoveProgress
 from radishstile.wire.exchange import Exchange
-from radishstile.wire.messages import fleet, run
+from radishstile.wire.messages import block, fleet, run
 from radishstile.wire.messages.base import Message
 from radishstile.wire.parts import PartAssembly, PartSequence
 
@@ -116,6 +116,14 @@
     parts.homes.apply_leaving(frozenset(message.away))
 
 
+@handle.register
+async def _(message: fleet.HandOver, exchange: Exchange, parts: Parts) -> None:
+    deadlines = parts.homes.hand_over(message.resource, message.epoch)
+    if deadlines is None:
+        raise RefusalError(Reason.STOPPING, retry_after=_RETRY_AFTER_S)
+    await exchange.send(fleet.HandedOver(deadlines=deadlines))
+
+
 @handle.register
 async def _(
     message: fleet.LoadQuery, exchange: Exchange, parts: Parts
@@ -126,6 +134,14 @@
     await exchange.send(reply)
 
 
+@handle.register
+async def _(
+    message: block.BlockQuery, exchange: Exchange, parts: Parts
+) -> None:
+    body = parts.blocks.find_part(message.digest)
+    await exchange.send(block.BlockReply(body=body))
+
+
 @handle.register
 async def _(
     message: fleet.RouteLoadQuery, exchange: Exchange, parts: Parts
@@ -174,8 +190,7 @@
         raise RefusalError(
             Reason.RECORD_UNAVAILABLE, retry_after=_RETRY_AFTER_S
         )
-    known = await answer_journal(message, keeper.journal)
-    await exchange.send(make_known(known))
+    await exchange.send(make_known(await keeper.answer(message)))
 
 
 @handle.register
@@ -184,8 +199,8 @@
     order = Order.from_message(message, body, read_clock())
     resource = SlotsResource(order.group, order.zone).name
     home = parts.homes.find_service(resource)
-    if home is None or not parts.node.fleet.is_home(resource):
-        raise RefusalError(Reason.NO_UPSTREAM, retry_after=_RETRY_AFTER_S)
+    if home is None or not parts.homes.may_serve(resource):
+        raise RefusalError(Reason.STOPPING, retry_after=_RETRY_AFTER_S)
     await _run_order(order, home, exchange, parts)
 
 
--- a/radishstile/fleet/home.py
+++ b/radishstile/fleet/home.py
@@ -15,6 +15,7 @@
 
 RESEND_S = 0.25
 MAX_PENDING = 8
+OVERLOAD_AFTER_S = 0.4
 
 
 class Home:
@@ -36,6 +37,7 @@
         "_awaited",
         "_ended",
         "_accounts",
+        "_within_at",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         self._awaited = set(self._members)
         self._ended: set[Identity] = set()
         self._accounts: dict[Identity, Account] = {}
+        self._within_at = now
         self._resize_pool(now)
 
     @property
@@ -69,6 +72,13 @@
         """Return the part of the limit that nobody else can have."""
         return self._pool
 
+    def count_given(self) -> tuple[float, float]:
+        """Return the most rate and burst that holders can have together."""
+        accounts = self._accounts.values()
+        rate = sum(item.counted_rate for item in accounts)
+        burst = sum(item.counted_burst for item in accounts)
+        return rate, burst
+
     def list_inquiries(self) -> list[Dispatch]:
         """Return an inquiry for each member that has not answered yet."""
         return [self._inquire(holder) for holder in sorted(self._awaited)]
@@ -80,7 +90,7 @@
 
     def add_member(self, identity: Identity, now: float) -> None:
         """Let a newly registered incarnation hold a part."""
-        if identity in self._ended:
+        if identity in self._ended or identity in self._members:
             return
         self._members.add(identity)
         self._resize_pool(now)
@@ -116,6 +126,7 @@
         if claim.serial <= account.serial:
             return []
         returned = account.apply(claim)
+        self._note_demand(now)
         is_opening = self._stop_awaiting(claim.holder)
         self._resize_pool(now)
         self._pool.add(returned)
@@ -130,6 +141,7 @@
 
     def tick(self, now: float) -> list[Dispatch]:
         """Send again what was not acknowledged, and divide by demand."""
+        self._note_demand(now)
         if not self.is_open:
             return self.list_inquiries() if not self.is_closed else []
         again = [
@@ -158,10 +170,10 @@
         if not self.is_open:
             self._pool.resize(0.0, 0.0, now)
             return
-        accounts = self._accounts.values()
-        rate = self.rate - sum(item.counted_rate for item in accounts)
-        burst = self.burst - sum(item.counted_burst for item in accounts)
-        self._pool.resize(max(0.0, rate), max(0.0, burst), now)
+        given_rate, given_burst = self.count_given()
+        rate = max(0.0, self.rate - given_rate)
+        burst = max(0.0, self.burst - given_burst)
+        self._pool.resize(rate, burst, now)
 
     def _rebalance(self, now: float) -> list[Dispatch]:
         """Shrink holders above their share, then grow those below it."""
@@ -198,7 +210,7 @@
     def _recall(self, account: Account, share: Share, now: float) -> Dispatch:
         rate = min(account.current_rate, share.rate)
         burst = min(account.current_burst, share.burst)
-        allotment = self._build(account, rate, burst)
+        allotment = self._build(account, rate, burst, now)
         account.issue(allotment, now)
         return Dispatch(account.holder, allotment)
 
@@ -220,7 +232,7 @@
             return
         level = self._choose_level(account, more_burst)
         allotment = self._build(
-            account, account.rate + more_rate, account.burst + more_burst
+            account, account.rate + more_rate, account.burst + more_burst, now
         )
         allotment.level = level
         pool.take(level)
@@ -236,16 +248,25 @@
         awaited = min(account.waiting, self._pool.level, more_burst)
         return min(more_burst, max(part, awaited))
 
-    def _build(self, account: Account, rate: float, burst: int) -> Allotment:
+    def _build(
+        self, account: Account, rate: float, burst: int, now: float
+    ) -> Allotment:
         allotment = Allotment(
             self.resource, self.epoch, account.sent_number + 1, rate, burst
         )
-        allotment.is_exhausted = self._is_exhausted()
+        overload_s = now - self._within_at
+        allotment.is_exhausted = overload_s > OVERLOAD_AFTER_S
         return allotment
 
-    def _is_exhausted(self) -> bool:
+    def _note_demand(self, now: float) -> None:
+        """Note when demand was last within the whole limit.
+
+        A load that moves is counted twice until its former host claims, so
+        only a demand that stays above the limit is an overload.
+        """
         demand = sum(item.demand for item in self._accounts.values())
-        return demand > self.rate and self._pool.level < 1
+        if demand <= self.rate:
+            self._within_at = now
 
     def _serve_all(self, now: float, dispatches: list[Dispatch]) -> None:
         """Give tokens to requests that have waited for the opening."""
@@ -263,7 +284,7 @@
         if wanted <= 0 or len(account.pending) >= MAX_PENDING:
             return
         allotment = self._build(
-            account, account.current_rate, account.current_burst
+            account, account.current_rate, account.current_burst, now
         )
         if at_once > 0:
             allotment.at_once = at_once
