Pass on what an upstream says of a run that was late

An upstream that gives up at the deadline answers 504 and states 'not-run' or 'unknown'. The answer went to the caller as 'ran', and the record of an order said so too. It is now the refusal 'deadline' with the outcome that the upstream states.

--- a/radishstile/daemon/execution.py
+++ b/radishstile/daemon/execution.py
@@ -61,6 +61,8 @@
 _START_GRACE_S = 0.25
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_LATE_OUTCOMES = (Outcome.NOT_RUN.value, Outcome.UNKNOWN.value)
 _SHED_RETRY_S = 1.0
 _LOST_ERRORS = (aiohttp.ClientError, ConnectionLostError)
 
@@ -175,7 +177,7 @@
         except TimeoutError as error:
             self._result = TimedOut(is_over=True)
             raise RefusalError(Reason.DEADLINE, Outcome.UNKNOWN) from error
-        self._check_shed(answer)
+        self._check_stated(answer)
         answer.upstream = lease.upstream
         answer.parts = self._read_parts(answer.status, answer.parts)
         return answer
@@ -184,7 +186,8 @@
         detail = f"the connection to {self._lease.upstream} was lost"
         return RefusalError(Reason.UPSTREAM_LOST, outcome, detail=detail)
 
-    def _check_shed(self, answer: Answer) -> None:
+    def _check_stated(self, answer: Answer) -> None:
+        """Refuse where the upstream itself says that it did no whole run."""
         said = dict((n.lower(), v) for n, v in answer.headers)
         outcome = said.get(names.UPSTREAM_OUTCOME.lower())
         is_shed = answer.status == _UNAVAILABLE
@@ -193,6 +196,9 @@
             raise RefusalError(
                 Reason.UPSTREAM_SHED, Outcome.NOT_RUN, _SHED_RETRY_S
             )
+        if answer.status == _GATEWAY_TIMEOUT and outcome in _LATE_OUTCOMES:
+            self._result = TimedOut(is_over=True)
+            raise RefusalError(Reason.DEADLINE, Outcome(outcome))
 
     async def _read_parts(
         self, status: int, parts: AsyncIterator[bytes]
