--- a/test/matrix/_faults.py
+++ b/test/matrix/_faults.py
@@ -9,8 +9,9 @@
 from radishstile.errors import OperatorError
 from test.daemon._fleet import Fleet
 from test.matrix._callers import Request
-from test.matrix.table import Fault
+from test.matrix.table import Fault, Step
 
+STOP_S = 0.5
 FAR_UPSTREAMS = ("press-2", "archive-2")
 
 
@@ -43,12 +44,28 @@
         # The versions that operators were told of as accepted.
         self.accepted: list[int] = []
 
-    def start(self) -> None:
+    def start(self, step: Step) -> None:
         """Send the requests, a look-up and a patch to the entry host."""
         works = [each.send(self.fleet, self.entry) for each in self.requests]
         works += [self._look_up(), self._patch()]
+        if step is Step.STOP:
+            works.append(self._stop())
         self.tasks = [asyncio.create_task(work) for work in works]
 
+    async def _stop(self) -> None:
+        """Stop the entry host gracefully while it serves."""
+        await asyncio.sleep(STOP_S)
+        run = self.fleet._runs[self.entry]
+        self.fleet._stops[self.entry].set()
+        await asyncio.wait([run])
+        self.fleet.daemons.pop(self.entry, None)
+
+    async def start_again(self) -> None:
+        """Start each host that has ended."""
+        for host in self.fleet.hosts:
+            if host not in self.fleet.daemons:
+                await self.fleet.restart(host)
+
     async def _look_up(self) -> None:
         path = "/lookup?route=payruns&client=10.0.0.1"
         with contextlib.suppress(aiohttp.ClientError, OSError):
@@ -66,22 +83,18 @@
             self.accepted.append(result["version"])
 
 
-async def _kill_entry(scene: Scene) -> None:
-    await scene.fleet.kill(scene.entry)
+async def _restart(scene: Scene) -> None:
+    await scene.start_again()
 
 
-async def _restart_entry(scene: Scene) -> None:
-    await scene.fleet.restart(scene.entry)
+async def _kill_entry(scene: Scene) -> None:
+    await scene.fleet.kill(scene.entry)
 
 
 async def _kill_home(scene: Scene) -> None:
     await scene.fleet.kill(scene.home)
 
 
-async def _restart_home(scene: Scene) -> None:
-    await scene.fleet.restart(scene.home)
-
-
 async def _replace_home(scene: Scene) -> None:
     await scene.fleet.kill(scene.home)
     await scene.fleet.start_host(scene.home)
@@ -197,8 +210,8 @@
 
 # Each fault as it is made and as it is ended.
 FAULTS = {
-    Fault.KILLED_ENTRY: (_kill_entry, _restart_entry),
-    Fault.KILLED_HOME: (_kill_home, _restart_home),
+    Fault.KILLED_ENTRY: (_kill_entry, _restart),
+    Fault.KILLED_HOME: (_kill_home, _restart),
     Fault.CUT_BOTH: (_cut_both, _heal),
     Fault.CUT_ONE: (_cut_one, _heal),
     Fault.STORE_OUT: (_set_store(outage=True), _set_store(outage=False)),
--- a/test/matrix/_steps.py
+++ b/test/matrix/_steps.py
@@ -10,6 +10,7 @@
 from radishstile.daemon.entry import Session
 from radishstile.daemon.execution import RemoteExecution
 from radishstile.daemon.journals import JournalClient
+from radishstile.daemon.service import Daemon
 from radishstile.daemon.steering import Steering
 from radishstile.upstream.dispatcher import Dispatcher
 from radishstile.workspace.gate import Gate
@@ -28,6 +29,7 @@
     Step.ANSWER: (RemoteExecution, "_accept"),
     Step.RELEASE: (Dispatcher, "release"),
     Step.PUBLISH: (Ledger, "submit"),
+    Step.STOP: (Daemon, "_drain"),
 }
 
 # Where a purchase comes a little later than a read, as it is recorded first.
--- a/test/matrix/table.py
+++ b/test/matrix/table.py
@@ -74,6 +74,7 @@
     Step.ANSWER,
     Step.RELEASE,
     Step.PUBLISH,
+    Step.STOP,
 )
 RUN_FAULTS = (
     Fault.KILLED_ENTRY,
@@ -95,6 +96,17 @@
     Fault.RESENT,
     Fault.CALLER_LEAVES,
 )
+# Faults that leave the hosts, their links and the caller alone.
+DISTANT_FAULTS = (
+    Fault.STORE_OUT,
+    Fault.STORE_SLOW,
+    Fault.ANSWER_LOST,
+    Fault.LAG,
+    Fault.MEASURES_STOP,
+    Fault.MEASURES_LIE,
+    Fault.OPERATORS_RACE,
+    Fault.RESENT,
+)
 
 
 def name_test(fault: Fault) -> str:
--- a/test/matrix/test_faults.py
+++ b/test/matrix/test_faults.py
@@ -8,7 +8,13 @@
 from test.matrix._faults import FAULTS, Scene
 from test.matrix._promises import list_broken
 from test.matrix._steps import GATHERING, hook_step
-from test.matrix.table import RUN_FAULTS, RUN_STEPS, Fault, Step
+from test.matrix.table import (
+    DISTANT_FAULTS,
+    RUN_FAULTS,
+    RUN_STEPS,
+    Fault,
+    Step,
+)
 
 HOSTS = 3
 REACH_S = 10.0
@@ -64,7 +70,7 @@
         """Reach the step, make the fault, end it, and send again."""
         make, end = FAULTS[fault]
         with hook_step(step) as hook:
-            scene.start()
+            scene.start(step)
             async with asyncio.timeout(REACH_S):
                 await hook.reached.wait()
             if step in GATHERING:
@@ -76,6 +82,11 @@
         ends = await asyncio.gather(*scene.tasks, return_exceptions=True)
         wrong = [end for end in ends if isinstance(end, AssertionError)]
         self.assertEqual(wrong, [])
+        await scene.start_again()
+        if fault in DISTANT_FAULTS:
+            # No answer at all means that a stop has cut the request off.
+            for request in scene.requests:
+                self.assertNotEqual(request.attempts[0].status, 0)
         for request in scene.requests:
             if fault is Fault.KEY_WITHDRAWN:
                 attempt = await request.send(scene.fleet, scene.entry)
