--- a/test/matrix/references.py
+++ b/test/matrix/references.py
@@ -66,7 +66,7 @@
     ),
     (Fault.KILLED_HOME, Step.HANDOVER): (
         "test.fleet.test_home.RandomScheduleTest"
-        ".test_limit_holds_in_any_window_under_faults",
+        ".test_limit_is_conserved_under_faults_and_changes",
         _HOMES + "home_moves_on_evidence_and_the_loser_of_a_race_replans",
     ),
     (Fault.CUT_BOTH, Step.HANDOVER): (
