--- a/test/daemon/test_choice.py
+++ b/test/daemon/test_choice.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 from radishstile.daemon.choice import Chooser
 from radishstile.fleet.settings import FleetSettings
@@ -44,7 +45,7 @@
             node,
             peers,
             None,
-            SimpleNamespace(steer=lambda *_: steer),
+            SimpleNamespace(steer=AsyncMock(return_value=steer)),
             SimpleNamespace(is_changed=self.changed),
             SimpleNamespace(measure_headroom=lambda region, now: 1.0),
         )
--- a/test/matrix/_steps.py
+++ b/test/matrix/_steps.py
@@ -21,7 +21,7 @@
     Step.LOOK_UP: (Steering, "look_up"),
     Step.AUTHENTICATION: (Session, "_authenticate"),
     Step.RUN_RECORD: (JournalClient, "record"),
-    Step.REGION_CHOICE: (Chooser, "choose"),
+    Step.REGION_CHOICE: (Chooser, "wait_targets"),
     Step.TOKEN: (Gate, "admit"),
     Step.FORWARD: (RemoteExecution, "_send_order"),
     Step.SLOT: (Dispatcher, "acquire"),
