Add the step of handing over, and draw pairs of faults

A caller that leaves took the script's own stop along at first, so a host that had ended was waited for.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 matrix: $(READY)
 	$(RUN) -m test.matrix
 
+soak: $(READY)
+	SOAK_EXAMPLES=$(or $(EXAMPLES),200) $(RUN) -m test.runner test.matrix.test_pairs
+
 bench: $(READY)
 	$(RUN) -m bench $(NAMES)
 
--- a/test/matrix/_faults.py
+++ b/test/matrix/_faults.py
@@ -49,16 +49,25 @@
         works = [each.send(self.fleet, self.entry) for each in self.requests]
         works += [self._look_up(), self._patch()]
         if step is Step.STOP:
-            works.append(self._stop())
+            works.append(self._stop(self.entry))
+        if step is Step.HANDOVER:
+            works.append(self._stop(self.home))
         self.tasks = [asyncio.create_task(work) for work in works]
 
-    async def _stop(self) -> None:
-        """Stop the entry host gracefully while it serves."""
+    async def _stop(self, host: str) -> None:
+        """Stop a host gracefully while it serves."""
         await asyncio.sleep(STOP_S)
-        run = self.fleet._runs[self.entry]
-        self.fleet._stops[self.entry].set()
+        daemon = self.fleet.daemons[host]
+        run = self.fleet._runs[host]
+        self.fleet._stops[host].set()
         await asyncio.wait([run])
-        self.fleet.daemons.pop(self.entry, None)
+        if self.fleet.daemons.get(host) is daemon:
+            del self.fleet.daemons[host]
+
+    async def kill(self, host: str) -> None:
+        """Kill a host, unless another fault did."""
+        if host in self.fleet.daemons:
+            await self.fleet.kill(host)
 
     async def start_again(self) -> None:
         """Start each host that has ended."""
@@ -88,15 +97,15 @@
 
 
 async def _kill_entry(scene: Scene) -> None:
-    await scene.fleet.kill(scene.entry)
+    await scene.kill(scene.entry)
 
 
 async def _kill_home(scene: Scene) -> None:
-    await scene.fleet.kill(scene.home)
+    await scene.kill(scene.home)
 
 
 async def _replace_home(scene: Scene) -> None:
-    await scene.fleet.kill(scene.home)
+    await scene.kill(scene.home)
     await scene.fleet.start_host(scene.home)
 
 
@@ -200,7 +209,7 @@
 
 
 async def _leave(scene: Scene) -> None:
-    for task in scene.tasks:
+    for task in scene.tasks[: len(scene.requests)]:
         task.cancel()
 
 
--- a/test/matrix/_steps.py
+++ b/test/matrix/_steps.py
@@ -9,6 +9,7 @@
 from radishstile.daemon.choice import Chooser
 from radishstile.daemon.entry import Session
 from radishstile.daemon.execution import RemoteExecution
+from radishstile.daemon.homes import Homes
 from radishstile.daemon.journals import JournalClient
 from radishstile.daemon.service import Daemon
 from radishstile.daemon.steering import Steering
@@ -29,6 +30,7 @@
     Step.ANSWER: (RemoteExecution, "_accept"),
     Step.RELEASE: (Dispatcher, "release"),
     Step.PUBLISH: (Ledger, "submit"),
+    Step.HANDOVER: (Homes, "release_all"),
     Step.STOP: (Daemon, "_drain"),
 }
 
--- a/test/matrix/table.py
+++ b/test/matrix/table.py
@@ -74,6 +74,7 @@
     Step.ANSWER,
     Step.RELEASE,
     Step.PUBLISH,
+    Step.HANDOVER,
     Step.STOP,
 )
 RUN_FAULTS = (
--- /dev/null
+++ b/test/matrix/test_pairs.py
@@ -0,0 +1,56 @@
+"""Runs two faults together at drawn steps, and checks the promises."""
+
+import asyncio
+import os
+import unittest
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from test._common import PausedLoopPolicy
+from test.daemon._fleet import Fleet
+from test.matrix._promises import list_broken
+from test.matrix._scene import SceneMixin
+from test.matrix.table import RUN_FAULTS, RUN_STEPS, Fault, Step
+
+HOSTS = 3
+EXAMPLES = int(os.environ.get("SOAK_EXAMPLES", "4"))
+# An operator's command needs the store and its host, so it comes first.
+SECOND = [
+    fault
+    for fault in RUN_FAULTS
+    if fault not in (Fault.KEY_WITHDRAWN, Fault.OPERATORS_RACE)
+]
+
+
+class PairsTest(SceneMixin, unittest.TestCase):
+    """`make soak` draws many more pairs than the tests of each change."""
+
+    def setUp(self):
+        asyncio.set_event_loop_policy(PausedLoopPolicy())
+        self.addCleanup(asyncio.set_event_loop_policy, None)
+
+    @settings(
+        derandomize=True,
+        max_examples=EXAMPLES,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        st.sampled_from(RUN_FAULTS),
+        st.sampled_from(SECOND),
+        st.sampled_from(RUN_STEPS),
+    )
+    def test_promises_hold(self, first: Fault, second: Fault, step: Step):
+        asyncio.run(self.run_pair(first, second, step))
+
+    async def run_pair(self, first: Fault, second: Fault, step: Step) -> None:
+        """Make both faults at the step, in a fleet of their own."""
+        async with Fleet(HOSTS) as fleet:
+            scene = await self.set_scene(fleet, "pair")
+            secret = scene.requests[0].key.partition(".")[2]
+            await self.run_scene(scene, (first, second), step)
+            broken = list_broken(fleet, scene.requests, [secret])
+            self.assertEqual(broken, [])
+            await self.check_versions(scene, {})
