--- a/radishstile/daemon/slots.py
+++ b/radishstile/daemon/slots.py
@@ -9,12 +9,14 @@
 from radishstile.daemon.handover import Handover
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.peers import Peers
+from radishstile.daemon.placements import Placements
 from radishstile.daemon.resources import SlotsResource
+from radishstile.daemon.shares import list_region_slots
 from radishstile.errors import RadishstileError
 from radishstile.fleet.roster import HomeEntry
-from radishstile.region.capacity import RegionShare, split_capacity
+from radishstile.region.capacity import RegionShare
 from radishstile.region.link import LinkBudget
-from radishstile.region.settings import RegionSettings
+from radishstile.region.settings import ANSWER_SHARE, RegionSettings
 from radishstile.upstream.dispatcher import Dispatcher
 from radishstile.upstream.health import HealthReport, LoadReport
 from radishstile.upstream.pool import SlotPool
@@ -52,6 +54,7 @@
         "_node",
         "_entries",
         "_share",
+        "_placements",
         "_links",
         "rate_per_s",
         "_completed",
@@ -63,6 +66,8 @@
         node: Node,
         peers: Peers,
         entry: HomeEntry,
+        share: RegionShare,
+        placements: Placements,
     ):
         self.resource = resource
         self._node = node
@@ -70,7 +75,8 @@
         self._links: dict[str, LinkBudget] = {}
         self.rate_per_s = 0.0
         self._completed = 0
-        self._share = RegionShare(RegionSettings())
+        self._share = share
+        self._placements = placements
         self.dispatcher = Dispatcher(
             resource.name,
             SlotPool(node.settings.upstreams),
@@ -105,8 +111,8 @@
         self._entries = configuration.list_upstreams(
             resource.group, resource.zone
         )
-        self.dispatcher.apply_upstreams(self._entries)
-        self._share.apply(self._find_share(), read_clock())
+        held_until = self._placements.list_held(read_clock())
+        self.dispatcher.apply_upstreams(self._entries, held_until)
         self.dispatcher.apply_limit(self._share.measure(read_clock()))
         self._apply_links()
 
@@ -130,32 +136,12 @@
         deadlines = [r.deadline_s for r in routes if r.group == group]
         return max(deadlines, default=0.0)
 
-    def _list_region_slots(self) -> dict[str, int]:
-        """Return the slots of each resource in this resource's region."""
-        configuration = self._node.configuration
-        region = configuration.zones.get(self.resource.zone)
-        slots: dict[str, int] = {}
-        for upstream in configuration.upstreams.values():
-            if configuration.zones[upstream.zone] != region:
-                continue
-            name = SlotsResource(upstream.group, upstream.zone).name
-            slots[name] = slots.get(name, 0) + upstream.slots
-        return slots
-
-    def _find_share(self) -> int | None:
-        configuration = self._node.configuration
-        region = configuration.zones.get(self.resource.zone)
-        capacity = configuration.capacities.get(region)
-        if capacity is None:
-            return None
-        shares = split_capacity(capacity, self._list_region_slots())
-        return shares.get(self.resource.name, 0)
-
     def _apply_links(self) -> None:
         """Divide each link evenly among the region's dispatching homes."""
         configuration = self._node.configuration
         region = configuration.zones.get(self.resource.zone)
-        share = 1 / max(1, len(self._list_region_slots()))
+        homes = max(1, len(list_region_slots(configuration, region)))
+        share = ANSWER_SHARE / homes
         now = read_clock()
         links = {}
         for (source, target), mbit_per_s in configuration.links.items():
