Give the session of a move its own cap and a slower pace

It took its cap from another test, which changed, and on the merged code the move had ended before the measurements stopped.

--- a/test/golden/moves.py
+++ b/test/golden/moves.py
@@ -1,15 +1,18 @@
 """Sessions of planned moves."""
 
-from test.daemon.test_moves import BURST, CAP_PER_S, DELAY_S, Traffic, measure
+from test.daemon.test_moves import Traffic, measure
 from test.golden._session import Session
 
+_CAP_PER_S = 10.0
+_BURST = 1
+_DELAY_S = 0.2
 _MOVE = {
     "route": "payruns",
     "from_region": "akl",
     "to_region": "wlg",
-    "cap_per_s": CAP_PER_S,
+    "cap_per_s": _CAP_PER_S,
     "step": 0.25,
-    "pace_s": 4.0,
+    "pace_s": 15.0,
 }
 
 
@@ -67,7 +70,7 @@
 def _is_capped(starts: list[float]) -> bool:
     """Return whether each window between two moved requests is allowed."""
     return all(
-        count <= CAP_PER_S * (ended - begun + DELAY_S) + BURST
+        count <= _CAP_PER_S * (ended - begun + _DELAY_S) + _BURST
         for first, begun in enumerate(starts)
         for count, ended in enumerate(starts[first:], 1)
     )
