Take releases and judgements of ends out of the fleet's root

Ruled out: splitting by the kind of call (the root would then be two halves that share all state).

Measured: test.fleet passes as before; one test reads the hints from the directory, since the method that only it used is gone.

--- a/radishstile/fleet/fleet.py
+++ b/radishstile/fleet/fleet.py
@@ -3,15 +3,16 @@
 from collections.abc import Iterable
 
 from radishstile.fleet.directory import Directory
+from radishstile.fleet.end import judge_end, judge_ends, list_leaving
 from radishstile.fleet.event import BecameCurrent, BecameOutdated
 from radishstile.fleet.freshness import Freshness
 from radishstile.fleet.membership import EndRecord, Membership
+from radishstile.fleet.release import Releases
 from radishstile.fleet.roster import FormerHome, Plan, Roster, plan_roster
 from radishstile.fleet.settings import FleetSettings
 from radishstile.fleet.state import Evidence, MachineReport, State
 from radishstile.fleet.statement import (
     MS_PER_S,
-    Release,
     Statement,
     pick_turn,
     to_age_ms,
@@ -58,7 +59,7 @@
         self.freshness = Freshness(me.zone, settings)
         self.is_leaving = False
         self._heard_roster_version = 0
-        self._releases: dict[Release, None] = {}
+        self._releases = Releases()
         self._ticked_at: float | None = None
         self._awake_since = float("-inf")
         self._was_current = False
@@ -89,7 +90,7 @@
             pick_turn(
                 directory.list_notices(now, registered), ENDED_LIMIT, turn
             ),
-            pick_turn(list(self._releases), RELEASES_LIMIT, turn),
+            pick_turn(self._releases.list_all(), RELEASES_LIMIT, turn),
         )
 
     def hear(self, statement: Statement, asked_at: float, now: float) -> None:
@@ -112,7 +113,7 @@
             self.directory.end(
                 identity, notice.evidence, learnt_at, notice.is_closed
             )
-        self._keep_releases(statement.releases)
+        self._releases.keep(statement.releases, self.roster)
 
     def _hear_member(
         self,
@@ -139,13 +140,6 @@
             statement.member.zone, asked_at, statement.store_failed_age_ms
         )
 
-    def _keep_releases(self, releases: Iterable[Release]) -> None:
-        for release in releases:
-            entry = self.roster.homes.get(release.resource)
-            is_later = release.epoch > self.roster.version
-            if is_later or (entry and entry.matches(release)):
-                self._releases[release] = None
-
     def note_connected(self, member: Member, now: float) -> None:
         """Record that `member` completed a handshake."""
         known = self.directory.learn(member, now)
@@ -189,9 +183,7 @@
             if member.host not in roster.members:
                 identity = member.identity
                 self.directory.end(identity, Evidence.DROPPED, now)
-        releases = self._releases
-        self._releases = {}
-        self._keep_releases(releases)
+        self._releases.follow(roster)
         return True
 
     def note_configuration(self, version: int, now: float) -> None:
@@ -337,8 +329,8 @@
         if member is None or self.find_evidence(member.identity):
             return None
         entry = self.roster.homes[resource]
-        release = Release(*entry.identity, resource, entry.epoch)
-        return None if release in self._releases else member
+        is_released = self._releases.covers(resource, entry)
+        return None if is_released else member
 
     def is_home(self, resource: str) -> bool:
         """Return whether this incarnation is home of `resource`."""
@@ -359,11 +351,6 @@
         """Return the members that are heard but not in the roster."""
         return self.directory.list_unregistered(self.roster.identities)
 
-    def find_hints(self, identity: tuple[str, int]) -> dict[str, int]:
-        """Return a member's last heard free units by resource."""
-        known = self.directory.find(identity)
-        return {} if known is None else known.hints
-
     def list_ended(self) -> list[EndRecord]:
         """Return the evidence of ends that this host knows."""
         return self.directory.list_ends()
@@ -386,9 +373,9 @@
         for member in registered:
             self.directory.learn(member, now)
         candidates = {m.identity for m in self.list_entry_members(now)}
-        ended = self._judge_ends(registered)
+        ended = judge_ends(self.directory, self.roster, registered)
         heard = [m for m in registered if m.identity in candidates]
-        releases = set(self._releases)
+        releases = set(self._releases.list_all())
         regions = self.directory.find_regions()
         plan = Plan(
             wanted,
@@ -402,37 +389,13 @@
         )
         return plan_roster(self.roster, plan)
 
-    def _judge_ends(
-        self, registered: list[Member]
-    ) -> dict[tuple[str, int], FormerHome]:
-        """Return what those that ended may still use, by identity."""
-        members = [*self.roster.members.values(), *registered]
-        identities = {member.identity for member in members}
-        entries = self.roster.homes.values()
-        identities |= {entry.predecessor for entry in entries} - {None}
-        return {
-            identity: self.judge_end(identity)
-            for identity in identities
-            if self.find_evidence(identity)
-        }
-
-    def _list_leaving(self) -> frozenset[tuple[str, int]]:
-        leaving = {
-            known.identity
-            for known in self.directory.list_present()
-            if known.is_leaving
-        }
-        if self.is_leaving:
-            leaving.add(self.me.identity)
-        return frozenset(leaving)
-
     def judge_end(self, identity: tuple[str, int]) -> FormerHome:
         """Return what an incarnation that has ended may still occupy."""
-        if self.find_evidence(identity) is Evidence.RELEASED:
-            return FormerHome.RELEASED
-        end = self.directory.find_end(identity)
-        is_closed = end is not None and end.is_closed
-        return FormerHome.CLOSED if is_closed else FormerHome.LOST
+        return judge_end(self.directory, identity)
+
+    def _list_leaving(self) -> frozenset[tuple[str, int]]:
+        own = {self.me.identity} if self.is_leaving else set()
+        return frozenset(list_leaving(self.directory) | own)
 
     def leave(self) -> None:
         """Take no new work from now on."""
@@ -441,9 +404,7 @@
     def release(self, resource: str) -> None:
         """Give up the home of `resource`, of which nothing is owed."""
         if self.is_home(resource):
-            epoch = self.roster.homes[resource].epoch
-            release = Release(*self.me.identity, resource, epoch)
-            self._releases[release] = None
+            self._releases.add(resource, self.roster.homes[resource])
 
     def finish(self, now: float) -> None:
         """Say the last word: all that this incarnation held is released."""
--- a/test/fleet/test_fleet.py
+++ b/test/fleet/test_fleet.py
@@ -218,7 +218,7 @@
 
     def test_hints_of_free_units_are_heard(self):
         self.fleet.hear(say(self.near, hints={"rate/w": 7}), 1, 1)
-        hints = self.fleet.find_hints(self.near.identity)
+        hints = self.fleet.directory.find(self.near.identity).hints
         self.assertEqual(hints, {"rate/w": 7})
         record = self.fleet.make_statement(1, {"rate/x": 9}).hints
         self.assertEqual(record, {"rate/x": 9})
