--- a/radishstile/daemon/entry.py
+++ b/radishstile/daemon/entry.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import itertools
-import posixpath
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
-from urllib.parse import unquote
 
 from radishstile.call import Answer, Call
 from radishstile.configuration.document import Route, Workspace
@@ -16,11 +14,12 @@
 from radishstile.daemon.parts import Parts
 from radishstile.daemon.resources import RateResource, SlotsResource
 from radishstile.daemon.retries import Retries
+from radishstile.daemon.screening import check_no_key, check_path
 from radishstile.daemon.tracing import get_trace_id, make_traceparent
 from radishstile.errors import RefusalError
 from radishstile.outcome import Outcome, Reason
 from radishstile.run.fingerprint import hash_harm
-from radishstile.workspace.key import authenticate, contains_key, parse_key
+from radishstile.workspace.key import authenticate
 from radishstile.workspace.limiter import Reservation
 
 _RETRY_AFTER_S = 1.0
@@ -366,28 +365,3 @@
 
 def _may_pass_on(refusal: RefusalError) -> bool:
     return refusal.outcome is Outcome.NOT_RUN and refusal.reason not in _FINAL
-
-
-def check_path(path: str) -> None:
-    """Refuse paths that an upstream could read as another route's."""
-    decoded = unquote(path)
-    is_plain = decoded.startswith("/") and "\\" not in decoded
-    normal = posixpath.normpath(decoded).replace("//", "/")
-    if not is_plain or normal != (decoded.rstrip("/") or "/"):
-        detail = "the path has empty or dot segments"
-        raise RefusalError(Reason.BAD_REQUEST, detail=detail)
-
-
-def check_no_key(call: Call, body: bytes) -> None:
-    """Refuse a call that shows its key where an upstream would see it."""
-    if not call.key:
-        return
-    key = parse_key(call.key)
-    shown = [call.target, *(value for _, value in call.headers)]
-    shown += [name for name, _ in call.headers]
-    if any(contains_key(text, key) for text in shown):
-        detail = "the key may only be in the Authorization header"
-        raise RefusalError(Reason.BAD_REQUEST, detail=detail)
-    if contains_key(body, key):
-        detail = "the body shows the caller's key"
-        raise RefusalError(Reason.BAD_REQUEST, detail=detail)
--- a/radishstile/daemon/machines.py
+++ b/radishstile/daemon/machines.py
@@ -14,7 +14,7 @@
 from radishstile.wire.messages.fleet import MachinesPush
 
 _LOG = logging.getLogger("radishstile.machines")
-_INTERVAL_S = 1.5
+_INTERVAL_S = 2.0
 
 
 class Machines:
