Keep the build's warning on editable installs out of the set-up

Cause: make demo and make test printed a page of a build tool's warning on a fresh machine; errors are still shown.

Measured: pip install -qq printed nothing here.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install -q --disable-pip-version-check -r requirements.lock
-	$(VENV)/bin/pip install -q --disable-pip-version-check --no-deps -e .
+	$(VENV)/bin/pip install -qq --disable-pip-version-check --no-deps -e .
 	touch $@
 
 demo: $(READY)
