--- a/bench/service.py
+++ b/bench/service.py
@@ -22,12 +22,13 @@
 from bench.lookup import print_table
 from bench.processes import (
     TREE,
-    Plan,
     ServiceFleet,
+    make_layout,
     read_processor_s,
     stop_processes,
 )
 from standin.free_ports import find_free_ports
+from standin.layout import Layout
 
 PARTS = ("lookups", "requests", "rest")
 WARMUP_S = 1.0
@@ -124,28 +125,28 @@
     }
 
 
-def make_pair_plan() -> Plan:
+def make_pair_layout() -> Layout:
     """Return two hosts in two zones, and one upstream near the first."""
-    return Plan(PAIR_ZONES, 2, {"press-1": "akl-a"}, SLOTS, 1)
+    return make_layout(PAIR_ZONES, 2, {"press-1": "akl-a"}, SLOTS, 1)
 
 
-def make_fleet_plan(hosts: int, zones: dict[str, str]) -> Plan:
+def make_fleet_layout(hosts: int, zones: dict[str, str]) -> Layout:
     """Return `hosts` over `zones`, with upstreams in each zone."""
     upstreams = {
         f"press-{zone}-{number}": zone
         for zone in zones
         for number in range(UPSTREAMS_PER_ZONE)
     }
-    return Plan(zones, hosts, upstreams, 6, WORKSPACES)
+    return make_layout(zones, hosts, upstreams, 6, WORKSPACES)
 
 
 @asynccontextmanager
-async def run_fleet(plan: Plan, tree: Path):
+async def run_fleet(layout: Layout, tree: Path):
     """Run a fleet in a temporary folder of its own."""
     with tempfile.TemporaryDirectory(prefix="radishstile-") as folder:
-        fleet = ServiceFleet(plan, tree, Path(folder))
+        fleet = ServiceFleet(layout, tree, Path(folder))
         try:
-            await fleet.start()
+            await fleet.serve()
             yield fleet
         finally:
             await fleet.stop()
@@ -201,7 +202,7 @@
     async with run_constant(size) as (port, process):
         servers = {"constant": (port, process.pid)}
         for name, fleet in fleets.items():
-            pid = fleet.get_process_id(host)
+            pid = fleet.find_pid(host)
             servers[name] = fleet.ports[host].http, pid
         measured = {name: Measurement() for name in servers}
         for _ in range(ROUNDS):
@@ -234,7 +235,7 @@
 ) -> list[dict]:
     """Return requests straight, through one host and through two."""
     first = next(iter(fleets.values()))
-    upstream = first.get_process_id("upstreams")
+    upstream = first.find_pid("upstreams")
     port = first.upstream_ports["press-1"]
     cases = {"straight": (port, "", lambda: read_processor_s(upstream))}
     for name, fleet in fleets.items():
@@ -253,10 +254,10 @@
 
 
 async def measure_rest(
-    plan: Plan, tree: Path, name: str, seconds: float
+    layout: Layout, tree: Path, name: str, seconds: float
 ) -> dict:
     """Return what a fleet uses while nobody calls."""
-    async with run_fleet(plan, tree) as fleet:
+    async with run_fleet(layout, tree) as fleet:
         await asyncio.sleep(SETTLE_S)
         calls = await fleet.read_store_calls()
         wire = await fleet.read_wire_bytes()
@@ -267,12 +268,12 @@
         later = await fleet.read_store_calls()
         wire = (await fleet.read_wire_bytes() - wire) / elapsed
         memory = fleet.list_resident_mb()
-    hosts = len(plan.hosts)
+    hosts = len(layout.hosts)
     rates = {kind: (later[kind] - calls[kind]) / elapsed for kind in calls}
     return {
         "daemons": name,
         "hosts": hosts,
-        "zones": len(plan.zones),
+        "zones": len(layout.zones),
         "processor_share": share / hosts,
         "resident_mb": sum(memory) / hosts,
         "resident_max_mb": max(memory),
@@ -290,7 +291,7 @@
     async with AsyncExitStack() as stack:
         fleets = {}
         for name, tree in trees.items():
-            context = run_fleet(make_pair_plan(), tree)
+            context = run_fleet(make_pair_layout(), tree)
             fleets[name] = await stack.enter_async_context(context)
         before = {n: f.list_resident_mb() for n, f in fleets.items()}
         if "lookups" in parts:
@@ -328,7 +329,7 @@
     if "rest" in parts:
         results["rest"] = [
             await measure_rest(
-                make_fleet_plan(*size), tree, name, 4 * options.seconds
+                make_fleet_layout(*size), tree, name, 4 * options.seconds
             )
             for size in FLEETS
             for name, tree in trees.items()
--- a/standin/layout.py
+++ b/standin/layout.py
@@ -19,7 +19,7 @@
     `zones` maps a zone to its region, `hosts` a host to its zone.
     `workspaces` and `routes` are as in the configuration document, `blocks`
     maps a block of clients to a region, and `host_settings` are sections for
-    each host's INI file.
+    each host's INI file, `upstream_settings` lines for the upstreams'.
     """
 
     __slots__ = (
@@ -32,6 +32,7 @@
         "host_settings",
         "service_s",
         "blocks",
+        "upstream_settings",
     )
 
     def __init__(
@@ -45,6 +46,7 @@
         link_mbit_per_s: float = 4000,
         service_s: float = 0.01,
         blocks: dict[str, str] | None = None,
+        upstream_settings: str = "",
     ):
         self.zones = zones
         self.hosts = hosts
@@ -55,6 +57,7 @@
         self.link_mbit_per_s = link_mbit_per_s
         self.service_s = service_s
         self.blocks = blocks or {}
+        self.upstream_settings = upstream_settings
 
     @property
     def regions(self) -> list[str]:
--- a/standin/process_fleet.py
+++ b/standin/process_fleet.py
@@ -142,6 +142,10 @@
             else:
                 await asyncio.sleep(POLL_S)
 
+    def find_tree(self, name: str) -> Path | None:
+        """Return the folder to start a process in; None is this one."""
+        return None
+
     # Reaching the processes
 
     def operate(self, host: str = "") -> OperatorClient:
@@ -212,6 +216,7 @@
         return (
             f"[upstream]\nnames = {names}\nports = {ports}\n"
             f"service_s = {self.layout.service_s}\n"
+            f"{self.layout.upstream_settings}"
         )
 
     def _format_host(self, host: str) -> str:
@@ -248,6 +253,7 @@
                 "-m",
                 module,
                 str(self.folder / f"{name}.ini"),
+                cwd=self.find_tree(name),
                 stdout=log,
                 stderr=log,
             )
