--- a/bench/service.py
+++ b/bench/service.py
@@ -11,7 +11,6 @@
 import os
 import sys
 import tempfile
-import time
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
@@ -261,9 +260,10 @@
         await asyncio.sleep(SETTLE_S)
         calls = await fleet.read_store_calls()
         wire = await fleet.read_wire_bytes()
-        began, used_s = time.monotonic(), fleet.read_processor_s()
+        clock = asyncio.get_running_loop()
+        began, used_s = clock.time(), fleet.read_processor_s()
         await asyncio.sleep(seconds)
-        elapsed = time.monotonic() - began
+        elapsed = clock.time() - began
         share = (fleet.read_processor_s() - used_s) / elapsed
         later = await fleet.read_store_calls()
         wire = (await fleet.read_wire_bytes() - wire) / elapsed
--- a/radishstile/daemon/logs.py
+++ b/radishstile/daemon/logs.py
@@ -15,6 +15,8 @@
 class PrefixFormatter(logging.Formatter):
     """Formats time, level, host and the message with its prefix."""
 
+    __slots__ = ("_host",)
+
     def __init__(self, host: str):
         super().__init__()
         self._host = host
@@ -31,6 +33,8 @@
 class JsonFormatter(logging.Formatter):
     """Formats one JSON object a line."""
 
+    __slots__ = ("_host",)
+
     def __init__(self, host: str):
         super().__init__()
         self._host = host
