--- a/bench/failures/__main__.py
+++ b/bench/failures/__main__.py
@@ -28,7 +28,9 @@
 MAX_LATENCY_US = 60 * US_PER_S
 
 
-async def run(folder: Path, hosts: int, timings: Timings) -> dict:
+async def run(
+    folder: Path, hosts: int, timings: Timings, is_replacement: bool
+) -> dict:
     """Run the fleet through all failures and return what was found."""
     fleet = ProcessFleet(make_kowhai_layout(hosts), folder)
     happenings = Happenings()
@@ -39,7 +41,7 @@
         before = await fleet.count_store_calls()
         await asyncio.sleep(REST_S)
         after = await fleet.count_store_calls()
-        callers = await _load(fleet, timings, happenings)
+        callers = await _load(fleet, timings, happenings, is_replacement)
         records = {
             upstream.name: await fleet.read_records(upstream.name)
             for upstream in fleet.layout.upstreams
@@ -61,7 +63,10 @@
 
 
 async def _load(
-    fleet: ProcessFleet, timings: Timings, happenings: Happenings
+    fleet: ProcessFleet,
+    timings: Timings,
+    happenings: Happenings,
+    is_replacement: bool,
 ) -> list[Caller]:
     stop = asyncio.Event()
     connector = aiohttp.TCPConnector(limit=0)
@@ -77,7 +82,7 @@
                 callers.append(caller)
                 rate = _choose_rate(fleet, workspace) / 3
                 group.create_task(caller.run(rate, PURCHASE_SHARE, stop))
-        await run_steps(fleet, timings, happenings)
+        await run_steps(fleet, timings, happenings, is_replacement)
         stop.set()
     return callers
 
@@ -155,13 +160,15 @@
     parser.add_argument("--hosts", type=int, default=22)
     parser.add_argument("--pause", type=float, default=20.0)
     parser.add_argument("--outage", type=float, default=60.0)
+    parser.add_argument("--replace", action="store_true")
     parser.add_argument("--folder", type=Path)
     options = parser.parse_args()
     timings = Timings(pause_s=options.pause, outage_s=options.outage)
     with tempfile.TemporaryDirectory(prefix="radishstile-") as folder:
         kept = options.folder or Path(folder)
         kept.mkdir(parents=True, exist_ok=True)
-        return _print(asyncio.run(run(kept, options.hosts, timings)))
+        found = run(kept, options.hosts, timings, options.replace)
+        return _print(asyncio.run(found))
 
 
 if __name__ == "__main__":
--- a/bench/failures/steps.py
+++ b/bench/failures/steps.py
@@ -6,6 +6,8 @@
 from radishstile.errors import OperatorError
 from standin.process_fleet import ProcessFleet
 
+READY_TIMEOUT_S = 30.0
+
 
 class Timings:
     """How long each part of a run takes, in seconds."""
@@ -28,7 +30,7 @@
 class Happenings:
     """When each failure began and ended, on the machine's clock."""
 
-    __slots__ = ("times", "notes", "killed", "withdrawn", "left", "stopped")
+    __slots__ = ("times", "notes", "killed", "withdrawn", "left", "stops")
 
     def __init__(self):
         self.times: dict[str, float] = {}
@@ -36,7 +38,7 @@
         self.killed = ""
         self.withdrawn = ""
         self.left = ""
-        self.stopped = ""
+        self.stops: dict[str, float] = {}
 
     def mark(self, name: str) -> None:
         """Note that something happens now."""
@@ -44,21 +46,19 @@
 
 
 async def run_steps(
-    fleet: ProcessFleet, timings: Timings, happenings: Happenings
+    fleet: ProcessFleet,
+    timings: Timings,
+    happenings: Happenings,
+    is_replacement: bool,
 ) -> None:
-    """Let every failure happen in turn."""
+    """Let every failure happen in turn, or replace every host."""
     await asyncio.sleep(timings.warm_s)
-    for step in (
-        _kill_host,
-        _pause_host,
-        _stop_store,
-        _withdraw_key,
-        _leave_upstream,
-        _stop_host,
-    ):
+    if is_replacement:
+        await _replace_hosts(fleet, happenings)
+        return
+    for step in FAILURES:
         await step(fleet, timings, happenings)
         await asyncio.sleep(timings.gap_s)
-    happenings.mark("end")
 
 
 async def _kill_host(
@@ -114,8 +114,32 @@
 async def _stop_host(
     fleet: ProcessFleet, timings: Timings, happenings: Happenings
 ) -> None:
-    happenings.stopped = fleet.hosts[4]
-    happenings.mark("stopping")
-    status = await fleet.stop_host(happenings.stopped)
-    happenings.mark("stopped")
-    happenings.notes.append(f"{happenings.stopped} ended with {status}")
+    await _stop(fleet, fleet.hosts[4], happenings)
+
+
+async def _stop(
+    fleet: ProcessFleet, host: str, happenings: Happenings
+) -> None:
+    happenings.stops[host] = asyncio.get_running_loop().time()
+    status = await fleet.stop_host(host)
+    if status != 0:
+        happenings.notes.append(f"{host} ended with {status}")
+
+
+async def _replace_hosts(fleet: ProcessFleet, happenings: Happenings) -> None:
+    """Replace all hosts, one after another."""
+    for host in fleet.hosts:
+        await _stop(fleet, host, happenings)
+        await fleet.start_host(host)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            await fleet.wait_ready([host])
+
+
+FAILURES = (
+    _kill_host,
+    _pause_host,
+    _stop_store,
+    _withdraw_key,
+    _leave_upstream,
+    _stop_host,
+)
--- a/bench/failures/verdict.py
+++ b/bench/failures/verdict.py
@@ -1,5 +1,6 @@
 """Checks the promises against what the upstreams and callers saw."""
 
+import math
 from collections import Counter, defaultdict
 
 from bench.failures.caller import REQUEST_HEADER, TRY_HEADER, Request
@@ -71,7 +72,10 @@
 
 def judge(evidence: Evidence) -> list[Verdict]:
     """Return a verdict for each promise that the run can show."""
-    return [rule(evidence) for rule in RULES]
+    rules = list(RULES)
+    if evidence.happenings.withdrawn:
+        rules += [_check_withdrawn, _check_left]
+    return [rule(evidence) for rule in rules]
 
 
 def _check_once(evidence: Evidence) -> Verdict:
@@ -218,8 +222,7 @@
         attempt
         for request in evidence.requests
         for attempt in request.tries
-        if attempt.host == happenings.stopped
-        and attempt.ended_at >= happenings.times["stopping"]
+        if attempt.ended_at >= happenings.stops.get(attempt.host, math.inf)
     ]
     broken = [
         f"{a.name} {a.error}" for a in tries if a.error and a.is_connected
@@ -235,8 +238,6 @@
     _check_rates,
     _check_slots,
     _check_shed,
-    _check_withdrawn,
-    _check_left,
     _check_whole,
     _check_stop,
 )
