Stop a kept demo by SIGTERM too

Cause: a demo that was left running with KEEP=1 and started in the background ignored SIGINT, and SIGTERM ended it without its fleet.

--- a/standin/demo.py
+++ b/standin/demo.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -56,12 +57,14 @@
 
 
 async def wait_for_user(fleet: DemoFleet) -> None:
-    """Print commands to try and wait until interrupted."""
+    """Print commands to try and wait for SIGINT or SIGTERM."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
     print(fleet.describe_commands(), flush=True)
-    try:
-        await asyncio.Event().wait()
-    except asyncio.CancelledError:
-        print("demo: stopping")
+    await stop.wait()
+    print("demo: stopping", flush=True)
 
 
 def main() -> int:
