--- a/test/run/test_harm.py
+++ b/test/run/test_harm.py
@@ -45,3 +45,9 @@
         self.crash(1, "u1", b"bad", b"near")
         self.crash(2, "u2", b"bad", b"near")
         self.assertIs(self.check(b"near"), HarmVerdict.PROBATION)
+
+    def test_remembers_a_suspect_from_its_last_crash(self):
+        self.crash(1, "u1", b"bad")
+        report = CrashReport("a#1#2", "u2", frozenset([b"bad"]))
+        self.ledger.apply(report, 500.0)
+        self.assertIs(self.check(b"bad", 700.0), HarmVerdict.REFUSED)
--- a/test/run/test_retry.py
+++ b/test/run/test_retry.py
@@ -56,3 +56,29 @@
         for _ in range(100):
             self.budget.note_success()
         self.assertEqual(self.budget.tokens, 4)
+
+    def list_delays(self, number, retry_after_s=None):
+        """Return the delays of many tries after a number of attempts."""
+        settings = RunSettings(retry_attempts=9, retry_tokens_max=99)
+        policy = RetryPolicy(settings, RetryBudget(settings), Random(1))
+        failure = kinds.ConnectFailed("u1", retry_after_s)
+        attempt = Attempt(99.0, True, number)
+        return [
+            policy.decide(attempt, failure, 0.0).delay_s for _ in range(50)
+        ]
+
+    def test_backs_off_with_jitter_up_to_the_longest_delay(self):
+        for number, longest in ((1, 0.05), (2, 0.1), (3, 0.2), (8, 1.0)):
+            delays = self.list_delays(number)
+            self.assertGreaterEqual(min(delays), longest / 2)
+            self.assertLessEqual(max(delays), longest)
+            self.assertGreater(max(delays) - min(delays), longest / 4)
+
+    def test_waits_as_long_as_the_target_asks(self):
+        self.assertEqual(set(self.list_delays(1, 2.0)), {2.0})
+
+    def test_excludes_each_target_that_failed(self):
+        first = self.decide(kinds.ConnectFailed, True).following
+        failure = kinds.ConnectFailed("u2")
+        second = self.policy.decide(first, failure, 0.0).following
+        self.assertEqual(second.excluded, {"u1", "u2"})
