Count what is refused within its workspace's rate

Cause: the metric was there and never counted, and a caller that left was counted as a fault of the system.

Ruled out: counting each refusal (one above the rate is the workspace's own).

Measured: the new test found no line of the metric without the count, by the metric having had no use; test.daemon.test_service, test.http.test_caller, test.http.test_operator and test.test_docs pass with it.

--- a/radishstile/daemon/entry.py
+++ b/radishstile/daemon/entry.py
@@ -25,6 +25,19 @@
 _RETRY_AFTER_S = 1.0
 _FINAL = (Reason.DEADLINE, Reason.HARMFUL)
 
+# Refusals that are no fault of a caller within its workspace's rate.
+_WANT_OF_ROOM = frozenset(
+    {
+        Reason.RATE_EXCEEDED,
+        Reason.OVERLOADED,
+        Reason.NO_UPSTREAM,
+        Reason.DEADLINE,
+        Reason.UPSTREAM_SHED,
+        Reason.RECORD_UNAVAILABLE,
+        Reason.STOPPING,
+    }
+)
+
 
 class Entry:
     """What sessions need to serve requests, and those that are open."""
@@ -152,22 +165,29 @@
             self._count(error)
 
     def _count(self, error: BaseException | None) -> None:
-        reason = "answered"
-        if error is not None:
-            reason = getattr(error, "reason", Reason.INTERNAL)
-            reason = getattr(reason, "value", "left")
+        reason = getattr(error, "reason", None)
+        ending = "answered" if error is None else "left"
         labels = {
             "route": self._route.name if self._route else "",
             "workspace": self._workspace.name if self._workspace else "",
-            "outcome": reason,
+            "outcome": ending if reason is None else reason.value,
         }
         self._span.set_attributes(labels)
         self._span.end()
         metrics = self._entry.node.metrics
         metrics.requests.inc(labels)
+        if reason in _WANT_OF_ROOM and self._is_within_rate():
+            metrics.refused_within_rate.inc({"workspace": labels["workspace"]})
         elapsed_s = read_clock() - self._begun_at
         metrics.latency.observe({"route": labels["route"]}, elapsed_s)
 
+    def _is_within_rate(self) -> bool:
+        if self._workspace is None:
+            return False
+        gate = self._entry.parts.lanes.gate
+        lane = RateResource(self._workspace.name).name
+        return not gate.find_limiter(lane).is_exhausted
+
     async def _serve(self, call: Call) -> Answer:
         entry = self._entry
         node = entry.node
--- a/test/daemon/test_service.py
+++ b/test/daemon/test_service.py
@@ -9,6 +9,19 @@
 class ServiceTest(PausedTestCase):
     """Hosts serve while others die, stop, come back or are cut off."""
 
+    async def test_counts_what_is_refused_within_the_rate(self):
+        name = "radishstile_refused_within_rate"
+        async with Fleet(2) as fleet:
+            daemon = fleet.daemons[fleet.hosts[0]]
+            for upstream in ("press-1", "press-2"):
+                fleet.store.set_machine(upstream, "leaving")
+            await asyncio.sleep(10)
+            sent = await fleet.send("GET", "/payruns/1", host=fleet.hosts[0])
+            self.assertEqual(sent.reason, "no-upstream")
+            shown = daemon.render_metrics("text/plain")[0].decode()
+            lines = [x for x in shown.splitlines() if x.startswith(name)]
+            self.assertEqual(lines, [name + '{workspace="employer"} 1'])
+
     async def test_serves_through_any_host(self):
         async with Fleet(4) as fleet:
             for host in fleet.hosts:
