Take free ports from below the range of outgoing connections

Cause: a fleet was seen not to get ready, twice on a loaded machine and once with an upstream whose port refused: ports came from the range from which the kernel takes those of outgoing connections, so one could be taken before its server listened.

Ruled out: trying again with other ports (settings files name them already).

That this was the cause of those failures is likely and not proven.

--- a/standin/free_ports.py
+++ b/standin/free_ports.py
@@ -1,15 +1,25 @@
 """Free TCP ports on the loopback address."""
 
+import random
 import socket
 from contextlib import ExitStack
 
+# Below the range from which kernels take the ports of outgoing connections,
+# which could otherwise take a port before its server listens.
+_PORTS = range(15_000, 32_000)
+
 
 def find_free_ports(count: int) -> list[int]:
     """Return `count` ports that were free a moment ago."""
+    draw = random.SystemRandom()
     with ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
+            port = draw.choice(_PORTS)
             bound = stack.enter_context(socket.socket())
-            bound.bind(("127.0.0.1", 0))
-            ports.append(bound.getsockname()[1])
+            try:
+                bound.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
         return ports
