Join rules that said the same, and drop a method without a caller

Cause: four rules of retries had one body, the health path stood twice, and Homes.list_names was not used.

Measured: test.run, test.daemon.test_harm and test.daemon.test_service pass (44); format and lint pass. The whole suite was not run again.

--- a/radishstile/daemon/harm.py
+++ b/radishstile/daemon/harm.py
@@ -10,6 +10,7 @@
 from radishstile.daemon.node import Node, read_clock
 from radishstile.daemon.order import Order
 from radishstile.errors import RadishstileError, RefusalError
+from radishstile.http.upstream import HEALTH_PATH
 from radishstile.outcome import Outcome, Reason
 from radishstile.run.harm import (
     CrashReport,
@@ -184,7 +185,7 @@
     async def _is_down(self, lease: SlotLease) -> bool:
         try:
             await self._node.upstreams.fetch_report(
-                lease.address, lease.port, "/health", _PROBE_TIMEOUT_S
+                lease.address, lease.port, HEALTH_PATH, _PROBE_TIMEOUT_S
             )
         except (aiohttp.ClientConnectorError, aiohttp.ClientOSError):
             return True
--- a/radishstile/daemon/homes.py
+++ b/radishstile/daemon/homes.py
@@ -96,10 +96,6 @@
             else:
                 self._open_home(name, entry, group)
 
-    def list_names(self) -> list[str]:
-        """Return the names of the resources that are served here."""
-        return list(self._open)
-
     def list_slots(self) -> list[SlotsHome]:
         """Return the homes of slots that are served here."""
         return [
--- a/radishstile/daemon/slots.py
+++ b/radishstile/daemon/slots.py
@@ -14,6 +14,7 @@
 from radishstile.daemon.shares import list_region_slots
 from radishstile.errors import RadishstileError
 from radishstile.fleet.roster import HomeEntry
+from radishstile.http.upstream import HEALTH_PATH
 from radishstile.region.capacity import RegionShare
 from radishstile.region.link import LinkBudget
 from radishstile.region.settings import ANSWER_SHARE, RegionSettings
@@ -24,7 +25,6 @@
 from radishstile.workspace.queue import FairQueue
 
 _LOG = logging.getLogger("radishstile.slots")
-_HEALTH_PATH = "/health"
 _LOAD_PATH = "/load"
 _REPORT_INTERVAL_S = 2.0
 _REPORT_TIMEOUT_S = 1.0
@@ -168,7 +168,7 @@
     async def _fetch_health(self, address: str, port: int) -> bool:
         try:
             report = await self._node.upstreams.fetch_report(
-                address, port, _HEALTH_PATH, _REPORT_TIMEOUT_S
+                address, port, HEALTH_PATH, _REPORT_TIMEOUT_S
             )
             return report["status"] == _HEALTHY
         except _FETCH_ERRORS:
@@ -186,7 +186,7 @@
         fetch = self._node.upstreams.fetch_report
         place = entry.address, entry.port
         try:
-            health = await fetch(*place, _HEALTH_PATH, _REPORT_TIMEOUT_S)
+            health = await fetch(*place, HEALTH_PATH, _REPORT_TIMEOUT_S)
             load = await fetch(*place, _LOAD_PATH, _REPORT_TIMEOUT_S)
             is_ok = health["status"] == _HEALTHY
             busy_share = load["busy"] / max(1, load["slots"])
--- a/radishstile/http/upstream.py
+++ b/radishstile/http/upstream.py
@@ -12,6 +12,7 @@
 from radishstile.http import headers as names
 from radishstile.http.resending import forbid_resending
 
+HEALTH_PATH = "/health"
 _PART_BYTES = 65_536
 
 
--- a/radishstile/run/retry.py
+++ b/radishstile/run/retry.py
@@ -63,23 +63,11 @@
     return Outcome.UNKNOWN
 
 
-@judge_outcome.register
-def _(failure: UpstreamRefused) -> Outcome:
-    return Outcome.NOT_RUN
-
-
-@judge_outcome.register
-def _(failure: ConnectFailed) -> Outcome:
-    return Outcome.NOT_RUN
-
-
-@judge_outcome.register
-def _(failure: LostBeforeFirstByte) -> Outcome:
-    return Outcome.NOT_RUN
-
-
-@judge_outcome.register
-def _(failure: Shed) -> Outcome:
+@judge_outcome.register(UpstreamRefused)
+@judge_outcome.register(ConnectFailed)
+@judge_outcome.register(LostBeforeFirstByte)
+@judge_outcome.register(Shed)
+def _(failure: Failure) -> Outcome:
     return Outcome.NOT_RUN
 
 
