Keep objects where they are known, and leads stable

Hosts also fell back to leading themselves for moments, as a follower's derived proof looked fresher than its lead's.

Change: a claim for a known object queues for the upstream that knows it and should be free first, and runs cold only where half of an upstream stands idle; a request that did not run leaves the memory as it was; trouble of most upstreams is not held against each. A lead is passed over only for a host that the store itself has answered lately; followers watch the store while their lead is out of touch with it, at once.

Ruled out: fewer slots for each host (refuses while slots stand idle).

--- a/radishstile/entry/leads.py
+++ b/radishstile/entry/leads.py
@@ -19,9 +19,9 @@
 
 _LOG = logging.getLogger("radishstile.leads")
 
-# Hosts of its region that a host keeps a connection to: the lead, and two
+# Hosts of its region that a host keeps a connection to: the lead, and three
 # more so that the next one is at hand when it is lost.
-DIALLED = 3
+DIALLED = 4
 # The same of each other region, for a host that leads its own.
 DIALLED_AWAY = 2
 
@@ -76,6 +76,7 @@
         ]
         name = choose_lead(candidates)
         if name != self._lead:
+            self._log_change(name, candidates)
             self._follow(name)
         if self.is_leading:
             return None
@@ -105,6 +106,7 @@
             hosts=self.followers.list_serving(now),
             version=node.catalog.version if node.catalog else 0,
             age_s=node.measure_age(),
+            store_age_s=node.measure_store_age(),
             lead="" if node.is_leaving else self._lead,
             loads={
                 name: [load.demand, load.capacity]
@@ -138,17 +140,26 @@
 
     def _describe(self, member: Member, now: float) -> Candidate:
         if member.host == self._node.me.host:
-            return Candidate(member.host, True, self._node.measure_age())
+            age_s = self._node.measure_store_age()
+            return Candidate(member.host, True, age_s)
         peer = self.peers.find(member.host)
         if peer is None or not peer.is_usable(now):
             return Candidate(member.host, False, 0.0)
         return Candidate(member.host, True, peer.measure_age(now))
 
-    def _follow(self, name: str) -> None:
+    def _log_change(self, name: str, candidates: list[Candidate]) -> None:
+        before = [c for c in candidates if c.host == self._lead]
         _LOG.info(
             "leads: Follows another host.",
-            extra=describe(before=self._lead, lead=name),
+            extra=describe(
+                before=self._lead,
+                before_reachable=any(c.is_reachable for c in before),
+                before_store_age_s=round(sum(c.age_s for c in before), 3),
+                lead=name,
+            ),
         )
+
+    def _follow(self, name: str) -> None:
         self._lead = name
         self.peers.follow(name)
         if not self.is_leading:
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -31,6 +31,7 @@
         "random",
         "catalog",
         "freshness",
+        "_store_reached_at",
         "registry",
         "hosts",
         "is_leaving",
@@ -53,6 +54,8 @@
         self.random = random.Random()
         self.catalog: Catalog | None = None
         self.freshness = Freshness(file.bounds.withdrawal_s)
+        # On the lasting clock: when the last answered question was asked.
+        self._store_reached_at = float("-inf")
         self.registry = Registry()
         self.hosts: dict[str, Member] = {}
         self.is_leaving = False
@@ -63,6 +66,14 @@
         """Return the age of this host's proof of freshness, in seconds."""
         return min(self.freshness.measure_age(read_lasting_clock()), NEVER_S)
 
+    def note_store(self, asked_at: float) -> None:
+        """Note that the store answered what this host asked then."""
+        self._store_reached_at = max(self._store_reached_at, asked_at)
+
+    def measure_store_age(self) -> float:
+        """Return how long ago the store answered this host, in seconds."""
+        return min(read_lasting_clock() - self._store_reached_at, NEVER_S)
+
     def take_proof(self, version: int, as_of: float) -> None:
         """Take a peer's word that `version` was the newest at `as_of`.
 
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -6,6 +6,7 @@
 from radishstile.entry.leads import Leads
 from radishstile.entry.logs import describe
 from radishstile.entry.node import EntryNode, read_clock, read_lasting_clock
+from radishstile.entry.peers import Peer
 from radishstile.entry.sources import PeerSource
 from radishstile.errors import (
     ConfigurationError,
@@ -40,13 +41,15 @@
 # Longest wait of a watch in seconds. The configuration's is short, as each
 # answer confirms that keys are still valid; the others' bounds how long a
 # connection that has gone silent goes unnoticed.
-CONFIGURATION_WAIT_S = 1.5
-UPSTREAM_WAIT_S = 3.0
+CONFIGURATION_WAIT_S = 0.8
+UPSTREAM_WAIT_S = 1.5
 EVACUATION_WAIT_S = 3.0
 HOST_WAIT_S = 5.0
 # Pause after a change of the hosts, in seconds: they register one after the
 # other, and each change would be a call of its own.
 HOST_PAUSE_S = 0.3
+# Time between looks at whether another source is to be followed, in seconds.
+SOURCE_REVIEW_S = 0.25
 # Pauses between failed calls, in seconds, doubled up to the longest.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
@@ -77,6 +80,7 @@
 
     def confirm(self, asked_at: float) -> None:
         """Note that the store had nothing newer at `asked_at`."""
+        self._node.note_store(asked_at)
         if self._is_readable:
             self._node.freshness.confirm(asked_at)
 
@@ -267,11 +271,12 @@
         is_behind = True
         pause_s = RETRY_MIN_S
         while True:
-            source = self._choose_source()
+            lead = self._choose_lead()
+            source = self._node.store if lead is None else PeerSource(lead)
             try:
                 if is_behind:
                     is_behind = not await self._list(feed, mirror, source)
-                await self._watch(feed, mirror, source)
+                await self._watch_while(lead, feed, mirror, source)
                 pause_s = RETRY_MIN_S
                 self._note_answer()
             except HistoryLostError as error:
@@ -285,11 +290,29 @@
                 )
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
 
-    def _choose_source(self) -> ObjectClient | PeerSource:
+    def _choose_lead(self) -> Peer | None:
+        """Return the lead to follow, or None to ask the store itself."""
         lead = self._leads.find_lead()
         if lead is None or lead.measure_age(read_clock()) > STALE_S:
-            return self._node.store
-        return PeerSource(lead)
+            return None
+        return lead
+
+    async def _watch_while(
+        self,
+        lead: Peer | None,
+        feed: Feed,
+        mirror: Mirror,
+        source: ObjectClient | PeerSource,
+    ) -> None:
+        """Watch once, but no longer than the source is the one to follow."""
+        task = asyncio.ensure_future(self._watch(feed, mirror, source))
+        try:
+            while not task.done() and self._choose_lead() is lead:
+                await asyncio.wait({task}, timeout=SOURCE_REVIEW_S)
+            if task.done():
+                task.result()
+        finally:
+            task.cancel()
 
     async def _list(
         self, feed: Feed, mirror: Mirror, source: ObjectClient | PeerSource
--- a/radishstile/entry/serving.py
+++ b/radishstile/entry/serving.py
@@ -112,7 +112,7 @@
 class RunResult:
     """How one try ended, and the answer where there is one to pass on."""
 
-    __slots__ = ("ending", "upstream_id", "answer", "detail")
+    __slots__ = ("ending", "upstream_id", "answer", "detail", "held_s")
 
     def __init__(
         self,
@@ -125,6 +125,7 @@
         self.upstream_id = upstream_id
         self.answer = answer
         self.detail = detail
+        self.held_s = 0.0
 
 
 class Tries:
@@ -183,6 +184,8 @@
         """Return the answer to an order; raises `RefusalError`."""
         plan = self._plan(order)
         tries = Tries()
+        # The allowance counts requests, whatever becomes of them.
+        self._budget.note_success()
         try:
             async with asyncio.timeout_at(plan.deadline_at):
                 return await self._try_until_answered(plan, tries)
@@ -253,11 +256,12 @@
     async def _try_until_answered(self, plan: Plan, tries: Tries) -> Answer:
         while True:
             slot = await self._claim(plan, tries)
+            started_at = read_clock()
             result = await self._run(plan, slot, tries)
+            result.held_s = read_clock() - started_at
             tries.note(result)
             self._log_try(plan, slot, result)
             if result.ending is Ending.SERVED:
-                self._budget.note_success()
                 return result.answer
             if not self._may_go_on(plan, tries, result):
                 return self._conclude(tries, result)
@@ -471,7 +475,10 @@
                 version=plan.version,
                 service=plan.service,
                 upstream=result.upstream_id,
+                object=plan.order.affinity,
                 warm=slot.grant.is_warm,
+                expected_s=round(slot.grant.expected_s, 3),
+                held_s=round(result.held_s, 3),
                 ending=result.ending.value,
                 why=result.detail,
                 age_s=round(read_clock() - plan.order.request.received_at, 3),
--- a/radishstile/fleet/following.py
+++ b/radishstile/fleet/following.py
@@ -19,16 +19,19 @@
 LEAD_SILENCE_S = 1.0
 
 
-# Age of a candidate's proof that its configuration is the newest, in seconds,
-# past which another one leads: hosts follow the store through their lead.
-STALE_S = 2.6
+# Age of a lead's last answer from the store, in seconds, past which its
+# followers ask the store themselves, and past which another one leads that
+# the store has answered since. A lead in touch asks every 0.8 s, and its
+# followers hear of it 0.4 s later.
+STALE_S = 1.8
 
 
 class Candidate:
     """A host that may lead, as another host sees it.
 
-    `is_reachable` tells whether it answers, `age_s` how old its proof is, in
-    seconds.
+    `is_reachable` tells whether it answers, `age_s` how long ago the store
+    answered it, in seconds. The store answers only hosts that ask, so a
+    follower becomes a candidate by asking once its lead is stale.
     """
 
     __slots__ = ("host", "is_reachable", "age_s")
--- a/radishstile/platform/objects.py
+++ b/radishstile/platform/objects.py
@@ -21,7 +21,7 @@
 # milliseconds, and in a quarter of a second while it is slow.
 CALL_TIMEOUT_S = 1.5
 # Grace for the answer of a watch after its wait, in seconds.
-WATCH_GRACE_S = 1.0
+WATCH_GRACE_S = 0.6
 _MS_PER_S = 1000
 
 _BUSY = 429
--- /dev/null
+++ b/radishstile/slot/choice.py
@@ -0,0 +1,85 @@
+"""Chooses among the upstreams of a service for one claim."""
+
+from radishstile.slot.claim import Claim
+from radishstile.slot.ranking import Ranking
+from radishstile.slot.upstream import BookedUpstream
+
+
+class Choice:
+    """The upstreams that may take a claim, the best for its object first.
+
+    Upstreams in trouble are left out, unless most are: then the trouble is
+    of the service, and leaving some out would only crowd the others.
+    """
+
+    __slots__ = ("claim", "_now", "_usable", "_avoided", "_warm")
+
+    def __init__(self, ranking: Ranking, claim: Claim, now: float):
+        self.claim = claim
+        self._now = now
+        accepted = [
+            upstream
+            for upstream in ranking.order(claim.object_key)
+            if upstream.capacity and upstream.accepts(claim)
+        ]
+        avoided = [u for u in accepted if u.is_avoided()]
+        if 2 * len(avoided) > len(accepted):
+            avoided = []
+        self._avoided = avoided
+        self._usable = [u for u in accepted if u not in avoided]
+        self._warm = []
+        if claim.object_key:
+            self._warm = [u for u in self._usable if u.knows(claim.object_key)]
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether some usable upstream knows the object."""
+        return bool(self._warm)
+
+    def find_warm(self) -> BookedUpstream | None:
+        """Return the first upstream with room that knows the object.
+
+        An upstream that joined and had no run yet goes first, once.
+        """
+        untried = [u for u in self._usable if u.is_untried]
+        return self._find_open(untried) or self._find_open(self._warm)
+
+    def find_soonest_warm(self) -> BookedUpstream | None:
+        """Return the upstream that knows the object and is free first."""
+        if not self._warm:
+            return None
+        return min(
+            self._warm,
+            key=lambda u: u.expect_wait(self.claim.priority, self._now),
+        )
+
+    def find_any(self) -> BookedUpstream | None:
+        """Return an upstream with room, in this order.
+
+        One that has to be tried, the first with slots to spare, the first
+        with room, and an avoided one.
+        """
+        return (
+            self._find_due()
+            or self.find_spare()
+            or self._find_open(self._usable)
+            or self._find_open(self._avoided)
+        )
+
+    def find_spare(self) -> BookedUpstream | None:
+        """Return the first upstream of which half stays free."""
+        return self._find_open([u for u in self._usable if u.has_spare()])
+
+    def _find_due(self) -> BookedUpstream | None:
+        """Return an upstream that joined, or may be good again."""
+        untried = [u for u in self._usable if u.is_untried]
+        probed = [u for u in self._avoided if u.may_probe(self._now)]
+        return self._find_open(untried + probed)
+
+    def _find_open(
+        self, upstreams: list[BookedUpstream]
+    ) -> BookedUpstream | None:
+        for upstream in upstreams:
+            if upstream.has_room(self._now):
+                return upstream
+        return None
--- a/radishstile/slot/queue.py
+++ b/radishstile/slot/queue.py
@@ -5,19 +5,28 @@
 from sortedcontainers import SortedKeyList
 
 from radishstile.slot.claim import Claim
+from radishstile.slot.upstream import BookedUpstream
 
 
 class Waiting:
     """A claim in the queue.
 
-    Until `patient_until`, on the loop's clock, it takes only a slot of an
-    upstream that knows its object.
+    `home` is the upstream that knows its object and should be free first, if
+    there is one. Until `patient_until`, on the loop's clock, the claim takes
+    only a slot of an upstream that knows the object.
     """
 
-    __slots__ = ("claim", "patient_until", "expected_s")
+    __slots__ = ("claim", "home", "patient_until", "expected_s")
 
-    def __init__(self, claim: Claim, patient_until: float, expected_s: float):
+    def __init__(
+        self,
+        claim: Claim,
+        home: BookedUpstream | None,
+        patient_until: float,
+        expected_s: float,
+    ):
         self.claim = claim
+        self.home = home
         self.patient_until = patient_until
         self.expected_s = expected_s
 
@@ -50,12 +59,14 @@
         """Add a claim."""
         self._by_rank.add(waiting)
         self._by_id[waiting.claim.claim_id] = waiting
+        _note_work(waiting, waiting.expected_s)
 
     def remove(self, claim_id: str) -> Waiting | None:
         """Take a claim out, if it is there."""
         waiting = self._by_id.pop(claim_id, None)
         if waiting is not None:
             self._by_rank.remove(waiting)
+            _note_work(waiting, -waiting.expected_s)
         return waiting
 
     def measure_ahead(self, priority: int) -> float:
@@ -66,3 +77,12 @@
                 break
             work_s += waiting.expected_s
         return work_s
+
+
+def _note_work(waiting: Waiting, work_s: float) -> None:
+    """Add to the work that waits for a claim's home."""
+    if waiting.home is None:
+        return
+    queued_s = waiting.home.queued_s
+    priority = waiting.claim.priority
+    queued_s[priority] = max(0.0, queued_s.get(priority, 0.0) + work_s)
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -10,6 +10,9 @@
 _BAD_ENDINGS = frozenset(
     {Ending.FAILED, Ending.SHED, Ending.BROKEN, Ending.TIMED_OUT}
 )
+# A run that lasts longer than expected is taken to end after this time, in
+# seconds: some hundredths, as the mean rest of a late run is not known.
+MIN_REST_S = 0.05
 # Endings that say something about the upstream.
 _TELLING_ENDINGS = _BAD_ENDINGS | {Ending.SERVED}
 
@@ -31,6 +34,10 @@
         self.expected_s = expected_s
         self.is_warm = is_warm
 
+    def expect_rest(self, now: float) -> float:
+        """Return how long the run will still hold its slot, in seconds."""
+        return max(MIN_REST_S, self.started_at + self.expected_s - now)
+
 
 class BookedUpstream:
     """The slots of one incarnation of an upstream, and what runs there.
@@ -46,6 +53,7 @@
         "capacity",
         "borrowed",
         "lent",
+        "queued_s",
         "runs",
         "hold_s",
         "is_untried",
@@ -72,6 +80,9 @@
         self.borrowed = 0
         # Slots lent to each region.
         self.lent: dict[str, int] = {}
+        # Expected slot-seconds of claims that wait for this upstream, by
+        # priority.
+        self.queued_s: dict[int, float] = {}
         self.runs: dict[str, Run] = {}
         self.hold_s = 0.0
         self.is_untried = False
@@ -146,8 +157,36 @@
         return not claim.regions or self.registration.region in claim.regions
 
     def knows(self, object_key: str) -> bool:
-        """Return whether the upstream probably remembers the object."""
-        return object_key in self._warm
+        """Return whether the upstream probably remembers the object.
+
+        One that runs a request for it now soon will.
+        """
+        if object_key in self._warm:
+            return True
+        return any(
+            run.claim.object_key == object_key for run in self.runs.values()
+        )
+
+    def has_spare(self) -> bool:
+        """Return whether half of the slots stay free after one more run."""
+        return 2 * (self.running + 1) <= self.capacity
+
+    def expect_wait(self, priority: int, now: float) -> float:
+        """Return the expected seconds until a new claim gets a slot.
+
+        Counted are what runs and the claims at least as urgent that wait
+        for this upstream.
+        """
+        running_s = sum(run.expect_rest(now) for run in self.runs.values())
+        return (running_s + self.measure_queued(priority)) / self.capacity
+
+    def measure_queued(self, priority: int) -> float:
+        """Return the slot-seconds of waiting claims that go first."""
+        return sum(
+            work_s
+            for rank, work_s in self.queued_s.items()
+            if rank <= priority
+        )
 
     def start(self, run: Run) -> None:
         """Give a slot to a claim."""
@@ -157,8 +196,6 @@
             self._cold_bucket.take(1.0)
         if self.is_avoided():
             self._probed_at = run.started_at
-        if run.claim.object_key:
-            self._remember(run.claim.object_key)
 
     def finish(
         self, claim_id: str, ending: Ending, held_s: float, now: float
@@ -191,8 +228,8 @@
         if ending in (Ending.SERVED, Ending.TIMED_OUT):
             ratio = held_s / max(run.expected_s, 0.001)
             self._slowness += smoothing * (ratio - self._slowness)
-        if is_bad and run.claim.object_key:
-            self._warm.pop(run.claim.object_key, None)
+        if ending is Ending.SERVED and run.claim.object_key:
+            self._remember(run.claim.object_key)
 
     def _remember(self, object_key: str) -> None:
         self._warm[object_key] = None
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -96,17 +96,19 @@
 class LeadState(Message):
     """Answers `FollowLead`.
 
-    `hosts` are the region's hosts that callers may be sent to; `age_s` is
+    `hosts` are the region's hosts that callers may be sent to. `age_s` is
     the time since the lead's configuration, `version`, was confirmed to be
-    the newest; `lead` is the host that the answering one follows, empty when
-    it is leaving; `loads` maps services to demand and capacity in slots, and
-    `weight` is the number of its followers. `clock` is for the echo.
+    the newest, and `store_age_s` since the store itself answered it. `lead`
+    is the host that the answering one follows, empty when it is leaving;
+    `loads` maps services to demand and capacity in slots, and `weight` is
+    the number of its followers. `clock` is for the echo.
     """
 
     __slots__ = (
         "hosts",
         "version",
         "age_s",
+        "store_age_s",
         "lead",
         "loads",
         "weight",
@@ -116,6 +118,7 @@
     hosts: list[str]
     version: int
     age_s: float
+    store_age_s: float
     lead: str
     loads: dict
     weight: int
