Follow the store through whoever it answers, one call for all

Change: following the store and leading are apart. Hosts follow the first host of their region that the store has answered within 1.6 s; where there is none, they ask the store one after the other, and only for the configuration until it answers. The lead changes after 2.6 s.

--- a/radishstile/entry/directory.py
+++ b/radishstile/entry/directory.py
@@ -24,9 +24,16 @@
 class Directory:
     """Answers look-ups, readiness checks and scrapes."""
 
-    __slots__ = ("_node", "_leads", "_desk", "_runners")
-
-    def __init__(self, node: EntryNode, leads: Leads, desk: SlotDesk):
+    __slots__ = ("_node", "_leads", "_desk", "_metrics_port", "_runners")
+
+    def __init__(
+        self,
+        node: EntryNode,
+        leads: Leads,
+        desk: SlotDesk,
+        metrics_port: int,
+    ):
+        self._metrics_port = metrics_port
         self._node = node
         self._leads = leads
         self._desk = desk
@@ -48,7 +55,7 @@
             self._tell_ready,
         )
         await self._listen(
-            file.address, METRICS_PORT, "/metrics", self._tell_metrics
+            file.address, self._metrics_port, "/metrics", self._tell_metrics
         )
 
     async def stop(self) -> None:
--- a/radishstile/entry/leads.py
+++ b/radishstile/entry/leads.py
@@ -12,6 +12,7 @@
     Candidate,
     Followers,
     choose_lead,
+    choose_source,
     order_candidates,
 )
 from radishstile.member import Member
@@ -35,6 +36,7 @@
         "_node",
         "_desk",
         "_lead",
+        "_followed_at",
         "_shares",
     )
 
@@ -44,6 +46,8 @@
         self._node = node
         self._desk = desk
         self._lead = ""
+        # The loop's time at which the lead was taken.
+        self._followed_at = 0.0
         self._shares = (0.0, 0.0)
 
     @property
@@ -69,11 +73,7 @@
 
     def find_lead(self) -> Peer | None:
         """Return the peer to follow, or None if this host leads itself."""
-        now = read_clock()
-        candidates = [
-            self._describe(member, now)
-            for member in order_candidates(self._node.list_region())
-        ]
+        candidates = self._list_candidates()
         name = choose_lead(candidates)
         if name != self._lead:
             self._log_change(name, candidates)
@@ -82,6 +82,19 @@
             return None
         return self.peers.find(name)
 
+    def find_source(self) -> Peer | None:
+        """Return the peer to follow the store through, or None for none."""
+        lead = self.find_lead()
+        name = choose_source(
+            self._list_candidates(),
+            self._node.me.host,
+            self._lead,
+            read_clock() - self._followed_at,
+        )
+        if lead is not None and name == self._lead:
+            return lead
+        return self.peers.find(name)
+
     def find_lead_of(self, region: str) -> Peer | None:
         """Return the usable peer that leads another region, if any."""
         for peer in self.peers.list_usable(region):
@@ -138,6 +151,13 @@
             ),
         )
 
+    def _list_candidates(self) -> list[Candidate]:
+        now = read_clock()
+        return [
+            self._describe(member, now)
+            for member in order_candidates(self._node.list_region())
+        ]
+
     def _describe(self, member: Member, now: float) -> Candidate:
         if member.host == self._node.me.host:
             age_s = self._node.measure_store_age()
@@ -161,6 +181,7 @@
 
     def _follow(self, name: str) -> None:
         self._lead = name
+        self._followed_at = read_clock()
         self.peers.follow(name)
         if not self.is_leading:
             self.followers.drop(self._node.me.host)
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -14,7 +14,7 @@
     PlatformError,
     WireError,
 )
-from radishstile.fleet.following import STALE_S
+from radishstile.fleet.following import FRESH_S
 from radishstile.platform.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -271,12 +271,15 @@
         is_behind = True
         pause_s = RETRY_MIN_S
         while True:
-            lead = self._choose_lead()
-            source = self._node.store if lead is None else PeerSource(lead)
+            peer = self._leads.find_source()
+            source = self._node.store if peer is None else PeerSource(peer)
+            if peer is None and self._must_wait(feed):
+                await asyncio.sleep(SOURCE_REVIEW_S)
+                continue
             try:
                 if is_behind:
                     is_behind = not await self._list(feed, mirror, source)
-                await self._watch_while(lead, feed, mirror, source)
+                await self._watch_while(peer, feed, mirror, source)
                 pause_s = RETRY_MIN_S
                 self._note_answer()
             except HistoryLostError as error:
@@ -290,16 +293,19 @@
                 )
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
 
-    def _choose_lead(self) -> Peer | None:
-        """Return the lead to follow, or None to ask the store itself."""
-        lead = self._leads.find_lead()
-        if lead is None or lead.measure_age(read_clock()) > STALE_S:
-            return None
-        return lead
+    def _must_wait(self, feed: Feed) -> bool:
+        """Return whether to spare a store that does not answer.
+
+        The configuration's task asks for all; the others follow when it has
+        an answer.
+        """
+        if feed.kind == CONFIGURATION_KIND:
+            return False
+        return self._node.measure_store_age() > FRESH_S
 
     async def _watch_while(
         self,
-        lead: Peer | None,
+        peer: Peer | None,
         feed: Feed,
         mirror: Mirror,
         source: ObjectClient | PeerSource,
@@ -307,7 +313,7 @@
         """Watch once, but no longer than the source is the one to follow."""
         task = asyncio.ensure_future(self._watch(feed, mirror, source))
         try:
-            while not task.done() and self._choose_lead() is lead:
+            while not task.done() and self._leads.find_source() is peer:
                 await asyncio.wait({task}, timeout=SOURCE_REVIEW_S)
             if task.done():
                 task.result()
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -7,7 +7,7 @@
 from radishstile.entry.callers import Callers
 from radishstile.entry.claims import Claims
 from radishstile.entry.desk import SlotDesk
-from radishstile.entry.directory import Directory
+from radishstile.entry.directory import METRICS_PORT, Directory
 from radishstile.entry.handlers import Handler
 from radishstile.entry.leads import Leads
 from radishstile.entry.links import Links
@@ -59,7 +59,13 @@
         "_server",
     )
 
-    def __init__(self, file: HostFile, path: str, incarnation: int):
+    def __init__(
+        self,
+        file: HostFile,
+        path: str,
+        incarnation: int,
+        metrics_port: int = METRICS_PORT,
+    ):
         node = EntryNode(file, incarnation)
         wire = make_wire_settings()
         self.node = node
@@ -78,7 +84,9 @@
         claims = Claims(self._leads, self._desk, node.me.region)
         serving = Serving(node, claims, self._links, budget)
         self._callers = Callers(node, serving)
-        self._directory = Directory(node, self._leads, self._desk)
+        self._directory = Directory(
+            node, self._leads, self._desk, metrics_port
+        )
         self._registrar = Registrar(node, self._leads)
         self._replica = Replica(node, self._leads)
         handler = Handler(self._leads, claims, self._loans, self._replica)
@@ -114,6 +122,10 @@
                 task.cancel()
         await self._close()
 
+    def count_held(self) -> int:
+        """Return the slots that this host's book has given out."""
+        return self._desk.book.count_running()
+
     async def _apply_changes(self) -> None:
         """Let the desk follow what the replica learns."""
         while True:
--- a/radishstile/fleet/following.py
+++ b/radishstile/fleet/following.py
@@ -19,11 +19,17 @@
 LEAD_SILENCE_S = 1.0
 
 
-# Age of a lead's last answer from the store, in seconds, past which its
-# followers ask the store themselves, and past which another one leads that
-# the store has answered since. A lead in touch asks every 0.8 s, and its
-# followers hear of it 0.4 s later.
-STALE_S = 1.8
+# Age of a host's last answer from the store, in seconds, up to which others
+# follow the store through it. A lead in touch asks every 0.8 s, and its
+# followers hear of it 0.4 s later. What lies beyond must leave time to learn
+# of a leaving upstream within the shortest drain bound of the sheets, 2.5.
+FRESH_S = 1.6
+# The same age past which another host leads that the store has answered
+# since. Longer, as a change of the lead costs more than a call.
+STALE_S = 2.6
+# Hosts ask a store that their lead has lost one after the other, this many
+# seconds apart, so that one answer serves all.
+PROBE_STEP_S = 0.3
 
 
 class Candidate:
@@ -53,6 +59,28 @@
     return (current or reachable)[0].host
 
 
+def choose_source(
+    candidates: list[Candidate], me: str, lead: str, followed_s: float
+) -> str:
+    """Return the host through which `me` follows the store.
+
+    `me` means to ask the store itself. `followed_s` is the time since the
+    lead was taken, in seconds: a new one needs a moment to ask the store.
+    """
+    by_host = {candidate.host: candidate for candidate in candidates}
+    if by_host[lead].age_s <= FRESH_S:
+        return lead
+    for candidate in candidates:
+        is_fresh = candidate.is_reachable and candidate.age_s <= FRESH_S
+        if is_fresh and candidate.host != me:
+            return candidate.host
+    rank = [candidate.host for candidate in candidates].index(me)
+    lead_age_s = min(by_host[lead].age_s, followed_s)
+    if lead == me or lead_age_s > FRESH_S + PROBE_STEP_S * rank:
+        return me
+    return lead
+
+
 def order_candidates(members: list[Member]) -> list[Member]:
     """Return the hosts in the order in which they lead.
 
--- /dev/null
+++ b/standin/objects.py
@@ -0,0 +1,283 @@
+"""A stand-in of the platform's object store, in its published protocol.
+
+It keeps objects in memory and can misbehave as the real one may: be busy,
+silent or reset connections, lose answers, carry writes out late, and drop
+its history.
+"""
+
+import asyncio
+from enum import Enum
+
+import orjson
+from aiohttp import web
+
+PAGE_ITEMS = 500
+_MS_PER_S = 1000
+
+
+class Trouble(Enum):
+    """How the store treats calls."""
+
+    NONE = "none"
+    BUSY = "busy"
+    THROTTLED = "throttled"
+    SILENT = "silent"
+    RESET = "reset"
+    # Writes are carried out, and their answers are lost.
+    ANSWERS_LOST = "answers-lost"
+    # Writes are carried out a second later, and their answers are lost.
+    WRITES_LATE = "writes-late"
+
+
+LATE_S = 1.0
+
+
+class _Object:
+    """A stored object, as its JSON record."""
+
+    __slots__ = ("record",)
+
+    def __init__(self, record: dict):
+        self.record = record
+
+    @property
+    def revision(self) -> int:
+        return self.record["metadata"]["revision"]
+
+
+class _Event:
+    """A change at a revision."""
+
+    __slots__ = ("kind", "revision", "record", "is_removed")
+
+    def __init__(
+        self, kind: str, revision: int, record: dict, is_removed: bool
+    ):
+        self.kind = kind
+        self.revision = revision
+        self.record = record
+        self.is_removed = is_removed
+
+
+class ObjectStore:
+    """Serves `/v1/objects`; `calls` counts them by method."""
+
+    __slots__ = (
+        "trouble",
+        "calls",
+        "revision",
+        "_kinds",
+        "_events",
+        "_floor",
+        "_changed",
+        "_runner",
+        "_site",
+        "_tasks",
+    )
+
+    def __init__(self):
+        self.trouble = Trouble.NONE
+        self.calls: dict[str, int] = {}
+        self.revision = 1
+        self._kinds: dict[str, dict[str, _Object]] = {}
+        self._events: list[_Event] = []
+        # Changes up to this revision are forgotten.
+        self._floor = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port that the store listens on."""
+        return self._runner.addresses[0][1]
+
+    async def start(self, address: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen for calls."""
+        app = web.Application()
+        app.router.add_route("*", "/v1/objects/{kind}", self._serve)
+        app.router.add_route("*", "/v1/objects/{kind}/{name}", self._serve)
+        app.router.add_route(
+            "*", "/v1/objects/{kind}/{name}/status", self._serve
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        self._site = web.TCPSite(
+            self._runner, address, port, shutdown_timeout=0.1
+        )
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Close the socket and all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await self._runner.cleanup()
+
+    # What the operator and upstreams do, without a call.
+
+    def put(self, kind: str, name: str, spec, status=None) -> int:
+        """Write an object and return the new revision."""
+        known = self._find(kind, name)
+        if known is not None:
+            record = known.record
+            if (record["spec"], record["status"]) == (spec, status):
+                return self.revision
+        self.revision += 1
+        created = known.record["metadata"] if known else {}
+        record = {
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created_rev": created.get("created_rev", self.revision),
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": status,
+        }
+        self._kinds.setdefault(kind, {})[name] = _Object(record)
+        self._note(_Event(kind, self.revision, record, False))
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        removed = self._kinds[kind].pop(name)
+        self.revision += 1
+        self._note(_Event(kind, self.revision, removed.record, True))
+
+    def forget_history(self) -> None:
+        """Drop all changes, as the real store may at any moment."""
+        self._events.clear()
+        self._floor = self.revision
+        self._changed.set()
+
+    def get_spec(self, kind: str, name: str):
+        """Return the spec of an object, or None."""
+        found = self._find(kind, name)
+        return found.record["spec"] if found else None
+
+    # Calls.
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        method = request.method
+        self.calls[method] = self.calls.get(method, 0) + 1
+        if self.trouble in (Trouble.SILENT, Trouble.RESET):
+            return await self._drop(request)
+        if self.trouble is Trouble.BUSY:
+            return web.Response(status=503)
+        if self.trouble is Trouble.THROTTLED:
+            return web.Response(status=429)
+        if method == "GET":
+            return await self._read(request)
+        body = orjson.loads(await request.read() or b"null")
+        if self.trouble is Trouble.WRITES_LATE:
+            task = asyncio.create_task(self._write_late(request, body))
+            self._tasks.add(task)
+            return await self._drop(request)
+        answer = self._write(request, body)
+        if self.trouble is Trouble.ANSWERS_LOST:
+            return await self._drop(request)
+        return answer
+
+    async def _drop(self, request: web.Request) -> web.StreamResponse:
+        if self.trouble is not Trouble.RESET:
+            # Nothing further comes on this connection.
+            await asyncio.Event().wait()
+        request.transport.abort()
+        return web.Response()
+
+    async def _write_late(self, request: web.Request, body) -> None:
+        await asyncio.sleep(LATE_S)
+        self._write(request, body)
+
+    async def _read(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        name = request.match_info.get("name")
+        if name is not None:
+            found = self._find(kind, name)
+            if found is None:
+                return web.Response(status=404)
+            return _answer(200, found.record)
+        if "watch" in request.query:
+            return await self._watch(kind, request.query)
+        return self._list(kind, request.query.get("after", ""))
+
+    def _list(self, kind: str, after: str) -> web.Response:
+        stored = self._kinds.get(kind, {})
+        names = sorted(name for name in stored if name > after)
+        page = names[:PAGE_ITEMS]
+        return _answer(
+            200,
+            {
+                "items": [stored[name].record for name in page],
+                "more": len(names) > len(page),
+                "store_revision": self.revision,
+            },
+        )
+
+    async def _watch(self, kind: str, query) -> web.Response:
+        after = int(query["watch"])
+        wait_s = int(query.get("wait_ms", 0)) / _MS_PER_S
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self._has_news(kind, after):
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        if after < self._floor:
+            return web.Response(status=410)
+        events = [
+            {"removed": event.is_removed, "object": event.record}
+            for event in self._events
+            if event.kind == kind and event.revision > after
+        ]
+        return _answer(
+            200, {"events": events, "store_revision": self.revision}
+        )
+
+    def _has_news(self, kind: str, after: int) -> bool:
+        return after < self._floor or any(
+            event.kind == kind and event.revision > after
+            for event in self._events
+        )
+
+    def _write(self, request: web.Request, body) -> web.Response:
+        kind = request.match_info["kind"]
+        metadata = (body or {}).get("metadata", {})
+        name = request.match_info.get("name") or metadata.get("name")
+        found = self._find(kind, name)
+        wanted = metadata.get("revision") or request.query.get("revision")
+        if request.method == "POST":
+            if found is not None:
+                return _answer(409, found.record)
+            self.put(kind, name, body["spec"])
+            return _answer(200, self._find(kind, name).record)
+        if found is None:
+            return web.Response(status=404)
+        if wanted is not None and int(wanted) != found.revision:
+            return _answer(409, found.record)
+        if request.method == "DELETE":
+            self.remove(kind, name)
+            return _answer(200, found.record)
+        if request.path.endswith("/status"):
+            self.put(kind, name, found.record["spec"], body["status"])
+        else:
+            self.put(kind, name, body["spec"], found.record["status"])
+        return _answer(200, self._find(kind, name).record)
+
+    def _find(self, kind: str, name: str) -> _Object | None:
+        return self._kinds.get(kind, {}).get(name)
+
+    def _note(self, event: _Event) -> None:
+        self._events.append(event)
+        self._changed.set()
+
+
+def _answer(status: int, record) -> web.Response:
+    return web.Response(
+        status=status,
+        body=orjson.dumps(record),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/test/entry/_common.py
@@ -0,0 +1,352 @@
+"""A small platform on loopback: store, upstreams and entry hosts."""
+
+import asyncio
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import httptools
+
+from radishstile.entry.service import EntryHost
+from radishstile.platform.file import read_host_file
+from standin.free_ports import find_free_ports
+from standin.objects import ObjectStore
+
+KEY = "key-1"
+HOSTNAME = "a.example"
+CONFIGURATION = {
+    "version": "r1",
+    "routes": {
+        "r-read": {
+            "hostname": HOSTNAME,
+            "path_prefix": "/read/",
+            "route_type": "safe",
+            "timeout_s": 2,
+            "target_latency_s": 0.5,
+            "priority": 2,
+            "service": "press",
+            "attempts": 2,
+            "public": False,
+            "session_affinity": True,
+        },
+        "r-order": {
+            "hostname": HOSTNAME,
+            "path_prefix": "/order/",
+            "route_type": "unsafe",
+            "timeout_s": 2,
+            "target_latency_s": 0.5,
+            "priority": 1,
+            "service": "press",
+            "attempts": 2,
+            "public": False,
+            "session_affinity": False,
+        },
+    },
+    "services": {"press": {"warmup_s": 0.0, "warmup_per_s": 100.0}},
+    "limits": {
+        "max_header_bytes": 4096,
+        "max_body_bytes": 10_000,
+        "header_timeout_s": 0.3,
+        "idle_timeout_s": 5,
+    },
+    "tenants": {
+        "bureau": {
+            "api_keys": [KEY],
+            "priority": 1,
+            "rate_per_s": 0,
+            "burst": 0,
+        }
+    },
+}
+
+
+class Upstream:
+    """An upstream of which a test scripts each answer.
+
+    `plan` holds functions that take the request's head and write an answer;
+    when it is empty, requests are answered well. `runs` are the heads of the
+    requests that it got.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.plan = []
+        self.runs = []
+        self.hold_s = 0.0
+        self.ended = 0
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    async def stop(self):
+        self._server.close()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = _Head()
+                parser = httptools.HttpRequestParser(head)
+                while not head.is_whole:
+                    data = await reader.read(65536)
+                    if not data:
+                        return
+                    parser.feed_data(data)
+                self.runs.append(head)
+                await asyncio.sleep(self.hold_s)
+                answer = self.plan.pop(0) if self.plan else answer_well
+                writer.write(answer(head))
+                await writer.drain()
+                if answer is break_off:
+                    return
+        except ConnectionError:
+            pass
+        finally:
+            self.ended += 1
+            writer.close()
+
+
+class _Head:
+    """What a request's parser fills."""
+
+    def __init__(self):
+        self.headers = {}
+        self.target = b""
+        self.body = b""
+        self.is_whole = False
+
+    def on_url(self, part):
+        self.target += part
+
+    def on_header(self, name, value):
+        self.headers[name.lower().decode()] = value.decode()
+
+    def on_body(self, part):
+        self.body += part
+
+    def on_message_complete(self):
+        self.is_whole = True
+
+
+def make_answer(request_id, status=200, body=b"done", stamp=True, extra=""):
+    lines = [
+        f"HTTP/1.1 {status} Status",
+        f"X-Request-Id: {request_id}",
+        f"Content-Length: {len(body)}",
+    ]
+    if stamp:
+        lines.append("X-Response-Stamp: s")
+    if extra:
+        lines.append(extra)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def answer_well(head):
+    return make_answer(head.headers["x-request-id"])
+
+
+def answer_twice(head):
+    return answer_well(head) * 2
+
+
+def answer_for_another(head):
+    return make_answer("other", body=b"stale") + answer_well(head)
+
+
+def turn_away(head):
+    request_id = head.headers["x-request-id"]
+    return make_answer(
+        request_id, 503, b"", stamp=False, extra="X-Not-Executed: 1"
+    )
+
+
+def fail(head):
+    return make_answer(head.headers["x-request-id"], 500, b"failed")
+
+
+def forge(head):
+    return make_answer(head.headers["x-request-id"], stamp=False)
+
+
+def break_off(head):
+    return answer_well(head)[:-2]
+
+
+class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
+    """Runs a store, two upstreams and one entry host."""
+
+    upstream_count = 2
+    configuration = CONFIGURATION
+
+    async def asyncSetUp(self):
+        self.store = ObjectStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        if self.configuration is not None:
+            self.store.put("config", "main", self.configuration)
+        self.upstreams = []
+        for number in range(self.upstream_count):
+            upstream = await Upstream(f"i-{number}").start()
+            self.addAsyncCleanup(upstream.stop)
+            self.upstreams.append(upstream)
+            self.register(upstream)
+        self.host = await self.start_host("front-1", "akl-a")
+
+    def register(self, upstream, state="ready", **info):
+        record = {
+            "address": upstream.address,
+            "info": {
+                "service": "press",
+                "version": "v1",
+                "zone": "akl-a",
+                "slots": 4,
+                **info,
+            },
+            "born": 1,
+        }
+        status = {"state": state, "sequence": 1, "warmup_left_s": 0}
+        self.store.put("servers", upstream.name, record, status)
+
+    async def start_host(self, name, zone):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "node.yaml"
+        path.write_text(json.dumps(self.make_file(name, zone)))
+        host = RunningHost(read_host_file(str(path)), str(path))
+        await host.start()
+        self.addAsyncCleanup(host.stop)
+        return host
+
+    def make_file(self, name, zone):
+        ports = find_free_ports(4)
+        here = "127.0.0.1"
+        return {
+            "self": {
+                "node": name,
+                "ip": here,
+                "zone": zone,
+                "region": zone.partition("-")[0],
+            },
+            "network": {
+                "listen": {
+                    "front": f"{here}:{ports[0]}",
+                    "ready": f"{here}:{ports[1]}",
+                    "directory": f"{here}:{ports[2]}",
+                },
+                "internal_ports": [ports[3], ports[3]],
+                "zones": {"akl-a": "akl", "wlg-a": "wlg"},
+            },
+            "platform": {"platform": {"address": f"{here}:{self.store.port}"}},
+            "terms": {"bounds": {"grace_s": 1.0, "revoke_s": 5}},
+        }
+
+    async def ask(self, target="/read/1", **options):
+        """Send one request on a connection of its own."""
+        async with Caller(self.host) as caller:
+            caller.send(target, **options)
+            return await caller.receive()
+
+
+class RunningHost:
+    """An entry host that runs in the test's loop."""
+
+    def __init__(self, file, path):
+        self.file = file
+        self.entry = EntryHost(file, path, 1, find_free_ports(1)[0])
+        self.stopping = asyncio.Event()
+        self._task = None
+
+    async def start(self):
+        self._task = asyncio.create_task(
+            self.entry.run(self.stopping, asyncio.Event())
+        )
+        for _ in range(500):
+            if self._is_up():
+                return
+            await asyncio.sleep(0.01)
+        raise TimeoutError("the host is not up")
+
+    def _is_up(self):
+        node = self.entry.node
+        is_informed = node.catalog is None or node.registry.count() > 0
+        return node.me.host in node.hosts and is_informed
+
+    async def stop(self):
+        self.stopping.set()
+        await asyncio.wait_for(self._task, 5)
+
+
+class Answer:
+    """An answer as a caller got it."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Caller:
+    """A connection of a caller."""
+
+    def __init__(self, host):
+        self._endpoint = host.file.callers
+        self._reader = self._writer = None
+        self._sent = 0
+
+    async def __aenter__(self):
+        self._reader, self._writer = await asyncio.open_connection(
+            self._endpoint.address, self._endpoint.port
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        self._writer.close()
+
+    def send(
+        self,
+        target="/read/1",
+        method="GET",
+        body=b"",
+        key=KEY,
+        request_id=None,
+        extra=(),
+    ):
+        self._sent += 1
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {HOSTNAME}",
+            f"X-Request-Id: {request_id or f'q{self._sent}'}",
+            "X-Deadline-Ms: 3000",
+            *extra,
+        ]
+        if key:
+            lines.append(f"Authorization: Bearer {key}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def write(self, content):
+        self._writer.write(content)
+
+    def leave(self):
+        self._writer.transport.abort()
+
+    async def receive(self):
+        head = await asyncio.wait_for(self._reader.readuntil(b"\r\n\r\n"), 5)
+        first, *lines = head.decode().rstrip().split("\r\n")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(": ")
+            headers[name.lower()] = value
+        size = int(headers.get("content-length", 0))
+        body = await asyncio.wait_for(self._reader.readexactly(size), 5)
+        return Answer(int(first.split()[1]), headers, body)
+
+    async def is_closed(self):
+        return await asyncio.wait_for(self._reader.read(1), 5) == b""
--- a/test/fleet/test_following.py
+++ b/test/fleet/test_following.py
@@ -4,10 +4,14 @@
 import unittest
 
 from radishstile.fleet.following import (
+    FOLLOW_S,
     FOLLOWER_S,
+    FRESH_S,
+    PROBE_STEP_S,
     Candidate,
     Followers,
     choose_lead,
+    choose_source,
     order_candidates,
 )
 from radishstile.member import Member
@@ -36,6 +40,45 @@
         self.assertEqual(choose_lead(candidates), "a")
 
 
+class SourceTest(unittest.TestCase):
+    """The lead is cut off from the store, silently."""
+
+    def choose(self, ages, me, lead="a", followed_s=60.0):
+        candidates = [
+            Candidate(host, True, age_s) for host, age_s in ages.items()
+        ]
+        return choose_source(candidates, me, lead, followed_s)
+
+    def test_hosts_follow_a_lead_in_touch(self):
+        for me in "bc":
+            self.assertEqual(self.choose({"a": 1.2, "b": 9, "c": 9}, me), "a")
+
+    def test_a_lead_asks_the_store_itself(self):
+        self.assertEqual(self.choose({"a": 1.0, "b": 9}, "a"), "a")
+        self.assertEqual(self.choose({"a": 9, "b": 9}, "a"), "a")
+
+    def test_hosts_ask_one_after_the_other(self):
+        ages = {"a": 1.7, "b": 9, "c": 9, "d": 9}
+        self.assertEqual([self.choose(ages, me) for me in "bcd"], ["a"] * 3)
+        ages["a"] = 2.0
+        self.assertEqual(
+            [self.choose(ages, me) for me in "bcd"], ["b", "a", "a"]
+        )
+
+    def test_one_answer_serves_all(self):
+        ages = {"a": 2.3, "b": 0.1, "c": 9}
+        self.assertEqual([self.choose(ages, me) for me in "ac"], ["b", "b"])
+
+    def test_a_new_lead_gets_a_moment(self):
+        ages = {"a": 9, "b": 9}
+        self.assertEqual(self.choose(ages, "b", followed_s=0.5), "a")
+        self.assertEqual(self.choose(ages, "b", followed_s=5.0), "b")
+
+    def test_all_learn_of_a_change_within_the_shortest_drain_bound(self):
+        # The second host asks, and the others hear of it a heartbeat later.
+        self.assertLess(FRESH_S + PROBE_STEP_S + FOLLOW_S, 2.5)
+
+
 class ShareTest(unittest.TestCase):
     def test_followers_count_until_they_fall_silent(self):
         followers = Followers()
--- /dev/null
+++ b/test/platform/test_objects.py
@@ -0,0 +1,116 @@
+"""Tests of the store's client against each trouble of the store."""
+
+import asyncio
+import unittest
+
+from radishstile.errors import (
+    HistoryLostError,
+    ObjectConflictError,
+    StoreUnavailableError,
+    WriteDoubtError,
+)
+from radishstile.platform import objects
+from radishstile.platform.file import Endpoint
+from radishstile.platform.objects import ObjectClient
+from standin.objects import LATE_S, PAGE_ITEMS, ObjectStore, Trouble
+
+
+class ObjectClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = ObjectStore()
+        await self.store.start()
+        self.client = ObjectClient(Endpoint("127.0.0.1", self.store.port))
+        await self.client.open()
+        self.addAsyncCleanup(self.store.stop)
+        self.addAsyncCleanup(self.client.close)
+
+    def shorten_timeouts(self):
+        for name in ("CALL_TIMEOUT_S", "WATCH_GRACE_S"):
+            before = getattr(objects, name)
+            setattr(objects, name, 0.2)
+            self.addCleanup(setattr, objects, name, before)
+
+    async def test_reads_lists_and_watches(self):
+        self.store.put("config", "main", {"a": 1})
+        listing = await self.client.list_kind("config")
+        self.assertEqual([o.name for o in listing.objects], ["main"])
+        self.store.put("servers", "i-1", {})
+        self.store.put("config", "main", {"a": 2})
+        changes = await self.client.watch("config", listing.revision, 1.0)
+        (change,) = changes.changes
+        self.assertEqual(change.object.spec, {"a": 2})
+        self.assertFalse(change.is_removed)
+        self.assertIsNone(await self.client.read("config", "other"))
+
+    async def test_lists_page_by_page(self):
+        for number in range(PAGE_ITEMS + 3):
+            self.store.put("servers", f"i-{number:04}", {})
+        listing = await self.client.list_kind("servers")
+        self.assertEqual(len(listing.objects), PAGE_ITEMS + 3)
+
+    async def test_a_quiet_watch_ends_with_the_revision(self):
+        listing = await self.client.list_kind("config")
+        changes = await self.client.watch("config", listing.revision, 0.05)
+        self.assertEqual(changes.changes, [])
+
+    async def test_writes_meet_conflicts(self):
+        await self.client.create("hosts", "a", {"n": 1})
+        with self.assertRaises(ObjectConflictError):
+            await self.client.create("hosts", "a", {"n": 2})
+        stored = await self.client.read("hosts", "a")
+        await self.client.replace("hosts", "a", {"n": 3}, stored.revision)
+        with self.assertRaises(ObjectConflictError):
+            await self.client.delete("hosts", "a", stored.revision)
+        self.assertEqual(self.store.get_spec("hosts", "a"), {"n": 3})
+
+    async def test_a_busy_store_has_done_nothing(self):
+        for trouble in (Trouble.BUSY, Trouble.THROTTLED):
+            self.store.trouble = trouble
+            with self.subTest(trouble):
+                with self.assertRaises(StoreUnavailableError):
+                    await self.client.create("hosts", "a", {})
+                with self.assertRaises(StoreUnavailableError):
+                    await self.client.list_kind("hosts")
+        self.assertIsNone(self.store.get_spec("hosts", "a"))
+
+    async def test_a_silent_or_resetting_store_is_noticed(self):
+        self.shorten_timeouts()
+        for trouble in (Trouble.SILENT, Trouble.RESET):
+            self.store.trouble = trouble
+            with (
+                self.subTest(trouble),
+                self.assertRaises(StoreUnavailableError),
+            ):
+                await self.client.watch("config", 1, 0.1)
+        self.store.trouble = Trouble.NONE
+        await self.client.list_kind("config")
+
+    async def test_a_lost_answer_leaves_a_write_in_doubt(self):
+        self.shorten_timeouts()
+        self.store.trouble = Trouble.ANSWERS_LOST
+        with self.assertRaises(WriteDoubtError):
+            await self.client.create("hosts", "a", {"n": 1})
+        self.assertEqual(self.store.get_spec("hosts", "a"), {"n": 1})
+
+    async def test_a_write_without_an_answer_may_be_done_later(self):
+        self.shorten_timeouts()
+        self.store.trouble = Trouble.WRITES_LATE
+        with self.assertRaises(WriteDoubtError):
+            await self.client.create("hosts", "a", {"n": 1})
+        self.assertIsNone(self.store.get_spec("hosts", "a"))
+        await asyncio.sleep(LATE_S)
+        self.assertEqual(self.store.get_spec("hosts", "a"), {"n": 1})
+
+    async def test_dropped_history_is_told(self):
+        listing = await self.client.list_kind("config")
+        self.store.put("config", "main", {})
+        self.store.forget_history()
+        with self.assertRaises(HistoryLostError):
+            await self.client.watch("config", listing.revision, 1.0)
+
+    async def test_no_listener_is_an_unavailable_store(self):
+        client = ObjectClient(Endpoint("127.0.0.1", 1))
+        await client.open()
+        self.addAsyncCleanup(client.close)
+        with self.assertRaises(StoreUnavailableError):
+            await client.list_kind("config")
