Serve grown fleets: large hosts lead, and hosts start with two calls

Any host could become the lead of 40, also one with a seventh of a core. Small workspaces were refused within their rate, since a third of their burst is a token or two and none was borrowed below a lack of one. After an outage the first answer of the store was a watch's, so keys counted again up to 0.8 s late.

Change: HostTable orders leads by cores, then age; a starting host registers and lists the hosts, and reads the rest from its lead; watches at peers are long; followers are not sent loads; books add half of the platform's counting slack to bursts and borrow fractions of tokens; the first watch after a failure does not wait.

Tests: test.fleet.test_hosts; test_keys_end_when_the_store_is_not_reached failed on its last line (503 a second after the store's return) without the short watch.

--- a/radishstile/entry/desk.py
+++ b/radishstile/entry/desk.py
@@ -74,7 +74,7 @@
 
     def __init__(self, node: EntryNode):
         self.book = SlotBook(node.me.region, SlotSettings())
-        self.quota = QuotaBook()
+        self.quota = QuotaBook(node.file.bounds.quota_slack)
         self.harm = HarmLedger(RunSettings())
         self._node = node
         self._waiters: dict[str, asyncio.Future] = {}
--- a/radishstile/entry/leads.py
+++ b/radishstile/entry/leads.py
@@ -13,7 +13,6 @@
     Followers,
     choose_lead,
     choose_source,
-    order_candidates,
 )
 from radishstile.member import Member
 from radishstile.wire.messages.slot import FollowLead, LeadState
@@ -114,7 +113,10 @@
         node.take_proof(message.version, message.echo - message.age_s)
         self.count_shares()
         weight = len(self.followers.list_live(now))
-        loads = self._desk.book.measure_loads(weight)
+        # Followers have no use for loads, and are many.
+        loads = {}
+        if not message.follows:
+            loads = self._desk.book.measure_loads(weight)
         return LeadState(
             hosts=self.followers.list_serving(now),
             version=node.catalog.version if node.catalog else 0,
@@ -136,7 +138,7 @@
         if self.is_leading:
             self.followers.hear(node.me.host, node.is_leaving, now)
         region = self.followers.measure_share(len(node.list_region()), now)
-        count = len({*node.hosts, node.me.host})
+        count = len(node.hosts)
         fleet = self.followers.measure_share(count, now)
         if (region, fleet) == self._shares:
             return
@@ -154,8 +156,7 @@
     def _list_candidates(self) -> list[Candidate]:
         now = read_clock()
         return [
-            self._describe(member, now)
-            for member in order_candidates(self._node.list_region())
+            self._describe(member, now) for member in self._node.list_region()
         ]
 
     def _describe(self, member: Member, now: float) -> Candidate:
@@ -189,23 +190,20 @@
 
     def _list_wanted(self) -> list[Member]:
         node = self._node
-        others = [m for m in node.hosts.values() if m.host != node.me.host]
-        near = [m for m in others if m.region == node.me.region]
-        wanted = order_candidates(near)[:DIALLED]
+        near = [m for m in node.list_region() if m.host != node.me.host]
+        wanted = near[:DIALLED]
         if not self.is_leading:
             return wanted
-        for region in sorted({m.region for m in others} - {node.me.region}):
-            wanted += self._list_wanted_of(region, others)
+        for region in node.hosts.list_regions():
+            if region != node.me.region:
+                wanted += self._list_wanted_of(region)
         return wanted
 
-    def _list_wanted_of(
-        self, region: str, others: list[Member]
-    ) -> list[Member]:
+    def _list_wanted_of(self, region: str) -> list[Member]:
         """Return the first candidates of a region and those they follow."""
-        there = order_candidates([m for m in others if m.region == region])
         leads = {p.state.lead for p in self.peers.list_usable(region)}
         return [
             member
-            for number, member in enumerate(there)
+            for number, member in enumerate(self._node.hosts.order(region))
             if number < DIALLED_AWAY or member.host in leads
         ]
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -7,6 +7,7 @@
 from radishstile.catalog.catalog import Catalog
 from radishstile.catalog.freshness import Freshness
 from radishstile.entry.metrics import EntryMetrics
+from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.member import Member
 from radishstile.platform.file import HostFile
 from radishstile.platform.objects import ObjectClient
@@ -19,8 +20,7 @@
 class EntryNode:
     """The host's identity, what it knows, and its client of the store.
 
-    `catalog` is None until a configuration was read. `hosts` are the
-    registered entry hosts by name.
+    `catalog` is None until a configuration was read.
     """
 
     __slots__ = (
@@ -57,7 +57,7 @@
         # On the lasting clock: when the last answered question was asked.
         self._store_reached_at = float("-inf")
         self.registry = Registry()
-        self.hosts: dict[str, Member] = {}
+        self.hosts = HostTable(RegisteredHost(self.me, file.cores))
         self.is_leaving = False
         # Set when the catalog, the registry or the hosts have changed.
         self.changed = asyncio.Event()
@@ -84,13 +84,8 @@
             self.freshness.confirm(as_of)
 
     def list_region(self) -> list[Member]:
-        """Return the registered hosts of this host's region, and itself."""
-        others = [
-            host
-            for host in self.hosts.values()
-            if host.region == self.me.region and host.host != self.me.host
-        ]
-        return [*others, self.me]
+        """Return the hosts of this host's region, as they lead."""
+        return self.hosts.order(self.me.region)
 
 
 def read_clock() -> float:
--- a/radishstile/entry/registrar.py
+++ b/radishstile/entry/registrar.py
@@ -11,7 +11,7 @@
     ObjectMissingError,
     PlatformError,
 )
-from radishstile.platform.entries import HOST_KIND
+from radishstile.platform.entries import HOST_KIND, encode_host
 
 _LOG = logging.getLogger("radishstile.registrar")
 
@@ -52,29 +52,28 @@
 
     async def _register(self) -> None:
         node = self._node
-        known = node.hosts.get(node.me.host)
-        if node.is_leaving or known == node.me:
-            return
         name = node.me.host
-        spec = node.me.to_record()
-        stored = await node.store.read(HOST_KIND, name)
-        try:
-            if stored is None:
-                await node.store.create(HOST_KIND, name, spec)
-            elif stored.spec != spec:
-                await node.store.replace(
-                    HOST_KIND, name, spec, stored.revision
-                )
-        except (ObjectConflictError, ObjectMissingError):
-            # Somebody wrote in between; the next review reads it.
+        if node.is_leaving or node.hosts.find(name) == node.hosts.me:
             return
-        node.hosts[name] = node.me
+        spec = encode_host(node.hosts.me)
+        try:
+            await node.store.create(HOST_KIND, name, spec)
+        except ObjectConflictError:
+            await self._replace(name, spec)
+        node.hosts.put(node.hosts.me)
         node.changed.set()
         _LOG.info(
             "registrar: This host is registered.",
             extra=describe(incarnation=node.me.incarnation),
         )
 
+    async def _replace(self, name: str, spec: dict) -> None:
+        """Write over the entry of an earlier start, or of a lost answer."""
+        store = self._node.store
+        stored = await store.read(HOST_KIND, name)
+        if stored is not None and stored.spec != spec:
+            await store.replace(HOST_KIND, name, spec, stored.revision)
+
     async def _sweep(self) -> None:
         """Remove the entries of this region's hosts that stay away.
 
@@ -99,10 +98,10 @@
     async def _remove(self, host: str) -> None:
         node = self._node
         stored = await node.store.read(HOST_KIND, host)
-        known = node.hosts.get(host)
+        known = node.hosts.find(host)
         if stored is None or known is None:
             return
-        if stored.spec.get("incarnation") != known.incarnation:
+        if stored.spec.get("incarnation") != known.member.incarnation:
             return
         try:
             await node.store.delete(HOST_KIND, host, stored.revision)
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -15,6 +15,7 @@
     WireError,
 )
 from radishstile.fleet.following import FRESH_S
+from radishstile.fleet.hosts import RegisteredHost
 from radishstile.platform.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -45,9 +46,16 @@
 UPSTREAM_WAIT_S = 1.5
 EVACUATION_WAIT_S = 3.0
 HOST_WAIT_S = 5.0
-# Pause after a change of the hosts, in seconds: they register one after the
-# other, and each change would be a call of its own.
-HOST_PAUSE_S = 0.3
+# Longest wait of a watch at a peer, in seconds; heartbeats show whether it
+# lives and is in touch, and the watch ends when it is not.
+PEER_WAIT_S = 10.0
+# Pause after reading the hosts and after each change of them, in seconds:
+# they start within 0.3 s, and each registration would be a call of its own.
+HOST_PAUSE_S = 0.5
+# Time after its start in which a host hopes to be led by another, and in
+# which the first one of a region waits for others to register, in seconds.
+START_WAIT_S = 1.5
+SETTLE_S = 0.5
 # Time between looks at whether another source is to be followed, in seconds.
 SOURCE_REVIEW_S = 0.25
 # Pauses between failed calls, in seconds, doubled up to the longest.
@@ -210,28 +218,29 @@
 
     def replace(self, listing: Listing) -> None:
         """Take all hosts."""
-        self._node.hosts = {}
-        for entry in listing.objects:
-            self._put(entry)
+        decoded = [self._decode(entry) for entry in listing.objects]
+        self._node.hosts.replace_all([host for host in decoded if host])
         self._node.changed.set()
 
     def apply(self, change: Change) -> None:
         """Take one change of a host."""
-        if change.is_removed:
-            self._node.hosts.pop(change.object.name, None)
+        host = None if change.is_removed else self._decode(change.object)
+        if host is None:
+            self._node.hosts.remove(change.object.name)
         else:
-            self._put(change.object)
+            self._node.hosts.put(host)
         self._node.changed.set()
 
     def confirm(self, asked_at: float) -> None:
         """Hosts need no proof of freshness; peers show who lives."""
 
-    def _put(self, entry: PlatformObject) -> None:
+    def _decode(self, entry: PlatformObject) -> RegisteredHost | None:
         try:
-            self._node.hosts[entry.name] = decode_host(entry)
+            return decode_host(entry)
         except MalformedEntryError as error:
             self._node.metrics.malformed_entries.inc({"kind": self.kind})
             _LOG.warning("replica: Ignores a malformed entry: %s", error)
+            return None
 
 
 Feed = ConfigurationFeed | UpstreamFeed | EvacuationFeed | HostFeed
@@ -244,13 +253,14 @@
     mirrors, so that calls to the store grow with regions and not with hosts.
     """
 
-    __slots__ = ("_node", "_leads", "_mirrors", "_is_lost")
+    __slots__ = ("_node", "_leads", "_mirrors", "_is_lost", "_started_at")
 
     def __init__(self, node: EntryNode, leads: Leads):
         self._node = node
         self._leads = leads
         self._mirrors = {feed.kind: Mirror(feed.kind) for feed in _FEEDS}
         self._is_lost = False
+        self._started_at = 0.0
 
     def find_mirror(self, kind: str) -> Mirror:
         """Return this host's copy of a kind; raises `WireError` if none."""
@@ -261,6 +271,7 @@
 
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
+        self._started_at = read_clock()
         async with asyncio.TaskGroup() as group:
             for feed in _FEEDS:
                 group.create_task(self._follow(feed(self._node)))
@@ -294,15 +305,28 @@
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
 
     def _must_wait(self, feed: Feed) -> bool:
-        """Return whether to spare a store that does not answer.
+        """Return whether to spare the store a call.
 
-        The configuration's task asks for all; the others follow when it has
-        an answer.
+        While it does not answer, the configuration's task asks for all. A
+        host that has just started reads the hosts, and the rest from one
+        that leads it, if that answers soon.
         """
+        if self._mirrors[feed.kind].revision is None:
+            return self._hopes_for_lead(feed)
         if feed.kind == CONFIGURATION_KIND:
             return False
         return self._node.measure_store_age() > FRESH_S
 
+    def _hopes_for_lead(self, feed: Feed) -> bool:
+        if feed.kind == HOST_KIND:
+            return False
+        if read_clock() - self._started_at > START_WAIT_S:
+            return False
+        if self._mirrors[HOST_KIND].revision is None:
+            return True
+        is_first = self._node.list_region()[0] == self._node.me
+        return not is_first or read_clock() - self._started_at < SETTLE_S
+
     async def _watch_while(
         self,
         peer: Peer | None,
@@ -331,16 +355,22 @@
         feed.replace(listing)
         if source is self._node.store:
             feed.confirm(asked_at)
+            await asyncio.sleep(feed.pause_s)
         return True
 
     async def _watch(
         self, feed: Feed, mirror: Mirror, source: ObjectClient | PeerSource
     ) -> None:
         asked_at = read_lasting_clock()
-        changes = await source.watch(feed.kind, mirror.revision, feed.wait_s)
+        is_store = source is self._node.store
+        wait_s = feed.wait_s if is_store else PEER_WAIT_S
+        if self._is_lost:
+            # The answer itself is the news after a failure.
+            wait_s = 0.0
+        changes = await source.watch(feed.kind, mirror.revision, wait_s)
         for change in mirror.apply(changes):
             feed.apply(change)
-        if source is self._node.store:
+        if is_store:
             feed.confirm(asked_at)
             await asyncio.sleep(feed.pause_s if changes.changes else 0.0)
 
--- a/radishstile/fleet/following.py
+++ b/radishstile/fleet/following.py
@@ -7,8 +7,6 @@
 host that is cut off alone goes on with its own share.
 """
 
-from radishstile.member import Member
-
 # How long a lead counts a follower after its last word, in seconds: three
 # heartbeats of `FOLLOW_S`, so that one lost packet changes nothing.
 FOLLOWER_S = 1.5
@@ -81,15 +79,6 @@
     return lead
 
 
-def order_candidates(members: list[Member]) -> list[Member]:
-    """Return the hosts in the order in which they lead.
-
-    The longest-lived comes first, so that a restart changes the lead once
-    and not twice.
-    """
-    return sorted(members, key=lambda m: (m.incarnation, m.host))
-
-
 class Followers:
     """The hosts that follow this one, each until it falls silent."""
 
--- a/radishstile/platform/entries.py
+++ b/radishstile/platform/entries.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from radishstile.errors import PlatformError
+from radishstile.fleet.hosts import RegisteredHost
 from radishstile.member import Member
 from radishstile.platform.objects import PlatformObject
 from radishstile.upstream.registration import Readiness, Registration
@@ -52,13 +53,19 @@
         raise MalformedEntryError(f"{entry.name}: {detail}") from error
 
 
-def decode_host(entry: PlatformObject) -> Member:
+def encode_host(host: RegisteredHost) -> dict:
+    """Return the spec of an entry host's entry."""
+    return {**host.member.to_record(), "cores": host.cores}
+
+
+def decode_host(entry: PlatformObject) -> RegisteredHost:
     """Return the entry host that an entry describes.
 
     Raises `MalformedEntryError`.
     """
     try:
-        return Member.from_record(entry.spec)
+        cores = _expect_number(entry.spec["cores"])
+        return RegisteredHost(Member.from_record(entry.spec), cores)
     except (KeyError, TypeError) as error:
         raise MalformedEntryError(f"{entry.name}: {error}") from error
 
--- a/radishstile/platform/file.py
+++ b/radishstile/platform/file.py
@@ -42,6 +42,7 @@
         "retry_extra",
         "evacuate_s",
         "ttl_max_s",
+        "quota_slack",
     )
 
     # Our name, the platform's name, and the value where it has none.
@@ -56,6 +57,7 @@
         ("retry_extra", "retry_budget_extra", 100.0),
         ("evacuate_s", "evacuate_s", 5.0),
         ("ttl_max_s", "ttl_max_s", 5.0),
+        ("quota_slack", "quota_slack", 0.0),
     )
 
     def __init__(self, reader: "_Table"):
--- a/radishstile/workspace/quota.py
+++ b/radishstile/workspace/quota.py
@@ -9,19 +9,25 @@
 # A rate is used up to this part, so that clocks that differ by a little and
 # tokens on their way never add up to more than the whole.
 USED_SHARE = 0.98
+# Part of the platform's allowance for counting at several places that books
+# add to their bursts; the rest covers a change of the lead. A small
+# workspace's share of its burst would else be a request or two.
+SLACK_SHARE = 0.5
 
 
 class QuotaBook:
     """A bucket for each workspace with a limit.
 
     `share` is the part of each limit that this book may use; the shares of
-    all books add up to one at most.
+    all books add up to one at most. `slack` is the number of requests by
+    which all books together may exceed a limit in the platform's window.
     """
 
-    __slots__ = ("_share", "_buckets", "_workspaces")
+    __slots__ = ("_share", "_slack", "_buckets", "_workspaces")
 
-    def __init__(self):
+    def __init__(self, slack: float = 0.0):
         self._share = 0.0
+        self._slack = slack * SLACK_SHARE
         self._buckets: dict[str, Bucket] = {}
         self._workspaces: dict[str, Workspace] = {}
 
@@ -46,7 +52,8 @@
         self._share = share
         for name, workspace in self._workspaces.items():
             rate = workspace.rate_per_s * share * USED_SHARE
-            burst = max(1.0, workspace.burst * share) if share > 0 else 0.0
+            burst = (workspace.burst + self._slack) * share
+            burst = max(1.0, burst) if share > 0 else 0.0
             bucket = self._buckets.get(name)
             if bucket is None:
                 bucket = self._buckets[name] = Bucket(rate, burst, now)
@@ -94,11 +101,11 @@
             bucket.add(tokens)
 
     def list_short(self, now: float) -> dict[str, float]:
-        """Return the tokens that each workspace below half its cap lacks."""
+        """Return the tokens that each workspace lacks of half its cap."""
         short = {}
         for name, bucket in self._buckets.items():
             bucket.refill(now)
-            lacking = bucket.burst / 2 - bucket.level
-            if lacking >= 1:
+            lacking = max(1.0, bucket.burst / 2) - bucket.level
+            if lacking > 0:
                 short[name] = lacking
         return short
