Let a restarted fleet ask the store within a second

Change: a starting host reads from a peer that knows a configuration, and after 0.8 s from the store; the first of a region after 0.25 s. Pauses between failed calls are shorter. A denied claim and a run that is cut off at its deadline get a log line, so that each refusal can be traced to its cause.

--- a/radishstile/entry/desk.py
+++ b/radishstile/entry/desk.py
@@ -122,7 +122,11 @@
         decision = self.book.offer(claim, terms.objective_s, now)
         try:
             grant = await self._wait(claim, decision)
-        except (RefusalError, asyncio.CancelledError):
+        except RefusalError as refusal:
+            self.quota.give_back(terms.workspace)
+            self._log_denial(claim, refusal)
+            raise
+        except asyncio.CancelledError:
             # The request does not run, so it costs its workspace nothing.
             self.quota.give_back(terms.workspace)
             raise
@@ -144,13 +148,34 @@
         if not terms.workspace:
             return
         wait_s = self.quota.take(terms.workspace, now)
-        if wait_s is not None:
-            raise RefusalError(
-                Reason.RATE_EXCEEDED,
-                Outcome.NOT_RUN,
-                min(wait_s, claim.deadline_at - now),
-                f"workspace {terms.workspace} is over its rate",
-            )
+        if wait_s is None:
+            return
+        refusal = RefusalError(
+            Reason.RATE_EXCEEDED,
+            Outcome.NOT_RUN,
+            min(wait_s, claim.deadline_at - now),
+            f"workspace {terms.workspace} is over its rate",
+        )
+        self._log_denial(claim, refusal)
+        raise refusal
+
+    def _log_denial(self, claim: Claim, refusal: RefusalError) -> None:
+        catalog = self._node.catalog
+        _LOG.warning(
+            "desk: A claim is denied.",
+            extra=describe(
+                request=claim.claim_id,
+                reason=refusal.reason.value,
+                why=str(refusal),
+                service=claim.service,
+                version=catalog.version if catalog else 0,
+                priority=claim.priority,
+                slots_held=self.book.count_running(),
+                waiting=self.book.count_waiting(),
+                share=round(self.book.share, 3),
+                retry_after=refusal.retry_after,
+            ),
+        )
 
     async def _wait(self, claim: Claim, decision: Decision) -> Grant:
         waiter = asyncio.get_running_loop().create_future()
--- a/radishstile/entry/leads.py
+++ b/radishstile/entry/leads.py
@@ -94,6 +94,13 @@
             return lead
         return self.peers.find(name)
 
+    def find_informed(self) -> Peer | None:
+        """Return a peer of this region that knows a configuration."""
+        for peer in self.peers.list_usable(self._node.me.region):
+            if peer.state.version:
+                return peer
+        return None
+
     def find_lead_of(self, region: str) -> Peer | None:
         """Return the usable peer that leads another region, if any."""
         for peer in self.peers.list_usable(region):
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -51,16 +51,17 @@
 PEER_WAIT_S = 10.0
 # Pause after reading the hosts and after each change of them, in seconds:
 # they start within 0.3 s, and each registration would be a call of its own.
-HOST_PAUSE_S = 0.5
-# Time after its start in which a host hopes to be led by another, and in
-# which the first one of a region waits for others to register, in seconds.
-START_WAIT_S = 1.5
-SETTLE_S = 0.5
+HOST_PAUSE_S = 0.3
+# Time after its start in which a host waits for a peer that knows what the
+# store would tell, and in which the first one of a region waits for others to
+# register, in seconds.
+START_WAIT_S = 0.8
+SETTLE_S = 0.25
 # Time between looks at whether another source is to be followed, in seconds.
 SOURCE_REVIEW_S = 0.25
 # Pauses between failed calls, in seconds, doubled up to the longest.
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.8
+RETRY_MAX_S = 0.4
 
 
 class ConfigurationFeed:
@@ -282,7 +283,7 @@
         is_behind = True
         pause_s = RETRY_MIN_S
         while True:
-            peer = self._leads.find_source()
+            peer = self._find_peer(mirror)
             source = self._node.store if peer is None else PeerSource(peer)
             if peer is None and self._must_wait(feed):
                 await asyncio.sleep(SOURCE_REVIEW_S)
@@ -290,6 +291,9 @@
             try:
                 if is_behind:
                     is_behind = not await self._list(feed, mirror, source)
+                    self._note_answer()
+                    await asyncio.sleep(RETRY_MIN_S if is_behind else 0.0)
+                    continue
                 await self._watch_while(peer, feed, mirror, source)
                 pause_s = RETRY_MIN_S
                 self._note_answer()
@@ -307,25 +311,31 @@
     def _must_wait(self, feed: Feed) -> bool:
         """Return whether to spare the store a call.
 
-        While it does not answer, the configuration's task asks for all. A
-        host that has just started reads the hosts, and the rest from one
-        that leads it, if that answers soon.
+        While it does not answer, the configuration's task asks for all.
         """
         if self._mirrors[feed.kind].revision is None:
-            return self._hopes_for_lead(feed)
+            return self._hopes_for_peer(feed)
         if feed.kind == CONFIGURATION_KIND:
             return False
         return self._node.measure_store_age() > FRESH_S
 
-    def _hopes_for_lead(self, feed: Feed) -> bool:
+    def _hopes_for_peer(self, feed: Feed) -> bool:
+        """Return whether a peer may soon tell what the store would.
+
+        A host that has just started reads the hosts itself, and the rest
+        from a peer that knows it; the first host of a region asks early.
+        """
         if feed.kind == HOST_KIND:
             return False
-        if read_clock() - self._started_at > START_WAIT_S:
-            return False
-        if self._mirrors[HOST_KIND].revision is None:
-            return True
         is_first = self._node.list_region()[0] == self._node.me
-        return not is_first or read_clock() - self._started_at < SETTLE_S
+        wait_s = SETTLE_S if is_first else START_WAIT_S
+        return read_clock() - self._started_at < wait_s
+
+    def _find_peer(self, mirror: Mirror) -> Peer | None:
+        """Return the peer to follow a kind through, or None for the store."""
+        if mirror.revision is None:
+            return self._leads.find_informed()
+        return self._leads.find_source()
 
     async def _watch_while(
         self,
--- a/radishstile/entry/serving.py
+++ b/radishstile/entry/serving.py
@@ -339,6 +339,9 @@
         except asyncio.CancelledError:
             if read_clock() < plan.deadline_at:
                 ending = Ending.ABANDONED
+            cut = RunResult(ending, upstream_id, detail="cut off")
+            cut.held_s = read_clock() - started_at
+            self._log_try(plan, slot, cut)
             raise
         finally:
             # The slot of a body that still arrives is given back at its end.
