--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -77,9 +77,7 @@
     def accept(self, stream: ByteStream) -> None:
         """Start the task of a new connection."""
         connection = CallerConnection(self._node, self._serving, stream)
-        task = asyncio.ensure_future(self._hold(connection))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.add(asyncio.ensure_future(self._hold(connection)))
 
     def count_open(self) -> int:
         """Return the number of open connections."""
@@ -108,6 +106,7 @@
             await connection.serve()
         finally:
             self._connections.discard(connection)
+            self._tasks.discard(asyncio.current_task())
 
 
 class _AcceptedStream(ByteStream):
@@ -214,18 +213,23 @@
 
     async def _start(self, request: Request) -> None:
         await self._room.acquire()
-        task = asyncio.ensure_future(self._answer(request, self._newest))
-        self._newest = task
-        self._tasks.add(task)
-        task.add_done_callback(self._forget)
-
-    def _forget(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        self._room.release()
-        if not task.cancelled() and task.exception() is not None:
-            error = task.exception()
-            _LOG.error("callers: A request failed.", exc_info=error)
+        self._newest = asyncio.ensure_future(
+            self._hold_request(request, self._newest)
+        )
+        self._tasks.add(self._newest)
+
+    async def _hold_request(
+        self, request: Request, before: asyncio.Task | None
+    ) -> None:
+        """Answer one request; an unexpected error ends the connection."""
+        try:
+            await self._answer(request, before)
+        except Exception:
+            _LOG.exception("callers: A request failed.")
             self._stream.abort()
+        finally:
+            self._tasks.discard(asyncio.current_task())
+            self._room.release()
 
     async def _finish(self) -> None:
         """Let the last answers go out after a polite close."""
--- a/radishstile/entry/links.py
+++ b/radishstile/entry/links.py
@@ -5,9 +5,13 @@
 
 from radishstile.entry.node import read_clock
 from radishstile.errors import UpstreamUnreachableError
+from radishstile.http.parser import AnswerParser
 from radishstile.http.stream import ByteStream
 from radishstile.upstream.registration import Registration
 
+# Body bytes that are held back until an answer is whole, so that one that
+# breaks off can be replaced by another try. Most answers are smaller.
+HELD_BYTES = 262_144
 # Longest wait for a connection in seconds: two round trips between the
 # farthest regions of the users' sheets, and as much again for a busy host.
 CONNECT_TIMEOUT_S = 0.5
@@ -106,3 +110,27 @@
 def _abort_all(links: deque[Link]) -> None:
     for link in links:
         link.stream.abort()
+
+
+async def read_held(link: Link, parser: AnswerParser) -> list[bytes]:
+    """Read an answer until it is whole or too long to hold back.
+
+    Returns the parts of the body; raises `ConnectionError` or `HttpError`.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while not parser.is_whole and size < HELD_BYTES:
+        await read_more(link, parser)
+        new = parser.take_parts()
+        size += sum(map(len, new))
+        parts += new
+    return parts
+
+
+async def read_more(link: Link, parser: AnswerParser) -> None:
+    """Feed what the upstream sends next to the parser."""
+    data = await link.stream.read()
+    if data:
+        parser.feed(data)
+    else:
+        parser.end()
--- a/radishstile/entry/logs.py
+++ b/radishstile/entry/logs.py
@@ -27,10 +27,20 @@
 class JsonLinesHandler(logging.Handler):
     """Writes records as JSON lines without waiting for the reader."""
 
+    __slots__ = (
+        "dropped",
+        "_host",
+        "_descriptor",
+        "_failures",
+        "_plain",
+        "_told",
+    )
+
     def __init__(self, host: str, descriptor: int):
         super().__init__()
         self._host = host
         self._descriptor = descriptor
+        # Lines are written before the loop runs, and after it.
         now = time.monotonic()
         self._failures = Bucket(FAILURE_LINES_PER_S, FAILURE_LINES_PER_S, now)
         self._plain = Bucket(PLAIN_LINES_PER_S, PLAIN_LINES_PER_S, now)
--- a/radishstile/entry/serving.py
+++ b/radishstile/entry/serving.py
@@ -4,8 +4,6 @@
 import logging
 from collections.abc import AsyncIterator
 
-import xxhash
-
 from radishstile.catalog.catalog import (
     Catalog,
     Route,
@@ -15,7 +13,7 @@
 )
 from radishstile.entry.claims import Claims, Slot
 from radishstile.entry.desk import ClaimTerms
-from radishstile.entry.links import Link, Links
+from radishstile.entry.links import Link, Links, read_held, read_more
 from radishstile.entry.logs import describe
 from radishstile.entry.node import EntryNode, read_clock, read_lasting_clock
 from radishstile.entry.order import (
@@ -24,6 +22,13 @@
     StreamedAnswer,
     WholeAnswer,
 )
+from radishstile.entry.plan import (
+    NOT_RUN_ENDINGS,
+    Plan,
+    RunResult,
+    Tries,
+    make_fingerprint,
+)
 from radishstile.errors import (
     HttpError,
     RefusalError,
@@ -43,9 +48,6 @@
 
 _LOG = logging.getLogger("radishstile.serving")
 
-# Body bytes that are held back until an answer is whole, so that one that
-# breaks off can be replaced by another try. Most answers are smaller.
-HELD_BYTES = 262_144
 # When a caller may return that came before the host knew enough, in seconds.
 UNREADY_RETRY_S = 0.5
 # Longest Retry-After as a part of what the caller has left; callers honour
@@ -56,113 +58,11 @@
 # Time that a request must have left to be sent once more, in seconds.
 RESEND_LEFT_S = 0.1
 
-# Endings after which the request surely has not run.
-_NOT_RUN_ENDINGS = frozenset(
-    {Ending.SHED, Ending.MISDIRECTED, Ending.UNREACHABLE}
-)
 # Endings of runs that a repeat may make good, where the request may run
 # more than once.
 _REPEATABLE_ENDINGS = frozenset({Ending.BROKEN, Ending.FAILED})
 
 
-class Plan:
-    """What was decided about an order before it is sent anywhere.
-
-    `deadline_at` and `objective_at` are the loop's times, in seconds.
-    """
-
-    __slots__ = (
-        "order",
-        "version",
-        "route",
-        "workspace",
-        "service",
-        "priority",
-        "regions",
-        "objective_at",
-        "deadline_at",
-    )
-
-    def __init__(
-        self,
-        order: Order,
-        version: int,
-        route: Route,
-        workspace: Workspace | None,
-        service: str,
-        regions: frozenset[str],
-    ):
-        received_at = order.request.received_at
-        wait_s = route.timeout_s
-        if order.deadline_s is not None:
-            wait_s = min(wait_s, order.deadline_s)
-        self.order = order
-        self.version = version
-        self.route = route
-        self.workspace = workspace
-        self.service = service
-        self.priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            self.priority = workspace.priority
-        self.regions = regions
-        self.objective_at = received_at + route.objective_s
-        self.deadline_at = received_at + wait_s
-
-
-class RunResult:
-    """How one try ended, and the answer where there is one to pass on."""
-
-    __slots__ = ("ending", "upstream_id", "answer", "detail", "held_s")
-
-    def __init__(
-        self,
-        ending: Ending,
-        upstream_id: str,
-        answer: Answer | None = None,
-        detail: str = "",
-    ):
-        self.ending = ending
-        self.upstream_id = upstream_id
-        self.answer = answer
-        self.detail = detail
-        self.held_s = 0.0
-
-
-class Tries:
-    """The tries of one request so far.
-
-    `sent` counts those that reached an upstream, `has_run` tells whether
-    the request may have run.
-    """
-
-    __slots__ = ("sent", "claims", "excluded", "_has_run", "_is_under_way")
-
-    def __init__(self):
-        self.sent = 0
-        self.claims = 0
-        self.excluded: set[str] = set()
-        self._has_run = False
-        self._is_under_way = False
-
-    @property
-    def has_run(self) -> bool:
-        """Return whether an upstream may have begun to run the request."""
-        return self._has_run or self._is_under_way
-
-    def begin(self) -> None:
-        """Note that the request is about to be sent."""
-        self._is_under_way = True
-
-    def note(self, result: RunResult) -> None:
-        """Count a try that has ended."""
-        self._is_under_way = False
-        self.excluded.add(result.upstream_id)
-        if result.ending is not Ending.UNREACHABLE:
-            self.sent += 1
-        if result.ending not in _NOT_RUN_ENDINGS:
-            self._has_run = True
-
-
 class Serving:
     """Decides about orders and carries them to upstreams."""
 
@@ -435,7 +335,7 @@
             return tries.claims < CONNECT_TRIES
         if tries.sent >= plan.route.attempts:
             return False
-        if result.ending in _NOT_RUN_ENDINGS:
+        if result.ending in NOT_RUN_ENDINGS:
             return self._budget.take()
         if result.ending not in _REPEATABLE_ENDINGS:
             return False
@@ -487,42 +387,3 @@
                 age_s=round(read_clock() - plan.order.request.received_at, 3),
             ),
         )
-
-
-async def read_held(link: Link, parser: AnswerParser) -> list[bytes]:
-    """Read an answer until it is whole or too long to hold back.
-
-    Returns the parts of the body; raises `ConnectionError` or `HttpError`.
-    """
-    parts: list[bytes] = []
-    size = 0
-    while not parser.is_whole and size < HELD_BYTES:
-        await read_more(link, parser)
-        new = parser.take_parts()
-        size += sum(map(len, new))
-        parts += new
-    return parts
-
-
-async def read_more(link: Link, parser: AnswerParser) -> None:
-    """Feed what the upstream sends next to the parser."""
-    data = await link.stream.read()
-    if data:
-        parser.feed(data)
-    else:
-        parser.end()
-
-
-def make_fingerprint(order: Order) -> bytes:
-    """Return what repeats of one request have in common."""
-    request = order.request
-    digest = xxhash.xxh3_128()
-    for part in (
-        request.method,
-        request.target,
-        order.key.encode("latin-1"),
-        request.body,
-    ):
-        digest.update(part)
-        digest.update(b"\0")
-    return digest.digest()
--- a/radishstile/slot/book.py
+++ b/radishstile/slot/book.py
@@ -12,8 +12,9 @@
 from radishstile.slot.claim import Queued as QueuedClaim
 from radishstile.slot.estimate import HoldEstimate
 from radishstile.slot.lending import PLANNED_USE, RegionLoad
-from radishstile.slot.queue import ClaimQueue, Waiting
+from radishstile.slot.queue import Waiting
 from radishstile.slot.ranking import Ranking
+from radishstile.slot.service import DEMAND_SAMPLE_S, ServiceBook
 from radishstile.slot.settings import SlotSettings
 from radishstile.slot.upstream import BookedUpstream, Run
 from radishstile.upstream.registration import Registration
@@ -24,59 +25,11 @@
 RETRY_MAX_S = 2.0
 
 
-# Weight of a new sample in the running mean of demand, and the time between
-# samples in seconds: together some four seconds, below the waves of the
-# users' days and above a burst's first moment.
-DEMAND_SMOOTHING = 0.12
-DEMAND_SAMPLE_S = 0.5
 # A run must be expected to end this much sooner than its deadline, as a part
 # of its expected time: the sheets' work spreads by 15%.
 HOLD_MARGIN = 1.25
 
 
-class ServiceBook:
-    """The upstreams, the queue and the estimates of one service.
-
-    `hold_s` is the mean time that a run holds a slot, in seconds; `demand`
-    is the mean of the slots that all claims together would fill, None until
-    the first claim.
-    """
-
-    __slots__ = (
-        "ranking",
-        "queue",
-        "estimates",
-        "hold_s",
-        "demand",
-        "_offered_s",
-    )
-
-    def __init__(self):
-        self.ranking = Ranking([])
-        self.queue = ClaimQueue()
-        self.estimates: dict[str, HoldEstimate] = {}
-        self.hold_s = 0.0
-        self.demand: float | None = None
-        self._offered_s = 0.0
-
-    def note_offer(self, expected_s: float) -> None:
-        """Count the slot-seconds of a claim."""
-        self._offered_s += expected_s
-
-    def sample_demand(self, elapsed_s: float, prior: float) -> None:
-        """Take the offers since the last sample into the mean.
-
-        `prior` is the demand to begin with, in slots.
-        """
-        if self.demand is None:
-            if not self._offered_s:
-                return
-            self.demand = prior
-        sample = self._offered_s / elapsed_s
-        self._offered_s = 0.0
-        self.demand += DEMAND_SMOOTHING * (sample - self.demand)
-
-
 class SlotBook:
     """Gives out slots, at most `share` of each upstream's in `region`.
 
--- /dev/null
+++ b/radishstile/slot/service.py
@@ -0,0 +1,54 @@
+"""What the book keeps of one service."""
+
+from radishstile.slot.estimate import HoldEstimate
+from radishstile.slot.queue import ClaimQueue
+from radishstile.slot.ranking import Ranking
+
+# Weight of a new sample in the running mean of demand, and the time between
+# samples in seconds: together some four seconds, below the waves of the
+# users' days and above a burst's first moment.
+DEMAND_SMOOTHING = 0.12
+DEMAND_SAMPLE_S = 0.5
+
+
+class ServiceBook:
+    """The upstreams, the queue and the estimates of one service.
+
+    `hold_s` is the mean time that a run holds a slot, in seconds; `demand`
+    is the mean of the slots that all claims together would fill, None until
+    the first claim.
+    """
+
+    __slots__ = (
+        "ranking",
+        "queue",
+        "estimates",
+        "hold_s",
+        "demand",
+        "_offered_s",
+    )
+
+    def __init__(self):
+        self.ranking = Ranking([])
+        self.queue = ClaimQueue()
+        self.estimates: dict[str, HoldEstimate] = {}
+        self.hold_s = 0.0
+        self.demand: float | None = None
+        self._offered_s = 0.0
+
+    def note_offer(self, expected_s: float) -> None:
+        """Count the slot-seconds of a claim."""
+        self._offered_s += expected_s
+
+    def sample_demand(self, elapsed_s: float, prior: float) -> None:
+        """Take the offers since the last sample into the mean.
+
+        `prior` is the demand to begin with, in slots.
+        """
+        if self.demand is None:
+            if not self._offered_s:
+                return
+            self.demand = prior
+        sample = self._offered_s / elapsed_s
+        self._offered_s = 0.0
+        self.demand += DEMAND_SMOOTHING * (sample - self.demand)
--- a/radishstile/upstream/registration.py
+++ b/radishstile/upstream/registration.py
@@ -13,7 +13,7 @@
 class Registration:
     """One incarnation of an upstream, as its own entry describes it.
 
-    `warmup_left_s` counts from `noted_at`, the loop's time in seconds at
+    `cold_for_s` counts from `noted_at`, the loop's time in seconds at
     which the entry was read. `started_at_ms` is the start of the
     incarnation in Unix milliseconds, or 0 where it is not told.
     """
@@ -27,7 +27,7 @@
         "region",
         "slots",
         "readiness",
-        "warmup_left_s",
+        "cold_for_s",
         "started_at_ms",
         "noted_at",
     )
@@ -42,7 +42,7 @@
         region: str,
         slots: int,
         readiness: Readiness,
-        warmup_left_s: float,
+        cold_for_s: float,
         started_at_ms: int,
         noted_at: float,
     ):
@@ -54,7 +54,7 @@
         self.region = region
         self.slots = slots
         self.readiness = readiness
-        self.warmup_left_s = warmup_left_s
+        self.cold_for_s = cold_for_s
         self.started_at_ms = started_at_ms
         self.noted_at = noted_at
 
@@ -66,7 +66,7 @@
     @property
     def cold_until(self) -> float:
         """Return the loop's time at which the upstream is warm."""
-        return self.noted_at + self.warmup_left_s
+        return self.noted_at + self.cold_for_s
 
 
 class Registry:
--- a/test/slot/_common.py
+++ b/test/slot/_common.py
@@ -13,7 +13,7 @@
 
 
 def make_registration(
-    name, slots=2, region=REGION, warmup_left_s=0.0, started_at_ms=1
+    name, slots=2, region=REGION, cold_for_s=0.0, started_at_ms=1
 ):
     return Registration(
         name,
@@ -24,7 +24,7 @@
         region,
         slots,
         Readiness.READY,
-        warmup_left_s,
+        cold_for_s,
         started_at_ms,
         0.0,
     )
--- a/test/slot/test_book.py
+++ b/test/slot/test_book.py
@@ -179,7 +179,7 @@
         self.assertGreater(self._count_grants(book, "u2"), 1)
 
     def test_a_cold_upstream_gets_no_more_than_its_rate(self):
-        book = make_book(make_registration("u1", slots=90, warmup_left_s=30.0))
+        book = make_book(make_registration("u1", slots=90, cold_for_s=30.0))
         granted = 0
         for n in range(100):
             now = NOW + n / 100
