Drop what nobody calls, and count a body as it arrives

Cause: reading the change again showed methods and means that nothing uses (count_borrowed, cool, count_busy, count_idle, two of hold_s, is_reused, opened), and a caller's body that was summed anew with each part, which costs the square of its parts.

Change: they are gone; the parser keeps a running count. Behaviour is as before.

--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -83,10 +83,6 @@
         """Return the number of open connections."""
         return len(self._connections)
 
-    def count_busy(self) -> int:
-        """Return the number of connections with requests under way."""
-        return sum(c.is_busy for c in self._connections)
-
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self._connections):
--- a/radishstile/entry/links.py
+++ b/radishstile/entry/links.py
@@ -26,22 +26,20 @@
 class Link:
     """A connection to one incarnation of an upstream."""
 
-    __slots__ = ("stream", "is_reused", "idle_until")
+    __slots__ = ("stream", "idle_until")
 
     def __init__(self, stream: ByteStream):
         self.stream = stream
-        self.is_reused = False
         self.idle_until = 0.0
 
 
 class Links:
     """The idle connections to each upstream, the last used one first."""
 
-    __slots__ = ("_idle", "opened")
+    __slots__ = ("_idle",)
 
     def __init__(self):
         self._idle: dict[tuple[str, int], deque[Link]] = {}
-        self.opened = 0
 
     async def open(self, upstream: Registration) -> Link:
         """Return a sound connection.
@@ -52,7 +50,6 @@
         while idle:
             link = idle.pop()
             if link.stream.is_clean and read_clock() < link.idle_until:
-                link.is_reused = True
                 return link
             link.stream.abort()
         return await self._connect(upstream)
@@ -88,10 +85,6 @@
             _abort_all(links)
         self._idle.clear()
 
-    def count_idle(self) -> int:
-        """Return the number of kept connections."""
-        return sum(map(len, self._idle.values()))
-
     async def _connect(self, upstream: Registration) -> Link:
         loop = asyncio.get_running_loop()
         try:
@@ -103,7 +96,6 @@
             raise UpstreamUnreachableError("connect timed out") from error
         except OSError as error:
             raise UpstreamUnreachableError(str(error)) from error
-        self.opened += 1
         return Link(stream)
 
 
--- a/radishstile/http/parser.py
+++ b/radishstile/http/parser.py
@@ -37,6 +37,7 @@
         "_headers",
         "_head_bytes",
         "_body",
+        "_body_bytes",
         "_error",
     )
 
@@ -74,6 +75,7 @@
         self._headers: Headers = []
         self._head_bytes = 0
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._began_at = self._now
 
     def _count_head(self, size: int) -> None:
@@ -115,7 +117,8 @@
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
         self._body.append(part)
-        if sum(map(len, self._body)) > self._body_limit:
+        self._body_bytes += len(part)
+        if self._body_bytes > self._body_limit:
             self._fail(_BODY_TOO_LARGE, "the body is too large")
 
     def on_message_complete(self) -> None:
--- a/radishstile/slot/book.py
+++ b/radishstile/slot/book.py
@@ -159,15 +159,6 @@
                 upstream.borrowed = slots.get(upstream.upstream_id, 0)
         return self.resize(self.share, now)
 
-    def count_borrowed(self, service: str, region: str) -> int:
-        """Return the slots of a service borrowed from a region."""
-        return sum(
-            u.borrowed
-            for u in self._upstreams.values()
-            if u.registration.service == service
-            and u.registration.region == region
-        )
-
     def offer(self, claim: Claim, objective_s: float, now: float) -> Decision:
         """Grant, queue or deny a claim.
 
@@ -198,8 +189,6 @@
         book = self._find_service(run.claim.service)
         if ending is Ending.SERVED:
             book.estimates[run.claim.route].note(run.is_warm, held_s)
-            smoothing = self._settings.smoothing
-            book.hold_s += smoothing * (held_s - book.hold_s)
         return self._pass_on(book, upstream, now)
 
     def withdraw(self, claim_id: str, service: str) -> None:
--- a/radishstile/slot/service.py
+++ b/radishstile/slot/service.py
@@ -14,16 +14,14 @@
 class ServiceBook:
     """The upstreams, the queue and the estimates of one service.
 
-    `hold_s` is the mean time that a run holds a slot, in seconds; `demand`
-    is the mean of the slots that all claims together would fill, None until
-    the first claim.
+    `demand` is the mean of the slots that all claims together would fill,
+    None until the first claim.
     """
 
     __slots__ = (
         "ranking",
         "queue",
         "estimates",
-        "hold_s",
         "demand",
         "_offered_s",
     )
@@ -32,7 +30,6 @@
         self.ranking = Ranking([])
         self.queue = ClaimQueue()
         self.estimates: dict[str, HoldEstimate] = {}
-        self.hold_s = 0.0
         self.demand: float | None = None
         self._offered_s = 0.0
 
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -44,7 +44,7 @@
 
     `capacity` is the number of its slots that this book may give out, after
     those lent to other regions; `borrowed` are slots of another region's
-    upstream. `hold_s` is the mean time that runs hold a slot, in seconds.
+    upstream.
     `is_untried` tells that the upstream joined later and had no run yet.
     """
 
@@ -55,7 +55,6 @@
         "lent",
         "queued_s",
         "runs",
-        "hold_s",
         "is_untried",
         "_settings",
         "_warm",
@@ -84,7 +83,6 @@
         # priority.
         self.queued_s: dict[int, float] = {}
         self.runs: dict[str, Run] = {}
-        self.hold_s = 0.0
         self.is_untried = False
         self._settings = settings
         self._warm: OrderedDict[str, None] = OrderedDict()
@@ -122,10 +120,6 @@
         self.registration = registration
         self._cold_until = max(self._cold_until, registration.cold_until)
 
-    def cool(self, until: float) -> None:
-        """Treat the upstream as cold until the given time."""
-        self._cold_until = max(self._cold_until, until)
-
     def is_cold(self, now: float) -> bool:
         """Return whether the upstream is still warming up."""
         return now < self._cold_until
@@ -224,7 +218,6 @@
         self._trouble += smoothing * (is_bad - self._trouble)
         if ending is Ending.SERVED:
             self._suspend_s = self._settings.suspend_s
-            self.hold_s += smoothing * (held_s - self.hold_s)
         if ending in (Ending.SERVED, Ending.TIMED_OUT):
             ratio = held_s / max(run.expected_s, 0.001)
             self._slowness += smoothing * (ratio - self._slowness)
