Follow another region's lead when the store turns a lead away

Cause: a lead that the store turns away silently was noticed by its followers after 1.6 s, which then asked one after the other, 0.3 s apart, and each first question waited 0.8 s for news. Change: a lead whose own answer is 1.1 s old follows the lead of another region, or a host of its own that has reached the store, and asks the store once a second whether it is back. Hosts ask two at a time from 1.4 s on, and the first question does not wait. Ruled out: two watchers a region, which would double the calls to the store.

--- a/radishstile/entry/leads.py
+++ b/radishstile/entry/leads.py
@@ -13,6 +13,7 @@
     Followers,
     choose_lead,
     choose_source,
+    choose_source_of_lead,
 )
 from radishstile.member import Member
 from radishstile.wire.messages.slot import FollowLead, LeadState
@@ -84,15 +85,23 @@
     def find_source(self) -> Peer | None:
         """Return the peer to follow the store through, or None for none."""
         lead = self.find_lead()
+        near = self._list_candidates()
+        if lead is None:
+            name = choose_source_of_lead(
+                Candidate(
+                    self._node.me.host, True, self._node.measure_store_age()
+                ),
+                near,
+                self._list_away(),
+            )
+            return self.peers.find(name)
         name = choose_source(
-            self._list_candidates(),
+            near,
             self._node.me.host,
             self._lead,
             read_clock() - self._followed_at,
         )
-        if lead is not None and name == self._lead:
-            return lead
-        return self.peers.find(name)
+        return lead if name == self._lead else self.peers.find(name)
 
     def find_informed(self) -> Peer | None:
         """Return a peer of this region that knows a configuration."""
@@ -128,7 +137,7 @@
             hosts=self.followers.list_serving(now),
             version=node.catalog.version if node.catalog else 0,
             age_s=node.measure_age(),
-            store_age_s=node.measure_store_age(),
+            news_age_s=node.measure_news_age(),
             lead="" if node.is_leaving else self._lead,
             loads={
                 name: [load.demand, load.capacity]
@@ -166,9 +175,19 @@
             self._describe(member, now) for member in self._node.list_region()
         ]
 
+    def _list_away(self) -> list[Candidate]:
+        """Return the leads of other regions that can be reached."""
+        now = read_clock()
+        leads = map(self.find_lead_of, self._node.hosts.list_regions())
+        return [
+            Candidate(lead.member.host, True, lead.measure_age(now))
+            for lead in leads
+            if lead is not None and lead.member.region != self._node.me.region
+        ]
+
     def _describe(self, member: Member, now: float) -> Candidate:
         if member.host == self._node.me.host:
-            age_s = self._node.measure_store_age()
+            age_s = self._node.measure_news_age()
             return Candidate(member.host, True, age_s)
         peer = self.peers.find(member.host)
         if peer is None or not peer.is_usable(now):
@@ -182,7 +201,7 @@
             extra=describe(
                 before=self._lead,
                 before_reachable=any(c.is_reachable for c in before),
-                before_store_age_s=round(sum(c.age_s for c in before), 3),
+                before_news_age_s=round(sum(c.age_s for c in before), 3),
                 lead=name,
             ),
         )
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -32,6 +32,7 @@
         "catalog",
         "freshness",
         "_store_reached_at",
+        "_news_at",
         "registry",
         "hosts",
         "is_leaving",
@@ -56,6 +57,9 @@
         self.freshness = Freshness(file.bounds.withdrawal_s)
         # On the lasting clock: when the last answered question was asked.
         self._store_reached_at = float("-inf")
+        # On the lasting clock: the moment of the newest news from the store,
+        # directly or through a peer.
+        self._news_at = float("-inf")
         self.registry = Registry()
         self.hosts = HostTable(RegisteredHost(self.me, file.cores))
         self.is_leaving = False
@@ -69,6 +73,15 @@
     def note_store(self, asked_at: float) -> None:
         """Note that the store answered what this host asked then."""
         self._store_reached_at = max(self._store_reached_at, asked_at)
+        self.note_news(asked_at)
+
+    def note_news(self, as_of: float) -> None:
+        """Note that this host knows what the store held then."""
+        self._news_at = max(self._news_at, as_of)
+
+    def measure_news_age(self) -> float:
+        """Return the age of this host's news from the store, in seconds."""
+        return min(read_lasting_clock() - self._news_at, NEVER_S)
 
     def measure_store_age(self) -> float:
         """Return how long ago the store answered this host, in seconds."""
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -43,8 +43,8 @@
         return bool(self.state.lead) and now - self.heard_at < LEAD_SILENCE_S
 
     def measure_age(self, now: float) -> float:
-        """Return how long ago the store answered the peer, in seconds."""
-        return self.state.store_age_s + now - self.heard_at
+        """Return the age of the peer's news from the store, in seconds."""
+        return self.state.news_age_s + now - self.heard_at
 
     def suspect(self) -> None:
         """Do not use the peer until it has answered a heartbeat."""
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -22,15 +22,17 @@
     HOST_KIND,
 )
 from radishstile.platform.mirror import Mirror
-from radishstile.platform.objects import (
-    ObjectClient,
-)
+from radishstile.platform.objects import ObjectClient
 
 _LOG = logging.getLogger("radishstile.replica")
 
 # Longest wait of a watch at a peer, in seconds; heartbeats show whether it
 # lives and is in touch, and the watch ends when it is not.
 PEER_WAIT_S = 10.0
+# The same for a lead that the store turns away, whose followers need to know
+# how old its news is; and the time between its questions to the store.
+TURNED_AWAY_WAIT_S = 0.4
+STORE_PROBE_S = 1.0
 # Time after its start in which a host waits for a peer that knows what the
 # store would tell, and in which the first one of a region waits for others to
 # register, in seconds.
@@ -70,8 +72,11 @@
         """Follow all kinds until cancelled."""
         self._started_at = read_clock()
         async with asyncio.TaskGroup() as group:
-            for feed in FEEDS:
-                group.create_task(self._follow(feed(self._node)))
+            for make_feed in FEEDS:
+                feed = make_feed(self._node)
+                group.create_task(self._follow(feed))
+                if feed.kind == CONFIGURATION_KIND:
+                    group.create_task(self._probe(feed))
 
     async def _follow(self, feed: Feed) -> None:
         """List a kind, watch it, and begin again where history is lost."""
@@ -90,7 +95,7 @@
                     self._note_answer()
                     await asyncio.sleep(RETRY_MIN_S if is_behind else 0.0)
                     continue
-                await self._watch_while(peer, feed, mirror, source)
+                await self._watch_while(feed, mirror, peer)
                 pause_s = RETRY_MIN_S
                 self._note_answer()
             except HistoryLostError as error:
@@ -104,6 +109,30 @@
                 )
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
 
+    async def _probe(self, feed: Feed) -> None:
+        """As a lead that follows another, ask whether the store is back."""
+        mirror = self._mirrors[feed.kind]
+        while True:
+            await asyncio.sleep(STORE_PROBE_S)
+            if not self._leads.is_leading or mirror.revision is None:
+                continue
+            if self._leads.find_source() is None:
+                continue
+            try:
+                await self._ask_store(feed, mirror)
+            except PlatformError as error:
+                _LOG.info(
+                    "replica: The store still turns this host away.",
+                    extra=describe(why=str(error)),
+                )
+
+    async def _ask_store(self, feed: Feed, mirror: Mirror) -> None:
+        """Take what the store holds now."""
+        try:
+            await self._watch(feed, mirror, None, 0.0)
+        except HistoryLostError:
+            await self._list(feed, mirror, self._node.store)
+
     def _must_wait(self, feed: Feed) -> bool:
         """Return whether to spare the store a call.
 
@@ -134,14 +163,11 @@
         return self._leads.find_source()
 
     async def _watch_while(
-        self,
-        peer: Peer | None,
-        feed: Feed,
-        mirror: Mirror,
-        source: ObjectClient | PeerSource,
+        self, feed: Feed, mirror: Mirror, peer: Peer | None
     ) -> None:
         """Watch once, but no longer than the source is the one to follow."""
-        task = asyncio.ensure_future(self._watch(feed, mirror, source))
+        wait_s = self._choose_wait(feed, peer)
+        task = asyncio.ensure_future(self._watch(feed, mirror, peer, wait_s))
         try:
             while not task.done() and self._leads.find_source() is peer:
                 await asyncio.wait({task}, timeout=SOURCE_REVIEW_S)
@@ -150,6 +176,15 @@
         finally:
             task.cancel()
 
+    def _choose_wait(self, feed: Feed, peer: Peer | None) -> float:
+        is_lost = self._node.measure_store_age() > FRESH_S
+        if self._is_lost or (peer is None and is_lost):
+            # The answer itself is the news after a failure.
+            return 0.0
+        if peer is None:
+            return feed.wait_s
+        return TURNED_AWAY_WAIT_S if self._leads.is_leading else PEER_WAIT_S
+
     async def _list(
         self, feed: Feed, mirror: Mirror, source: ObjectClient | PeerSource
     ) -> bool:
@@ -165,20 +200,18 @@
         return True
 
     async def _watch(
-        self, feed: Feed, mirror: Mirror, source: ObjectClient | PeerSource
+        self, feed: Feed, mirror: Mirror, peer: Peer | None, wait_s: float
     ) -> None:
         asked_at = read_lasting_clock()
-        is_store = source is self._node.store
-        wait_s = feed.wait_s if is_store else PEER_WAIT_S
-        if self._is_lost:
-            # The answer itself is the news after a failure.
-            wait_s = 0.0
+        source = self._node.store if peer is None else PeerSource(peer)
         changes = await source.watch(feed.kind, mirror.revision, wait_s)
         for change in mirror.apply(changes):
             feed.apply(change)
-        if is_store:
+        if peer is None:
             feed.confirm(asked_at)
             await asyncio.sleep(feed.pause_s if changes.changes else 0.0)
+        elif self._leads.is_leading and feed.kind == CONFIGURATION_KIND:
+            self._node.note_news(asked_at - peer.measure_age(read_clock()))
 
     def _note_answer(self) -> None:
         if self._is_lost:
--- a/radishstile/fleet/following.py
+++ b/radishstile/fleet/following.py
@@ -17,24 +17,28 @@
 LEAD_SILENCE_S = 1.0
 
 
-# Age of a host's last answer from the store, in seconds, up to which others
-# follow the store through it. A lead in touch asks every 0.8 s, and its
-# followers hear of it 0.4 s later. What lies beyond must leave time to learn
-# of a leaving upstream within the shortest drain bound of the sheets, 2.5.
-FRESH_S = 1.6
+# Age of a host's news from the store, in seconds, up to which others follow
+# the store through it. A lead in touch asks every 0.8 s, and an answer takes
+# up to 0.4 s while the store is slow. What lies beyond must leave time to
+# learn of a leaving upstream within the shortest drain bound, 2.5 s.
+FRESH_S = 1.4
+# Age of a lead's own answer from the store, in seconds, past which it follows
+# another region's lead: soon enough that its followers never miss it.
+TURNED_AWAY_S = 1.1
 # The same age past which another host leads that the store has answered
 # since. Longer, as a change of the lead costs more than a call.
 STALE_S = 2.6
-# Hosts ask a store that their lead has lost one after the other, this many
-# seconds apart, so that one answer serves all.
+# Hosts ask a store that their lead has lost two at a time, this many seconds
+# apart, so that one answer serves all.
 PROBE_STEP_S = 0.3
+PROBES_AT_ONCE = 2
 
 
 class Candidate:
     """A host that may lead, as another host sees it.
 
-    `is_reachable` tells whether it answers, `age_s` how long ago the store
-    answered it, in seconds. The store answers only hosts that ask, so a
+    `is_reachable` tells whether it answers, `age_s` how old its news from
+    the store is, in seconds. The store answers only hosts that ask, so a
     follower becomes a candidate by asking once its lead is stale.
     """
 
@@ -60,7 +64,7 @@
 def choose_source(
     candidates: list[Candidate], me: str, lead: str, followed_s: float
 ) -> str:
-    """Return the host through which `me` follows the store.
+    """Return the host through which a follower, `me`, follows the store.
 
     `me` means to ask the store itself. `followed_s` is the time since the
     lead was taken, in seconds: a new one needs a moment to ask the store.
@@ -68,15 +72,35 @@
     by_host = {candidate.host: candidate for candidate in candidates}
     if by_host[lead].age_s <= FRESH_S:
         return lead
+    fresh = _find_fresh(candidates, me)
+    if fresh is not None:
+        return fresh
+    rank = [candidate.host for candidate in candidates].index(me)
+    patience_s = FRESH_S + PROBE_STEP_S * (rank // PROBES_AT_ONCE)
+    lead_age_s = min(by_host[lead].age_s, followed_s)
+    return me if lead_age_s > patience_s else lead
+
+
+def choose_source_of_lead(
+    me: Candidate, near: list[Candidate], away: list[Candidate]
+) -> str:
+    """Return the host through which a lead, `me`, follows the store.
+
+    Its age is that of the store's last answer to itself. A lead that the
+    store turns away follows the lead of another region, `away`, or a host
+    of its own region, `near`, that has reached the store.
+    """
+    if me.age_s <= TURNED_AWAY_S:
+        return me.host
+    return _find_fresh(away + near, me.host) or me.host
+
+
+def _find_fresh(candidates: list[Candidate], me: str) -> str | None:
     for candidate in candidates:
         is_fresh = candidate.is_reachable and candidate.age_s <= FRESH_S
         if is_fresh and candidate.host != me:
             return candidate.host
-    rank = [candidate.host for candidate in candidates].index(me)
-    lead_age_s = min(by_host[lead].age_s, followed_s)
-    if lead == me or lead_age_s > FRESH_S + PROBE_STEP_S * rank:
-        return me
-    return lead
+    return None
 
 
 class Followers:
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -98,7 +98,7 @@
 
     `hosts` are the region's hosts that callers may be sent to. `age_s` is
     the time since the lead's configuration, `version`, was confirmed to be
-    the newest, and `store_age_s` since the store itself answered it. `lead`
+    the newest, and `news_age_s` the age of what it knows of the store. `lead`
     is the host that the answering one follows, empty when it is leaving;
     `loads` maps services to demand and capacity in slots, and `weight` is
     the number of its followers. `clock` is for the echo.
@@ -108,7 +108,7 @@
         "hosts",
         "version",
         "age_s",
-        "store_age_s",
+        "news_age_s",
         "lead",
         "loads",
         "weight",
@@ -118,7 +118,7 @@
     hosts: list[str]
     version: int
     age_s: float
-    store_age_s: float
+    news_age_s: float
     lead: str
     loads: dict
     weight: int
