Report no end of a purchase once the host is cut down

Cause: the task group takes no more tasks while it is cancelled, so the report's coroutine was never awaited, and the purchase stayed counted as running, which held up the drain. Test: test.daemon.test_purchases.EndTest.test_a_host_that_is_cut_down_leaves_ no_report_behind fails without it; make test prints the warning no more.

--- a/radishstile/daemon/purchases.py
+++ b/radishstile/daemon/purchases.py
@@ -95,7 +95,19 @@
         An answer doesn't wait for a journal that is away.
         """
         self._begin()
-        self._group.create_task(self._finish(report))
+        work = self._finish(report)
+        try:
+            self._group.create_task(work)
+        except RuntimeError as error:
+            # The group takes no more tasks: the host is cut down, and the
+            # journal learns of its end by other evidence.
+            work.close()
+            self._end()
+            _LOG.warning(
+                "purchases: The end of %s is not reported: %s",
+                report.attempt,
+                error,
+            )
 
     async def _finish(self, report: RunReport) -> None:
         try:
--- a/test/daemon/test_purchases.py
+++ b/test/daemon/test_purchases.py
@@ -1,6 +1,8 @@
 """Tests of purchases through whole daemons: at most once, and said truly."""
 
 import asyncio
+import gc
+import warnings
 from types import SimpleNamespace
 
 from radishstile.daemon.journals import (
@@ -143,6 +145,13 @@
         self.reports.append(report)
 
 
+class EndlessJournal(ForgetfulJournal):
+    """Never answers a record."""
+
+    async def record(self, key, fingerprint, attempt, deadline):
+        await asyncio.Event().wait()
+
+
 class EndTest(PausedTestCase):
     """Reports of ends while journals move."""
 
@@ -214,9 +223,7 @@
             self.assertIs(read_known(known).verdict, verdict)
             keeping.cancel()
 
-    async def test_gives_up_an_attempt_whose_record_is_in_doubt(self):
-        journal = ForgetfulJournal()
-        purchases = Purchases(journal)
+    def make_order(self):
         session = SimpleNamespace(
             begin_work=lambda work: None, end_work=lambda: None
         )
@@ -228,7 +235,27 @@
             body=b"",
             deadline=9.0,
         )
-        call = SimpleNamespace(idempotency_key="order")
+        return session, SimpleNamespace(idempotency_key="order"), order
+
+    async def test_a_host_that_is_cut_down_leaves_no_report_behind(self):
+        purchases = Purchases(EndlessJournal())
+        session, call, order = self.make_order()
+        with warnings.catch_warnings(record=True) as caught:
+            warnings.simplefilter("always")
+            with self.assertRaises(ExceptionGroup):
+                async with asyncio.TaskGroup() as group:
+                    purchases.open(group)
+                    group.create_task(purchases.serve(session, call, order))
+                    await asyncio.sleep(0.1)
+                    raise OSError("the host is cut down")
+            gc.collect()
+        await asyncio.wait_for(purchases.drain(), 1)
+        self.assertEqual([str(each.message) for each in caught], [])
+
+    async def test_gives_up_an_attempt_whose_record_is_in_doubt(self):
+        journal = ForgetfulJournal()
+        purchases = Purchases(journal)
+        session, call, order = self.make_order()
         async with asyncio.TaskGroup() as group:
             purchases.open(group)
             with self.assertRaises(RefusalError) as caught:
