Add a fault soak that runs entry hosts as processes

Change: soak/ starts the store's stand-in, upstreams that speak the published protocol, and entry hosts as processes; draws kills, pauses, stops, reloads, cut and slow ways to the store and to upstreams, crashes, drains, withdrawn keys and new configurations from a seed, in series that overlap; and checks ten promises by what callers and upstreams saw. make test runs two short seeds; make soak runs fifty. The soak of pairs of faults is now make pairs. Test: test.soak.test_promises spoils a sound record once for each check.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 READY := $(VENV)/.ready
 
-.PHONY: demo test check format bench capacity golden matrix soak clean
+.PHONY: demo test check format bench capacity golden matrix pairs soak clean
 
 $(READY): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,8 +31,11 @@
 matrix: $(READY)
 	$(RUN) -m test.matrix
 
+pairs: $(READY)
+	PAIR_EXAMPLES=$(or $(EXAMPLES),200) $(RUN) -m test.runner test.matrix.test_pairs
+
 soak: $(READY)
-	SOAK_EXAMPLES=$(or $(EXAMPLES),200) $(RUN) -m test.runner test.matrix.test_pairs
+	$(RUN) -m soak run --first $(or $(FIRST),0) --count $(or $(COUNT),50)
 
 bench: $(READY)
 	$(RUN) -m bench $(NAMES)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real entry hosts as processes, faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,91 @@
+"""`python -m soak`: runs seeds and tells which broke a promise."""
+
+import asyncio
+import signal
+import tempfile
+from pathlib import Path
+
+import fire
+
+from soak.run import Result, run_soak
+from soak.settings import SoakSettings
+
+
+class Soak:
+    """Runs entry hosts as processes and injects faults from outside."""
+
+    __slots__ = ()
+
+    def run(
+        self,
+        first: int = 0,
+        count: int = 1,
+        at_once: int = 2,
+        hosts: int = 2,
+        faults: int = 8,
+        folder: str = "",
+    ) -> None:
+        """Run COUNT seeds from FIRST, AT_ONCE at a time.
+
+        HOSTS is the number of hosts in each zone. Logs stay in FOLDER.
+        """
+        folder = folder or tempfile.mkdtemp(prefix="soak-")
+        seeds = range(first, first + count)
+        make = _Maker(folder, hosts, faults)
+        results = asyncio.run(_run_all(seeds, make, at_once))
+        failed = [result.seed for result in results if result.breaches]
+        print(f"{len(results) - len(failed)} passed, {len(failed)} failed")
+        if failed:
+            raise SystemExit(f"broken promises at seeds {failed}: {folder}")
+
+
+class _Maker:
+    """Makes the settings of each seed."""
+
+    __slots__ = ("_folder", "_hosts", "_faults")
+
+    def __init__(self, folder: str, hosts: int, faults: int):
+        self._folder = folder
+        self._hosts = hosts
+        self._faults = faults
+
+    def __call__(self, seed: int) -> SoakSettings:
+        folder = Path(self._folder) / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        return SoakSettings(
+            seed, str(folder), hosts_per_zone=self._hosts, faults=self._faults
+        )
+
+
+async def _run_all(seeds, make: _Maker, at_once: int) -> list[Result]:
+    room = asyncio.Semaphore(at_once)
+    # Whoever ends the soak ends its hosts, too.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
+
+    async def run_one(seed: int) -> Result:
+        async with room:
+            result = await run_soak(make(seed))
+            _show(result)
+            return result
+
+    return await asyncio.gather(*map(run_one, seeds))
+
+
+def _show(result: Result) -> None:
+    statuses = dict(sorted(result.statuses.items()))
+    print(f"seed {result.seed}: {statuses}", flush=True)
+    if not result.breaches:
+        return
+    for span in result.spans:
+        print(
+            f"  {span.begin:6.2f} to {span.end:6.2f} {span.kind} "
+            f"{span.subject}"
+        )
+    for breach in result.breaches[:20]:
+        print(f"  BROKEN {breach}", flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(Soak)
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,209 @@
+"""The store, the upstreams and the hosts of one run."""
+
+import asyncio
+import copy
+import os
+import random
+
+from soak.hosts import Host
+from soak.proxy import Proxy
+from soak.record import Record
+from soak.settings import SoakSettings
+from soak.upstream import LEAVING_S, Upstream
+from standin.objects import ObjectStore
+
+# Workspaces: one without a limit, one that is held to its rate.
+FREE = "bureau"
+LIMITED = "employer"
+RATE_PER_S = 15
+BURST = 15
+# Keys that a run may withdraw.
+SPARE_KEYS = 6
+WORK_S = 0.06
+
+
+class Fleet:
+    """Starts and ends everything, and keeps what was seen in `record`."""
+
+    __slots__ = (
+        "settings",
+        "record",
+        "store",
+        "hosts",
+        "upstreams",
+        "links",
+        "random",
+        "configuration",
+        "_began_at",
+        "_born",
+        "_group",
+        "_tasks",
+    )
+
+    def __init__(self, settings: SoakSettings):
+        self.settings = settings
+        self.record = Record()
+        self.store = ObjectStore()
+        self.hosts: list[Host] = []
+        self.upstreams: dict[str, Upstream] = {}
+        # The proxy in front of each upstream, by name.
+        self.links: dict[str, Proxy] = {}
+        self.random = random.Random(settings.seed)
+        self.configuration = make_configuration(self.record)
+        self._began_at = asyncio.get_running_loop().time()
+        self._born = 0
+        self._group: asyncio.TaskGroup | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    def read_clock(self) -> float:
+        """Return the seconds since the run began."""
+        return asyncio.get_running_loop().time() - self._began_at
+
+    async def start(self, group: asyncio.TaskGroup) -> None:
+        """Start all; the hosts run as tasks of `group`."""
+        self._group = group
+        await self.store.start()
+        self._put_configuration()
+        for zone in self.settings.zones:
+            for _ in range(self.settings.upstreams_per_zone):
+                await self.add_upstream(zone)
+        network = f"127.{os.getpid() % 200 + 20}.{self.settings.seed % 250}"
+        for zone in self.settings.zones:
+            for number in range(self.settings.hosts_per_zone):
+                way = await Proxy(self.store.port).start()
+                host = Host(
+                    f"{zone}-{number}",
+                    zone,
+                    f"{network}.{len(self.hosts) + 1}",
+                    way,
+                    self.settings,
+                )
+                self.hosts.append(host)
+                self._tasks.append(group.create_task(host.run()))
+
+    async def stop(self) -> None:
+        """Kill the hosts, and close the sockets of this process."""
+        for task in self._tasks:
+            task.cancel()
+        for upstream in self.upstreams.values():
+            upstream.crash()
+        for proxy in [*self.links.values(), *(h.store for h in self.hosts)]:
+            await proxy.stop()
+        await self.store.stop()
+
+    async def add_upstream(self, zone: str, name: str = "") -> Upstream:
+        """Start an upstream and enter it; `name` starts one again."""
+        self._born += 1
+        name = name or f"i-{self._born}"
+        upstream = await Upstream(
+            name,
+            zone,
+            self._born,
+            self.settings.slots,
+            WORK_S,
+            self.record.runs,
+            self.read_clock,
+        ).start()
+        self.upstreams[name] = upstream
+        self.links[name] = await Proxy(upstream.port).start()
+        self._enter(upstream, "ready")
+        return upstream
+
+    async def crash(self, name: str) -> None:
+        """End an upstream without a word."""
+        self.upstreams.pop(name).crash()
+        await self.links.pop(name).stop()
+
+    def drain(self, name: str) -> None:
+        """Let an upstream say that it leaves, and end it later."""
+        self._enter(self.upstreams[name], "draining")
+        self.record.drained[name] = self.read_clock()
+        self._group.create_task(self._leave(name))
+
+    def withdraw_key(self) -> str | None:
+        """Withdraw a spare key, if there is one, and return it."""
+        holders = self.configuration["tenants"].values()
+        for holder in holders:
+            if len(holder["api_keys"]) > 1:
+                key = holder["api_keys"].pop()
+                self.write_configuration()
+                self.record.withdrawn[key] = self.read_clock()
+                return key
+        return None
+
+    def write_configuration(self) -> None:
+        """Put a new version of the configuration in force."""
+        number = int(self.configuration["version"][1:]) + 1
+        self.configuration["version"] = f"r{number}"
+        self._put_configuration()
+
+    def _put_configuration(self) -> None:
+        # The store keeps what it is given; the original goes on changing.
+        self.store.put("config", "main", copy.deepcopy(self.configuration))
+
+    def _enter(self, upstream: Upstream, state: str) -> None:
+        entry = upstream.make_entry(self.links[upstream.name].port)
+        status = {"state": state, "sequence": 1, "warmup_left_s": 0}
+        self.store.put("servers", upstream.name, entry, status)
+
+    async def _leave(self, name: str) -> None:
+        await asyncio.sleep(self.settings.drain_s + LEAVING_S)
+        self.store.remove("servers", name)
+        if name in self.upstreams:
+            await self.crash(name)
+
+
+def make_configuration(record: Record) -> dict:
+    """Return the first configuration, and note its keys in `record`."""
+    keys = {FREE: ["key-free"], LIMITED: ["key-limited"]}
+    keys[FREE] += [f"key-spare-{number}" for number in range(SPARE_KEYS)]
+    for workspace, held in keys.items():
+        for key in held:
+            record.keys[key] = workspace
+    route = {
+        "hostname": "press.example",
+        "service": "press",
+        "timeout_s": 1.8,
+        "target_latency_s": 0.5,
+        "attempts": 2,
+        "public": False,
+        "session_affinity": True,
+    }
+    return {
+        "version": "r1",
+        "routes": {
+            "read": {
+                **route,
+                "path_prefix": "/read/",
+                "route_type": "safe",
+                "priority": 2,
+            },
+            "order": {
+                **route,
+                "path_prefix": "/order/",
+                "route_type": "unsafe",
+                "priority": 1,
+            },
+        },
+        "services": {"press": {"warmup_s": 0.0, "warmup_per_s": 100.0}},
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+        "tenants": {
+            FREE: {
+                "api_keys": keys[FREE],
+                "priority": 1,
+                "rate_per_s": 0,
+                "burst": 0,
+            },
+            LIMITED: {
+                "api_keys": keys[LIMITED],
+                "priority": 1,
+                "rate_per_s": RATE_PER_S,
+                "burst": BURST,
+            },
+        },
+    }
--- /dev/null
+++ b/soak/hosts.py
@@ -0,0 +1,109 @@
+"""Entry hosts as processes, started and harmed by signals."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+from radishstile.platform.file import PATH_VARIABLE
+from soak.proxy import Proxy
+from soak.settings import SoakSettings
+
+CALLERS_PORT = 8388
+READINESS_PORT = 8384
+DIRECTORY_PORT = 8383
+PEER_PORT = 7560
+# Pause before a process that ended is started again, in seconds.
+RESTART_S = 0.4
+
+
+class Host:
+    """One machine: its process is started again whenever it ends."""
+
+    __slots__ = (
+        "name",
+        "zone",
+        "address",
+        "store",
+        "starts",
+        "_settings",
+        "_process",
+    )
+
+    def __init__(
+        self, name: str, zone: str, address: str, store: Proxy, settings
+    ):
+        self.name = name
+        self.zone = zone
+        self.address = address
+        # The proxy on this host's way to the store.
+        self.store = store
+        self.starts = 0
+        self._settings: SoakSettings = settings
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def run(self) -> None:
+        """Keep a process running until cancelled, then kill it."""
+        path = self._write_file()
+        environment = {**os.environ, PATH_VARIABLE: str(path)}
+        command = [sys.executable, "-m", "radishstile.entry.command", "serve"]
+        flags = os.O_CREAT | os.O_APPEND | os.O_WRONLY
+        log = os.open(path.with_suffix(".log"), flags)
+        try:
+            while True:
+                self.starts += 1
+                self._process = await asyncio.create_subprocess_exec(
+                    *command, env=environment, stdout=log, stderr=log
+                )
+                await self._process.wait()
+                await asyncio.sleep(RESTART_S)
+        finally:
+            self.signal(signal.SIGKILL)
+            if self._process is not None:
+                await self._process.wait()
+            os.close(log)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if there is one."""
+        process = self._process
+        if process is None or process.returncode is not None:
+            return
+        process.send_signal(number)
+
+    def _write_file(self) -> Path:
+        path = Path(self._settings.folder) / f"{self.name}.yaml"
+        path.write_text(json.dumps(self._make_file()), encoding="utf-8")
+        return path
+
+    def _make_file(self) -> dict:
+        settings = self._settings
+        here = self.address
+        return {
+            "self": {
+                "node": self.name,
+                "ip": here,
+                "zone": self.zone,
+                "region": settings.zones[self.zone],
+            },
+            "network": {
+                "listen": {
+                    "front": f"{here}:{CALLERS_PORT}",
+                    "ready": f"{here}:{READINESS_PORT}",
+                    "directory": f"{here}:{DIRECTORY_PORT}",
+                },
+                "internal_ports": [PEER_PORT, PEER_PORT],
+                "zones": settings.zones,
+            },
+            "platform": {
+                "platform": {"address": f"127.0.0.1:{self.store.port}"}
+            },
+            "terms": {
+                "bounds": {
+                    "grace_s": settings.grace_s,
+                    "revoke_s": settings.revoke_s,
+                    "drain_s": settings.drain_s,
+                }
+            },
+        }
--- /dev/null
+++ b/soak/record.py
@@ -0,0 +1,107 @@
+"""What callers and upstreams saw, on the soak's clock in seconds."""
+
+
+class Run:
+    """A request that an upstream began to run."""
+
+    __slots__ = (
+        "request_id",
+        "target",
+        "workspace",
+        "authorization",
+        "upstream",
+        "at",
+        "is_whole",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        target: str,
+        workspace: str,
+        authorization: str,
+        upstream: str,
+        at: float,
+    ):
+        self.request_id = request_id
+        self.target = target
+        self.workspace = workspace
+        self.authorization = authorization
+        self.upstream = upstream
+        self.at = at
+        self.is_whole = False
+
+
+class Attempt:
+    """A request that a caller sent; `status` is 0 without an answer."""
+
+    __slots__ = (
+        "request_id",
+        "host",
+        "target",
+        "is_order",
+        "key",
+        "sent_at",
+        "ended_at",
+        "status",
+        "body",
+        "is_late",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        host: str,
+        target: str,
+        is_order: bool,
+        key: str,
+        sent_at: float,
+    ):
+        self.request_id = request_id
+        self.host = host
+        self.target = target
+        self.is_order = is_order
+        self.key = key
+        self.sent_at = sent_at
+        self.ended_at = sent_at
+        self.status = 0
+        self.body = b""
+        # The caller waited until its deadline.
+        self.is_late = False
+
+
+class Span:
+    """A fault or a planned change from `begin` to `end`.
+
+    `subject` is what it concerns: a host, an upstream, a zone or a key.
+    """
+
+    __slots__ = ("kind", "subject", "is_planned", "begin", "end")
+
+    def __init__(
+        self, kind: str, subject: str, is_planned: bool, begin: float
+    ):
+        self.kind = kind
+        self.subject = subject
+        self.is_planned = is_planned
+        self.begin = begin
+        self.end = float("inf")
+
+
+class Record:
+    """All of a run.
+
+    `withdrawn` maps keys to when the store took their withdrawal, `drained`
+    upstreams to when it took that they leave; `keys` maps keys to
+    workspaces.
+    """
+
+    __slots__ = ("runs", "attempts", "spans", "withdrawn", "drained", "keys")
+
+    def __init__(self):
+        self.runs: list[Run] = []
+        self.attempts: list[Attempt] = []
+        self.spans: list[Span] = []
+        self.withdrawn: dict[str, float] = {}
+        self.drained: dict[str, float] = {}
+        self.keys: dict[str, str] = {}
--- /dev/null
+++ b/soak/upstream.py
@@ -0,0 +1,162 @@
+"""An upstream that speaks the published protocol and keeps a record."""
+
+import asyncio
+
+import httptools
+
+from soak.record import Run
+
+CHUNK_BYTES = 65_536
+# An upstream that leaves serves this much longer than the drain bound, in
+# seconds, so that late requests are seen.
+LEAVING_S = 1.5
+
+
+class Upstream:
+    """One incarnation: serves requests in its slots until it ends."""
+
+    __slots__ = (
+        "name",
+        "zone",
+        "born",
+        "slots",
+        "work_s",
+        "slowness",
+        "runs",
+        "busy",
+        "_clock",
+        "_server",
+        "_writers",
+    )
+
+    def __init__(self, name, zone, born, slots, work_s, runs, clock):
+        self.name = name
+        self.zone = zone
+        self.born = born
+        self.slots = slots
+        self.work_s = work_s
+        self.slowness = 1.0
+        # Runs of all upstreams, in their order.
+        self.runs: list[Run] = runs
+        self.busy = 0
+        self._clock = clock
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port that the upstream listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> "Upstream":
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    def crash(self) -> None:
+        """Break all connections and accept none."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def make_entry(self, port: int) -> dict:
+        """Return what the upstream enters in the store; `port` is public."""
+        return {
+            "address": f"127.0.0.1:{port}",
+            "info": {
+                "service": "press",
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
+            },
+            "born": self.born,
+        }
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                message = await _read_message(reader)
+                if message is None:
+                    return
+                writer.write(await self._answer(message, writer))
+                await writer.drain()
+        except OSError:
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, message: "_Message", writer) -> bytes:
+        request_id = message.headers.get("x-request-id", "")
+        expected = message.headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            return _encode(421, request_id, b"", "X-Not-Executed: 1")
+        if self.busy >= self.slots:
+            return _encode(503, request_id, b"", "X-Not-Executed: 1")
+        self.busy += 1
+        run = Run(
+            request_id,
+            message.target,
+            message.headers.get("x-tenant", ""),
+            message.headers.get("authorization", ""),
+            self.name,
+            self._clock(),
+        )
+        self.runs.append(run)
+        try:
+            await asyncio.sleep(self.work_s * self.slowness)
+        finally:
+            self.busy -= 1
+        run.is_whole = not writer.is_closing()
+        body = make_body(request_id, message.target)
+        return _encode(200, request_id, body, "X-Response-Stamp: stamp")
+
+
+class _Message:
+    """What a request's parser fills."""
+
+    __slots__ = ("headers", "target", "is_whole")
+
+    def __init__(self):
+        self.headers: dict[str, str] = {}
+        self.target = ""
+        self.is_whole = False
+
+    def on_url(self, part: bytes) -> None:
+        """Take a part of the target."""
+        self.target += part.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self.headers[name.lower().decode()] = value.decode("latin-1")
+
+    def on_message_complete(self) -> None:
+        """Note the end of the request."""
+        self.is_whole = True
+
+
+async def _read_message(reader: asyncio.StreamReader) -> _Message | None:
+    message = _Message()
+    parser = httptools.HttpRequestParser(message)
+    while not message.is_whole:
+        data = await reader.read(CHUNK_BYTES)
+        if not data:
+            return None
+        parser.feed_data(data)
+    return message
+
+
+def make_body(request_id: str, target: str) -> bytes:
+    """Return the one right body of an answer."""
+    return f"{request_id} {target} ".encode() * 40
+
+
+def _encode(status: int, request_id: str, body: bytes, extra: str) -> bytes:
+    lines = (
+        f"HTTP/1.1 {status} Status",
+        f"X-Request-Id: {request_id}",
+        f"Content-Length: {len(body)}",
+        extra,
+    )
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/test/matrix/test_pairs.py
+++ b/test/matrix/test_pairs.py
@@ -14,7 +14,7 @@
 from test.matrix.table import RUN_FAULTS, RUN_STEPS, Fault, Step
 
 HOSTS = 3
-EXAMPLES = int(os.environ.get("SOAK_EXAMPLES", "4"))
+EXAMPLES = int(os.environ.get("PAIR_EXAMPLES", "4"))
 # An operator's command needs the store and its host, so it comes first.
 SECOND = [
     fault
@@ -24,7 +24,7 @@
 
 
 class PairsTest(SceneMixin, unittest.TestCase):
-    """`make soak` draws many more pairs than the tests of each change."""
+    """`make pairs` draws many more pairs than the tests of each change."""
 
     def setUp(self):
         asyncio.set_event_loop_policy(PausedLoopPolicy())
--- /dev/null
+++ b/test/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak, and its short seeded runs."""
