Let hosts that start together agree on a lead at once

Cause: after a kill of all hosts, each knew its own new start and the others' earlier ones, and the longest-lived came first, so each took another for the first: two hosts followed each other, nobody asked the store before 0.8 s had passed, and the entries that came then made all of them dial anew and split the slots once more, 3.6 s after the start. A restart cost four calls: a create that conflicts, a read, a replace, and the list. Change: hosts lead in the order of size and name; a host that starts again is dialled at its old address; the first asks after 0.15 s; hosts without a configuration send a heartbeat every 0.1 s; the entry is replaced without a read. An answer counts for the age of news from when it came, since a watch tells of all the time it waited: counted from its begin, leads in far regions looked stale every 0.8 s. A host's cores are its share times its cores. New objects go to upstreams in the zone of the caller first. Ruled out: every host reads all from the store at once (three calls a host). Test: test.fleet.test_hosts...agree_on_the_order, test.entry.test_start.

--- a/radishstile/entry/feeds.py
+++ b/radishstile/entry/feeds.py
@@ -60,7 +60,7 @@
 
     def confirm(self, asked_at: float) -> None:
         """Note that the store had nothing newer at `asked_at`."""
-        self._node.note_store(asked_at)
+        self._node.note_store()
         if self._is_readable:
             self._node.freshness.confirm(asked_at)
 
--- a/radishstile/entry/leads.py
+++ b/radishstile/entry/leads.py
@@ -38,6 +38,7 @@
         "_lead",
         "_followed_at",
         "_shares",
+        "_hosts_changed",
     )
 
     def __init__(self, node: EntryNode, desk: SlotDesk, peers: Peers):
@@ -49,6 +50,7 @@
         # The loop's time at which the lead was taken.
         self._followed_at = 0.0
         self._shares = (0.0, 0.0)
+        self._hosts_changed = asyncio.Event()
 
     @property
     def is_leading(self) -> bool:
@@ -62,7 +64,16 @@
                 self.peers.keep(self._list_wanted(), group)
                 self.find_lead()
                 self.count_shares()
-                await asyncio.sleep(FOLLOW_S / 2)
+                self._hosts_changed.clear()
+                try:
+                    async with asyncio.timeout(FOLLOW_S / 2):
+                        await self._hosts_changed.wait()
+                except TimeoutError:
+                    continue
+
+    def note_hosts(self) -> None:
+        """Look soon at which hosts there are."""
+        self._hosts_changed.set()
 
     def list_serving(self) -> list[str]:
         """Return the region's hosts that callers may be sent to."""
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -55,7 +55,7 @@
         self.random = random.Random()
         self.catalog: Catalog | None = None
         self.freshness = Freshness(file.bounds.withdrawal_s)
-        # On the lasting clock: when the last answered question was asked.
+        # On the lasting clock: when the store's last answer came.
         self._store_reached_at = float("-inf")
         # On the lasting clock: the moment of the newest news from the store,
         # directly or through a peer.
@@ -70,10 +70,14 @@
         """Return the age of this host's proof of freshness, in seconds."""
         return min(self.freshness.measure_age(read_lasting_clock()), NEVER_S)
 
-    def note_store(self, asked_at: float) -> None:
-        """Note that the store answered what this host asked then."""
-        self._store_reached_at = max(self._store_reached_at, asked_at)
-        self.note_news(asked_at)
+    def note_store(self) -> None:
+        """Note that an answer of the store has come just now.
+
+        A watch that ends without news tells of the whole time it waited, so
+        its end counts. Proof of freshness counts from its begin.
+        """
+        self._store_reached_at = read_lasting_clock()
+        self.note_news(self._store_reached_at)
 
     def note_news(self, as_of: float) -> None:
         """Note that this host knows what the store held then."""
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -14,6 +14,10 @@
 
 _LOG = logging.getLogger("radishstile.peers")
 
+# Time between heartbeats of a host that knows no configuration yet, in
+# seconds: it waits for a peer that does.
+UNINFORMED_FOLLOW_S = 0.1
+
 
 class Peer:
     """One dialled host and what it said last.
@@ -87,7 +91,8 @@
         """Dial the wanted hosts, and drop the others."""
         by_host = {member.host: member for member in wanted}
         for host, peer in list(self._peers.items()):
-            if by_host.get(host) != peer.member:
+            # A host that has started again is dialled at its old address.
+            if not _is_same_place(by_host.get(host), peer.member):
                 self._tasks.pop(host).cancel()
                 del self._peers[host]
         for host, member in by_host.items():
@@ -105,8 +110,10 @@
             while True:
                 peer.changed.clear()
                 await self._beat(peer)
+                is_informed = self._node.catalog is not None
+                pause_s = FOLLOW_S if is_informed else UNINFORMED_FOLLOW_S
                 try:
-                    async with asyncio.timeout(FOLLOW_S):
+                    async with asyncio.timeout(pause_s):
                         await peer.changed.wait()
                 except TimeoutError:
                     continue
@@ -139,3 +146,11 @@
             version=node.catalog.version if node.catalog else 0,
             age_s=node.measure_age(),
         )
+
+
+def _is_same_place(wanted: Member | None, dialled: Member) -> bool:
+    """Return whether a wanted host listens where one is dialled already."""
+    if wanted is None:
+        return False
+    place = (dialled.address, dialled.peer_port)
+    return (wanted.address, wanted.peer_port) == place
--- a/radishstile/entry/registrar.py
+++ b/radishstile/entry/registrar.py
@@ -55,11 +55,7 @@
         name = node.me.host
         if node.is_leaving or node.hosts.find(name) == node.hosts.me:
             return
-        spec = encode_host(node.hosts.me)
-        try:
-            await node.store.create(HOST_KIND, name, spec)
-        except ObjectConflictError:
-            await self._replace(name, spec)
+        await self._write(name, encode_host(node.hosts.me))
         node.hosts.put(node.hosts.me)
         node.changed.set()
         _LOG.info(
@@ -67,12 +63,25 @@
             extra=describe(incarnation=node.me.incarnation),
         )
 
-    async def _replace(self, name: str, spec: dict) -> None:
-        """Write over the entry of an earlier start, or of a lost answer."""
+    async def _write(self, name: str, spec: dict) -> None:
+        """Enter this host, mostly over the entry of an earlier start.
+
+        Nobody else writes the entry, so it needs no revision; a write of an
+        earlier start that comes late is seen and written over.
+        """
         store = self._node.store
-        stored = await store.read(HOST_KIND, name)
-        if stored is not None and stored.spec != spec:
-            await store.replace(HOST_KIND, name, spec, stored.revision)
+        if self._node.file.is_first_start:
+            try:
+                await store.create(HOST_KIND, name, spec)
+                return
+            except ObjectConflictError:
+                # An answer was lost, or the host has started again since.
+                await store.replace(HOST_KIND, name, spec)
+                return
+        try:
+            await store.replace(HOST_KIND, name, spec)
+        except ObjectMissingError:
+            await store.create(HOST_KIND, name, spec)
 
     async def _sweep(self) -> None:
         """Remove the entries of this region's hosts that stay away.
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -34,10 +34,12 @@
 TURNED_AWAY_WAIT_S = 0.4
 STORE_PROBE_S = 1.0
 # Time after its start in which a host waits for a peer that knows what the
-# store would tell, and in which the first one of a region waits for others to
-# register, in seconds.
-START_WAIT_S = 0.8
-SETTLE_S = 0.25
+# store would tell, in seconds: the first one of a region long enough to hear
+# from one that was there before, the others until the first has asked.
+FIRST_WAIT_S = 0.15
+START_WAIT_S = 0.6
+# Time between looks for such a peer, in seconds.
+START_REVIEW_S = 0.05
 # Time between looks at whether another source is to be followed, in seconds.
 SOURCE_REVIEW_S = 0.25
 # Pauses between failed calls, in seconds, doubled up to the longest.
@@ -87,7 +89,9 @@
             peer = self._find_peer(mirror)
             source = self._node.store if peer is None else PeerSource(peer)
             if peer is None and self._must_wait(feed):
-                await asyncio.sleep(SOURCE_REVIEW_S)
+                is_new = mirror.revision is None
+                pause = START_REVIEW_S if is_new else SOURCE_REVIEW_S
+                await asyncio.sleep(pause)
                 continue
             try:
                 if is_behind:
@@ -153,7 +157,7 @@
         if feed.kind == HOST_KIND:
             return False
         is_first = self._node.list_region()[0] == self._node.me
-        wait_s = SETTLE_S if is_first else START_WAIT_S
+        wait_s = FIRST_WAIT_S if is_first else START_WAIT_S
         return read_clock() - self._started_at < wait_s
 
     def _find_peer(self, mirror: Mirror) -> Peer | None:
@@ -211,7 +215,8 @@
             feed.confirm(asked_at)
             await asyncio.sleep(feed.pause_s if changes.changes else 0.0)
         elif self._leads.is_leading and feed.kind == CONFIGURATION_KIND:
-            self._node.note_news(asked_at - peer.measure_age(read_clock()))
+            age_s = peer.measure_age(read_clock())
+            self._node.note_news(read_lasting_clock() - age_s)
 
     def _note_answer(self) -> None:
         if self._is_lost:
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -135,7 +135,7 @@
             await self.node.changed.wait()
             self.node.changed.clear()
             self._desk.refresh()
-            self._leads.count_shares()
+            self._leads.note_hosts()
 
     async def _keep_house(self, reload: asyncio.Event) -> None:
         while True:
--- a/radishstile/entry/serving.py
+++ b/radishstile/entry/serving.py
@@ -200,6 +200,7 @@
             route.name,
             object_key,
             plan.priority,
+            self._node.me.zone,
             plan.regions,
             frozenset(tries.excluded),
             read_clock(),
--- a/radishstile/fleet/following.py
+++ b/radishstile/fleet/following.py
@@ -18,13 +18,13 @@
 
 
 # Age of a host's news from the store, in seconds, up to which others follow
-# the store through it. A lead in touch asks every 0.8 s, and an answer takes
-# up to 0.4 s while the store is slow. What lies beyond must leave time to
-# learn of a leaving upstream within the shortest drain bound, 2.5 s.
-FRESH_S = 1.4
+# the store through it. A lead in touch has an answer every 0.8 s, or 1.2 s
+# while the store is slow. What lies beyond must leave time to learn of a
+# leaving upstream within the shortest drain bound, 2.5 s.
+FRESH_S = 1.5
 # Age of a lead's own answer from the store, in seconds, past which it follows
 # another region's lead: soon enough that its followers never miss it.
-TURNED_AWAY_S = 1.1
+TURNED_AWAY_S = 1.25
 # The same age past which another host leads that the store has answered
 # since. Longer, as a change of the lead costs more than a call.
 STALE_S = 2.6
--- a/radishstile/fleet/hosts.py
+++ b/radishstile/fleet/hosts.py
@@ -31,7 +31,8 @@
     """The registered hosts by name; `me` is always among them.
 
     A lead counts for its whole region, so the largest hosts come first, and
-    of equal ones the longest-lived: its restart changes the lead once.
+    of equal ones the first by name. All hosts agree on that order, also those
+    that start together and know of each other's earlier starts only.
     """
 
     __slots__ = ("me", "_by_name", "_orders")
@@ -79,5 +80,5 @@
     def _make_order(self, region: str) -> list[Member]:
         known = {**self._by_name, self.me.name: self.me}
         hosts = [h for h in known.values() if h.member.region == region]
-        hosts.sort(key=lambda h: (-h.cores, h.member.incarnation, h.name))
+        hosts.sort(key=lambda host: (-host.cores, host.name))
         return [host.member for host in hosts]
--- a/radishstile/platform/file.py
+++ b/radishstile/platform/file.py
@@ -87,6 +87,7 @@
         "zones",
         "store",
         "heartbeat_s",
+        "is_first_start",
         "bounds",
     )
 
@@ -101,8 +102,12 @@
         self.address = me.get_text("ip")
         self.zone = me.get_text("zone")
         self.region = me.get_text("region")
-        # A share of one core; several cores add up.
-        self.cores = limits.get_number("cpu_share", 1.0)
+        # The platform sets it while the whole system starts for the first
+        # time.
+        self.is_first_start = me.get_flag("bootstrap")
+        # The share is of each core.
+        share = limits.get_number("cpu_share", 1.0)
+        self.cores = share * limits.get_number("cores", 1.0)
         self.memory_mb = limits.get_number("memory_mb", 256.0)
         self.callers = listen.get_endpoint("front")
         self.readiness = listen.get_endpoint("ready")
@@ -143,6 +148,12 @@
             raise self._fail(name, "a number of 0 or more")
         return float(value)
 
+    def get_flag(self, name: str) -> bool:
+        value = self._values.get(name)
+        if value is not None and type(value) is not bool:
+            raise self._fail(name, "true or false")
+        return bool(value)
+
     def get_endpoint(self, name: str) -> Endpoint:
         text = self.get_text(name)
         address, _, port = text.rpartition(":")
--- a/radishstile/platform/objects.py
+++ b/radishstile/platform/objects.py
@@ -154,10 +154,16 @@
         await self._write("POST", kind, body)
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
+        self, kind: str, name: str, spec: Any, revision: int | None = None
     ) -> None:
-        """Replace the spec of an object that is still at `revision`."""
-        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        """Replace the spec of an object, if it is still at `revision`.
+
+        Raises `ObjectMissingError` and `ObjectConflictError`.
+        """
+        metadata = {"name": name}
+        if revision is not None:
+            metadata["revision"] = revision
+        body = {"metadata": metadata, "spec": spec}
         await self._write("PUT", f"{kind}/{quote(name)}", body)
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
--- a/radishstile/slot/book.py
+++ b/radishstile/slot/book.py
@@ -128,9 +128,12 @@
         time, so that their memory of objects stays of use.
         """
         ranking = Ranking(
-            u
-            for u in self._upstreams.values()
-            if self._is_own(u) and u.registration.service == service
+            (
+                u
+                for u in self._upstreams.values()
+                if self._is_own(u) and u.registration.service == service
+            ),
+            self.region,
         )
         lent: dict[str, int] = {}
         for upstream in ranking.order(region):
@@ -233,7 +236,7 @@
             book = self._find_service(name)
             upstreams = by_service.get(name, [])
             if not book.ranking.has(upstreams):
-                book.ranking = Ranking(upstreams)
+                book.ranking = Ranking(upstreams, self.region)
 
     def _start(
         self,
--- a/radishstile/slot/choice.py
+++ b/radishstile/slot/choice.py
@@ -19,7 +19,7 @@
         self._now = now
         accepted = [
             upstream
-            for upstream in ranking.order(claim.object_key)
+            for upstream in ranking.order(claim.object_key, claim.zone)
             if upstream.capacity and upstream.accepts(claim)
         ]
         avoided = [u for u in accepted if u.is_avoided()]
--- a/radishstile/slot/claim.py
+++ b/radishstile/slot/claim.py
@@ -29,8 +29,9 @@
 
     Times are the loop's, in seconds. `object_key` names what the request is
     about, or is empty; requests for one object are faster on an upstream that
-    knows it. `regions` and `excluded` limit the choice; empty `regions` allow
-    all. 0 is the most urgent `priority`.
+    knows it. `zone` is that of the host that claims. `regions` and `excluded`
+    limit the choice; empty `regions` allow all. 0 is the most urgent
+    `priority`.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         "route",
         "object_key",
         "priority",
+        "zone",
         "regions",
         "excluded",
         "arrived_at",
@@ -53,6 +55,7 @@
         route: str,
         object_key: str,
         priority: int,
+        zone: str,
         regions: frozenset[str],
         excluded: frozenset[str],
         arrived_at: float,
@@ -64,6 +67,7 @@
         self.route = route
         self.object_key = object_key
         self.priority = priority
+        self.zone = zone
         self.regions = regions
         self.excluded = excluded
         self.arrived_at = arrived_at
--- a/radishstile/slot/ranking.py
+++ b/radishstile/slot/ranking.py
@@ -11,21 +11,24 @@
 
 
 class Ranking:
-    """Rendezvous orders of a fixed set of upstreams, by object.
+    """Rendezvous orders of a fixed set of upstreams, by object and zone.
 
     Every book ranks alike, so a new book sends an object to where the old
-    one did.
+    one did. Of the upstreams in `region`, those in the zone of the claim come
+    first, in the places that the region's have: bytes between zones cost,
+    and the part that runs in other regions stays as it is.
     """
 
-    __slots__ = ("upstreams", "_seeds", "_orders")
+    __slots__ = ("upstreams", "_region", "_seeds", "_orders")
 
-    def __init__(self, upstreams: Iterable[BookedUpstream]):
+    def __init__(self, upstreams: Iterable[BookedUpstream], region: str):
+        self._region = region
         self.upstreams = sorted(upstreams, key=lambda u: u.upstream_id)
         self._seeds = [
             xxhash.xxh3_64_intdigest(u.upstream_id.encode())
             for u in self.upstreams
         ]
-        self._orders: dict[str, list[BookedUpstream]] = {}
+        self._orders: dict[tuple[str, str], list[BookedUpstream]] = {}
 
     def has(self, upstreams: list[BookedUpstream]) -> bool:
         """Return whether exactly these upstreams are ranked."""
@@ -35,16 +38,30 @@
         pairs = zip(ordered, self.upstreams, strict=True)
         return all(a is b for a, b in pairs)
 
-    def order(self, object_key: str) -> list[BookedUpstream]:
-        """Return the upstreams, the best for the object first."""
-        order = self._orders.get(object_key)
+    def order(self, object_key: str, zone: str = "") -> list[BookedUpstream]:
+        """Return the upstreams, the best for the object first.
+
+        `zone` is where the request came in; empty prefers none.
+        """
+        order = self._orders.get((object_key, zone))
         if order is None:
-            order = self._make_order(object_key.encode())
+            order = self._prefer(zone, self._make_order(object_key.encode()))
             if len(self._orders) >= CACHE_LIMIT:
                 self._orders.clear()
-            self._orders[object_key] = order
+            self._orders[object_key, zone] = order
         return order
 
+    def _prefer(
+        self, zone: str, order: list[BookedUpstream]
+    ) -> list[BookedUpstream]:
+        own = [u for u in order if u.registration.region == self._region]
+        own.sort(key=lambda upstream: upstream.registration.zone != zone)
+        places = iter(own)
+        return [
+            next(places) if u.registration.region == self._region else u
+            for u in order
+        ]
+
     def _make_order(self, key: bytes) -> list[BookedUpstream]:
         scores = {
             upstream.upstream_id: xxhash.xxh3_64_intdigest(key, seed)
--- a/radishstile/slot/service.py
+++ b/radishstile/slot/service.py
@@ -27,7 +27,7 @@
     )
 
     def __init__(self):
-        self.ranking = Ranking([])
+        self.ranking = Ranking([], "")
         self.queue = ClaimQueue()
         self.estimates: dict[str, HoldEstimate] = {}
         self.demand: float | None = None
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -7,8 +7,8 @@
     """Asks for a slot of a service's upstreams.
 
     `objective_s`, `objective_left_s` and `deadline_left_s` are in seconds;
-    `workspace` is empty where no rate applies; `fingerprint` tells repeats
-    of one request.
+    `zone` is the claimant's; `workspace` is empty where no rate applies;
+    `fingerprint` tells repeats of one request.
     """
 
     __slots__ = (
@@ -17,6 +17,7 @@
         "route",
         "object_key",
         "priority",
+        "zone",
         "regions",
         "excluded",
         "objective_s",
@@ -31,6 +32,7 @@
     route: str
     object_key: str
     priority: int
+    zone: str
     regions: list[str]
     excluded: list[str]
     objective_s: float
--- a/test/entry/_common.py
+++ b/test/entry/_common.py
@@ -214,15 +214,23 @@
         self.store.put("servers", upstream.name, record, status)
 
     async def start_host(self, name, zone):
+        host = self.make_host(self.make_file(name, zone))
+        await self.run_host(host)
+        return host
+
+    def make_host(self, file, incarnation=1):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = Path(folder.name) / "node.yaml"
-        path.write_text(json.dumps(self.make_file(name, zone)))
+        path.write_text(json.dumps(file))
         has_news = self.configuration is not None
-        host = RunningHost(read_host_file(str(path)), str(path), has_news)
+        return RunningHost(
+            read_host_file(str(path)), str(path), has_news, incarnation
+        )
+
+    async def run_host(self, host):
         await host.start()
         self.addAsyncCleanup(host.stop)
-        return host
 
     def make_file(self, name, zone):
         ports = find_free_ports(4)
@@ -260,10 +268,10 @@
     `has_news` tells that there is a configuration to wait for.
     """
 
-    def __init__(self, file, path, has_news):
+    def __init__(self, file, path, has_news, incarnation):
         self._has_news = has_news
         self.file = file
-        self.entry = EntryHost(file, path, 1, find_free_ports(1)[0])
+        self.entry = EntryHost(file, path, incarnation, find_free_ports(1)[0])
         self.stopping = asyncio.Event()
         self._task = None
 
--- a/test/fleet/test_following.py
+++ b/test/fleet/test_following.py
@@ -88,7 +88,7 @@
     def test_a_lead_that_is_turned_away_follows_another_region(self):
         away = [Candidate("x", True, 9.0), Candidate("y", True, 0.5)]
         near = [Candidate("b", True, 0.2)]
-        self.assertEqual(self.choose(1.2, near, away), "y")
+        self.assertEqual(self.choose(1.3, near, away), "y")
 
     def test_it_follows_its_own_region_where_all_leads_are_turned_away(self):
         away = [Candidate("x", True, 9.0), Candidate("y", False, 0.0)]
--- a/test/fleet/test_hosts.py
+++ b/test/fleet/test_hosts.py
@@ -24,11 +24,20 @@
         self.assertEqual(self.list_names(), ["me"])
         self.assertEqual(len(self.table), 1)
 
-    def test_the_largest_and_then_the_longest_lived_come_first(self):
-        self.table.put(make_host("old", 1))
-        self.table.put(make_host("young", 9))
+    def test_the_largest_and_then_the_first_by_name_come_first(self):
+        self.table.put(make_host("a", 9))
+        self.table.put(make_host("z", 1))
         self.table.put(make_host("large", 10, cores=2.0))
-        self.assertEqual(self.list_names(), ["large", "old", "me", "young"])
+        self.assertEqual(self.list_names(), ["large", "a", "me", "z"])
+
+    def test_hosts_that_start_together_agree_on_the_order(self):
+        """Each knows its own new start, and the others' earlier ones."""
+        orders = []
+        for name in ("a", "b", "c"):
+            table = HostTable(make_host(name, 9))
+            table.replace_all(make_host(other, 1) for other in ("a", "b", "c"))
+            orders.append([m.host for m in table.order("akl")])
+        self.assertEqual(orders, [["a", "b", "c"]] * 3)
 
     def test_other_regions_have_orders_of_their_own(self):
         self.table.put(make_host("far", region="wlg"))
@@ -37,9 +46,9 @@
         self.assertEqual(self.table.list_regions(), ["akl", "wlg"])
 
     def test_an_order_follows_changes(self):
-        self.table.put(make_host("old", 1))
-        self.assertEqual(self.list_names(), ["old", "me"])
-        self.table.remove("old")
+        self.table.put(make_host("a"))
+        self.assertEqual(self.list_names(), ["a", "me"])
+        self.table.remove("a")
         self.assertEqual(self.list_names(), ["me"])
-        self.table.replace_all([make_host("next", 2)])
-        self.assertEqual(self.list_names(), ["next", "me"])
+        self.table.replace_all([make_host("b")])
+        self.assertEqual(self.list_names(), ["b", "me"])
--- a/test/slot/_common.py
+++ b/test/slot/_common.py
@@ -13,14 +13,14 @@
 
 
 def make_registration(
-    name, slots=2, region=REGION, cold_for_s=0.0, started_at_ms=1
+    name, slots=2, region=REGION, cold_for_s=0.0, started_at_ms=1, zone="a"
 ):
     return Registration(
         name,
         SERVICE,
         "127.0.0.1",
         80,
-        f"{region}-a",
+        f"{region}-{zone}",
         region,
         slots,
         Readiness.READY,
@@ -38,6 +38,7 @@
     deadline_s=3.0,
     excluded=(),
     regions=(),
+    zone="",
 ):
     return Claim(
         name,
@@ -45,6 +46,7 @@
         "route",
         key,
         priority,
+        zone,
         frozenset(regions),
         frozenset(excluded),
         now,
--- a/test/slot/test_book.py
+++ b/test/slot/test_book.py
@@ -107,6 +107,33 @@
         ]
         self.assertEqual(grants[0].upstream_id, grants[1].upstream_id)
 
+    def test_a_new_object_goes_to_the_zone_of_its_caller(self):
+        """Large answers between zones are paid for."""
+        book = make_book(
+            *(make_registration(f"a{n}", zone="a") for n in range(3)),
+            *(make_registration(f"b{n}", zone="b") for n in range(3)),
+        )
+        grants = [
+            offer(book, make_claim(str(n), key=f"object-{n}", zone="akl-b"))
+            for n in range(3)
+        ]
+        zones = {grant.upstream_id[0] for grant in grants}
+        self.assertEqual(zones, {"b"})
+
+    def test_the_zone_changes_nothing_in_the_part_of_other_regions(self):
+        own = [make_registration(f"a{n}", zone=z) for n, z in enumerate("ab")]
+        away = [make_registration(f"w{n}", region="wlg") for n in range(4)]
+        book = make_book(*own, *away)
+        book.borrow("wlg", {f"w{n}": 2 for n in range(4)}, 0.0)
+        ranking = book._find_service("press").ranking
+        for n in range(50):
+            places = [
+                [u.upstream_id[0] for u in ranking.order(f"o{n}", zone)]
+                for zone in ("akl-a", "akl-b", "")
+            ]
+            self.assertEqual(places[0], places[1])
+            self.assertEqual(places[0], places[2])
+
     def test_waits_for_a_busy_upstream_that_knows_the_object(self):
         book = make_book(*(make_registration(f"u{n}") for n in range(4)))
         learn_hold(book, 0.1, "7")
