--- a/soak/callers.py
+++ b/soak/callers.py
@@ -107,18 +107,23 @@
         clock = self._fleet.read_clock
         until = attempts[0].sent_at + DEADLINE_S + PATIENCE_S
         goes_on = True
-        for attempt in attempts:
+        is_late = False
+        for number, attempt in enumerate(attempts):
+            answer = None
             try:
                 async with asyncio.timeout(max(0.0, until - clock())):
                     answer = await _receive(reader, parser, answers)
             except TimeoutError:
-                attempt.is_late = True
-                answer = None
+                is_late = True
             except (OSError, httptools.HttpParserError):
-                answer = None
-            attempt.ended_at = clock()
+                is_late = False
             if answer is None:
+                # Those behind it end with the connection, too.
+                for unanswered in attempts[number:]:
+                    unanswered.ended_at = clock()
+                    unanswered.is_late = is_late
                 return False
+            attempt.ended_at = clock()
             attempt.status, attempt.body = answer.status, bytes(answer.body)
             goes_on = goes_on and answer.keeps_alive
         return goes_on
