Soak: requests that wait when the run ends have not ended

A caller that the run itself cancelled left its request with the sending time as its end, so one that had been under way for more than 0.2 s counted as cut off (seed 39, 27.6 s into a run of 27.9 s). Others are checked up to the very end now, not up to 0.2 s before it.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -142,8 +142,8 @@
     """Yield requests that were cut where nothing but planned work was near."""
     for attempt in evidence.attempts.values():
         is_cut = attempt.status == 0 and not attempt.is_late
-        # The last connections are cut by the callers' own end.
-        if not is_cut or attempt.ended_at >= evidence.ended_at - SLACK_S:
+        # Those that still waited were cut by the end of the run.
+        if not is_cut or attempt.ended_at >= evidence.ended_at:
             continue
         if not evidence.runs.get(attempt.request_id):
             continue
--- a/soak/record.py
+++ b/soak/record.py
@@ -33,7 +33,10 @@
 
 
 class Attempt:
-    """A request that a caller sent; `status` is 0 without an answer."""
+    """A request that a caller sent; `status` is 0 without an answer.
+
+    `ended_at` is infinite while it waits, as when the run ends.
+    """
 
     __slots__ = (
         "request_id",
@@ -63,7 +66,7 @@
         self.is_order = is_order
         self.key = key
         self.sent_at = sent_at
-        self.ended_at = sent_at
+        self.ended_at = float("inf")
         self.status = 0
         self.body = b""
         # The caller waited until its deadline.
