Tell all regions of requests that crash upstreams

Cause: each region's lead counted crashes alone, and a new lead began anew, so a request could crash two upstreams in each region and again after each change of the lead. Each served request also left its id in the ledger for ten minutes. Change: entry/reports.py passes new reports on to the hosts that this one dials: the region's next leads and those of other regions. A success is noted only for a suspect. The encoding of reports moved from the daemon to wire/reports.py, so that both use it. Ruled out: counting in the store, a write for each crash. Test: test.entry.test_reports.

--- a/radishstile/daemon/execution.py
+++ b/radishstile/daemon/execution.py
@@ -12,7 +12,6 @@
 import aiohttp
 
 from radishstile.call import Answer
-from radishstile.daemon.harm import read_report
 from radishstile.daemon.node import read_clock
 from radishstile.daemon.order import Order
 from radishstile.daemon.parts import Parts
@@ -55,6 +54,7 @@
 )
 from radishstile.wire.parts import PartAssembly, PartSequence
 from radishstile.wire.refusals import raise_refusal
+from radishstile.wire.reports import read_report
 
 _CONNECT_WAIT_S = 1.0
 # A home's clock starts when the order arrives, so that its word that an order
--- a/radishstile/daemon/handlers.py
+++ b/radishstile/daemon/handlers.py
@@ -6,7 +6,6 @@
 from functools import singledispatch
 
 from radishstile.daemon.execution import LocalExecution
-from radishstile.daemon.harm import make_message, read_report
 from radishstile.daemon.journals import make_known
 from radishstile.daemon.node import read_clock
 from radishstile.daemon.order import Order
@@ -26,6 +25,7 @@
 from radishstile.wire.messages import block, fleet, run
 from radishstile.wire.messages.base import Message
 from radishstile.wire.parts import PartAssembly, PartSequence
+from radishstile.wire.reports import make_message, read_report
 
 _BODY_TIMEOUT_S = 10.0
 _RETRY_AFTER_S = 1.0
--- a/radishstile/daemon/harm.py
+++ b/radishstile/daemon/harm.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import logging
-from functools import singledispatch
 
 import aiohttp
 
@@ -19,8 +18,7 @@
     SuccessReport,
 )
 from radishstile.upstream.slot import SlotLease
-from radishstile.wire.messages.base import Message
-from radishstile.wire.messages.fleet import ReportCrash, ReportSuccess
+from radishstile.wire.reports import make_message
 
 _LOG = logging.getLogger("radishstile.harm")
 _SETTLE_S = 0.05
@@ -197,43 +195,3 @@
         ):
             return False
         return False
-
-
-@singledispatch
-def make_message(report) -> Message:
-    """Return the message that carries a report."""
-    raise TypeError(f"no such report: {type(report).__name__}")
-
-
-@make_message.register
-def _(report: CrashReport) -> Message:
-    return ReportCrash(
-        report_id=report.report_id,
-        upstream=report.upstream,
-        fingerprints=[f.hex() for f in sorted(report.fingerprints)],
-    )
-
-
-@make_message.register
-def _(report: SuccessReport) -> Message:
-    return ReportSuccess(
-        report_id=report.report_id, fingerprint=report.fingerprint.hex()
-    )
-
-
-@singledispatch
-def read_report(message: Message) -> CrashReport | SuccessReport:
-    """Return the report that a message carries."""
-    raise TypeError(f"no report: {type(message).__name__}")
-
-
-@read_report.register
-def _(message: ReportCrash) -> CrashReport:
-    fingerprints = frozenset(map(bytes.fromhex, message.fingerprints))
-    return CrashReport(message.report_id, message.upstream, fingerprints)
-
-
-@read_report.register
-def _(message: ReportSuccess) -> SuccessReport:
-    fingerprint = bytes.fromhex(message.fingerprint)
-    return SuccessReport(message.report_id, fingerprint)
--- a/radishstile/entry/desk.py
+++ b/radishstile/entry/desk.py
@@ -70,6 +70,7 @@
         "_terms",
         "_broken",
         "_has_waiting",
+        "reports",
     )
 
     def __init__(self, node: EntryNode):
@@ -82,6 +83,10 @@
         # Runs that broke lately, by upstream.
         self._broken: dict[str, list[_BrokenRun]] = {}
         self._has_waiting = asyncio.Event()
+        # Reports on harmful requests that other hosts are to know of.
+        self.reports: asyncio.Queue[CrashReport | SuccessReport] = (
+            asyncio.Queue()
+        )
 
     async def run(self) -> None:
         """Review the queue while claims wait in it."""
@@ -144,6 +149,11 @@
         self._node.metrics.endings.inc({"ending": ending.value})
         self._deliver(self.book.finish(claim.claim_id, ending, held_s, now))
 
+    def take_report(self, report: CrashReport | SuccessReport) -> None:
+        """Learn from a report, and pass it on if it is new."""
+        if self.harm.apply(report, read_clock()):
+            self.reports.put_nowait(report)
+
     def _charge(self, claim: Claim, terms: ClaimTerms, now: float) -> None:
         if not terms.workspace:
             return
@@ -255,9 +265,11 @@
         it goes on.
         """
         if ending is Ending.SERVED:
-            self.harm.apply(
-                SuccessReport(claim.claim_id, terms.fingerprint), now
-            )
+            verdict = self.harm.check(terms.fingerprint, now)
+            if verdict is not HarmVerdict.ALLOWED:
+                self.take_report(
+                    SuccessReport(claim.claim_id, terms.fingerprint)
+                )
         elif ending is Ending.BROKEN:
             runs = self._broken.setdefault(grant.upstream_id, [])
             runs.append(_BrokenRun(claim.claim_id, terms.fingerprint, now))
@@ -277,7 +289,7 @@
             upstream_id,
             frozenset(run.fingerprint for run in runs),
         )
-        self.harm.apply(report, now)
+        self.take_report(report)
         _LOG.warning(
             "desk: An upstream crashed while it ran requests.",
             extra=describe(
--- a/radishstile/entry/handlers.py
+++ b/radishstile/entry/handlers.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 
 from radishstile.entry.claims import Claims, Slot, decode_claim
-from radishstile.entry.desk import ClaimTerms
+from radishstile.entry.desk import ClaimTerms, SlotDesk
 from radishstile.entry.leads import Leads
 from radishstile.entry.loans import Loans
 from radishstile.entry.node import read_clock
@@ -15,6 +15,7 @@
 from radishstile.slot.claim import Claim, Ending
 from radishstile.wire.exchange import Exchange
 from radishstile.wire.messages.base import Message
+from radishstile.wire.messages.fleet import ReportCrash, ReportSuccess
 from radishstile.wire.messages.slot import (
     BorrowSlots,
     ClaimSlot,
@@ -25,6 +26,7 @@
     SlotGranted,
     SlotQueued,
 )
+from radishstile.wire.reports import read_report
 
 _LOG = logging.getLogger("radishstile.handlers")
 
@@ -36,11 +38,17 @@
 class Handler:
     """Runs one message of a peer to its end."""
 
-    __slots__ = ("_leads", "_claims", "_loans", "_replica")
+    __slots__ = ("_leads", "_claims", "_loans", "_replica", "_desk")
 
     def __init__(
-        self, leads: Leads, claims: Claims, loans: Loans, replica: Replica
+        self,
+        leads: Leads,
+        claims: Claims,
+        loans: Loans,
+        replica: Replica,
+        desk: SlotDesk,
     ):
+        self._desk = desk
         self._leads = leads
         self._claims = claims
         self._loans = loans
@@ -59,6 +67,12 @@
         host = exchange.peer.host
         await exchange.send(self._leads.answer_heartbeat(message, host))
 
+    @_handle.register
+    async def _(
+        self, message: ReportCrash | ReportSuccess, exchange: Exchange
+    ) -> None:
+        self._desk.take_report(read_report(message))
+
     @_handle.register
     async def _(self, message: BorrowSlots, exchange: Exchange) -> None:
         await exchange.send(self._loans.lend(message))
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -81,6 +81,10 @@
             if peer.member.region == region and peer.is_usable(now)
         ]
 
+    def list_connected(self) -> list[Peer]:
+        """Return the peers that a message would reach."""
+        return [p for p in self._peers.values() if p.client.is_connected]
+
     def follow(self, host: str) -> None:
         """Tell all peers soon which of them this host follows."""
         for name, peer in self._peers.items():
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -17,6 +17,7 @@
 from radishstile.entry.peers import Peers
 from radishstile.entry.registrar import Registrar
 from radishstile.entry.replica import Replica
+from radishstile.entry.reports import Reports
 from radishstile.entry.serving import Serving
 from radishstile.errors import SettingsError
 from radishstile.platform.file import HostFile, read_host_file
@@ -59,6 +60,7 @@
         "_directory",
         "_registrar",
         "_replica",
+        "_reports",
         "_server",
     )
 
@@ -92,7 +94,10 @@
         )
         self._registrar = Registrar(node, self._leads)
         self._replica = Replica(node, self._leads)
-        handler = Handler(self._leads, claims, self._loans, self._replica)
+        self._reports = Reports(self._desk, self._leads.peers)
+        handler = Handler(
+            self._leads, claims, self._loans, self._replica, self._desk
+        )
         self._server = PeerServer(node.me, wire, handler, WireCounters())
 
     async def run(self, stop: asyncio.Event, reload: asyncio.Event) -> None:
@@ -114,6 +119,7 @@
                 self._registrar.run(),
                 self._leads.run(),
                 self._loans.run(),
+                self._reports.run(),
                 self._desk.run(),
                 self._apply_changes(),
                 self._keep_house(reload),
--- /dev/null
+++ b/radishstile/wire/reports.py
@@ -0,0 +1,47 @@
+"""Reports on harmful requests, as messages between hosts."""
+
+from functools import singledispatch
+
+from radishstile.run.harm import CrashReport, SuccessReport
+from radishstile.wire.messages.base import Message
+from radishstile.wire.messages.fleet import ReportCrash, ReportSuccess
+
+
+@singledispatch
+def make_message(report) -> Message:
+    """Return the message that carries a report."""
+    raise TypeError(f"no such report: {type(report).__name__}")
+
+
+@make_message.register
+def _(report: CrashReport) -> Message:
+    return ReportCrash(
+        report_id=report.report_id,
+        upstream=report.upstream,
+        fingerprints=[f.hex() for f in sorted(report.fingerprints)],
+    )
+
+
+@make_message.register
+def _(report: SuccessReport) -> Message:
+    return ReportSuccess(
+        report_id=report.report_id, fingerprint=report.fingerprint.hex()
+    )
+
+
+@singledispatch
+def read_report(message: Message) -> CrashReport | SuccessReport:
+    """Return the report that a message carries."""
+    raise TypeError(f"no report: {type(message).__name__}")
+
+
+@read_report.register
+def _(message: ReportCrash) -> CrashReport:
+    fingerprints = frozenset(map(bytes.fromhex, message.fingerprints))
+    return CrashReport(message.report_id, message.upstream, fingerprints)
+
+
+@read_report.register
+def _(message: ReportSuccess) -> SuccessReport:
+    fingerprint = bytes.fromhex(message.fingerprint)
+    return SuccessReport(message.report_id, fingerprint)
