End a pause after a failed call when a peer has news

Change: the pause ends when the source to follow changes. Reads name their peer in one way, None for the store.

--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -89,15 +89,14 @@
         pause_s = RETRY_MIN_S
         while True:
             peer = self._find_peer(mirror)
-            source = self._node.store if peer is None else PeerSource(peer)
             if peer is None and self._must_wait(feed):
                 is_new = mirror.revision is None
-                pause = START_REVIEW_S if is_new else SOURCE_REVIEW_S
-                await asyncio.sleep(pause)
+                review_s = START_REVIEW_S if is_new else SOURCE_REVIEW_S
+                await asyncio.sleep(review_s)
                 continue
             try:
                 if is_behind:
-                    is_behind = not await self._list(feed, mirror, source)
+                    is_behind = not await self._list(feed, mirror, peer)
                     self._note_answer()
                     await asyncio.sleep(RETRY_MIN_S if is_behind else 0.0)
                     continue
@@ -110,13 +109,23 @@
                 await asyncio.sleep(RETRY_MIN_S)
             except PlatformError as error:
                 self._note_failure(feed, error)
-                await asyncio.sleep(
-                    self._node.random.uniform(0.5, 1) * pause_s
-                )
+                rest_s = self._node.random.uniform(0.5, 1) * pause_s
+                await self._rest(mirror, peer, rest_s)
                 is_lead = self._leads.is_leading
                 longest_s = RETRY_MAX_S if is_lead else FOLLOWER_RETRY_MAX_S
                 pause_s = min(2 * pause_s, longest_s)
 
+    async def _rest(
+        self, mirror: Mirror, peer: Peer | None, rest_s: float
+    ) -> None:
+        """Pause after a failed call, unless another source is to be used."""
+        until = read_clock() + rest_s
+        while self._find_peer(mirror) is peer:
+            left_s = until - read_clock()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(left_s, SOURCE_REVIEW_S))
+
     async def _probe(self, feed: Feed) -> None:
         """As a lead that follows another, ask whether the store is back."""
         mirror = self._mirrors[feed.kind]
@@ -139,7 +148,7 @@
         try:
             await self._watch(feed, mirror, None, 0.0)
         except HistoryLostError:
-            await self._list(feed, mirror, self._node.store)
+            await self._list(feed, mirror, None)
 
     def _must_wait(self, feed: Feed) -> bool:
         """Return whether to spare the store a call.
@@ -170,6 +179,10 @@
             return self._leads.find_informed()
         return self._leads.find_source()
 
+    def _open_source(self, peer: Peer | None) -> ObjectClient | PeerSource:
+        """Return what to read a kind from; None stands for the store."""
+        return self._node.store if peer is None else PeerSource(peer)
+
     async def _watch_while(
         self, feed: Feed, mirror: Mirror, peer: Peer | None
     ) -> None:
@@ -194,15 +207,15 @@
         return TURNED_AWAY_WAIT_S if self._leads.is_leading else PEER_WAIT_S
 
     async def _list(
-        self, feed: Feed, mirror: Mirror, source: ObjectClient | PeerSource
+        self, feed: Feed, mirror: Mirror, peer: Peer | None
     ) -> bool:
         """Take all objects; return False where the source lags behind."""
         asked_at = read_lasting_clock()
-        listing = await source.list_kind(feed.kind)
+        listing = await self._open_source(peer).list_kind(feed.kind)
         if not mirror.replace(listing):
             return False
         feed.replace(listing)
-        if source is self._node.store:
+        if peer is None:
             feed.confirm(asked_at)
             await asyncio.sleep(feed.settle_s)
         return True
@@ -211,7 +224,7 @@
         self, feed: Feed, mirror: Mirror, peer: Peer | None, wait_s: float
     ) -> None:
         asked_at = read_lasting_clock()
-        source = self._node.store if peer is None else PeerSource(peer)
+        source = self._open_source(peer)
         changes = await source.watch(feed.kind, mirror.revision, wait_s)
         for change in mirror.apply(changes):
             feed.apply(change)
