Refuse connections in the second half of a stop

A caller that used an old look-up connected 4.96 s after the SIGTERM, its request was passed on, and cut 0.2 s later when the process had to end. Change: from half of the grace period on no connection is accepted, and idle ones are closed; the rest of the time is for requests that came before. Test: test.entry.test_serving...a_late_caller_of_a_stopping_host_is_sent_ elsewhere fails without it.

--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -83,6 +83,10 @@
         """Return the number of open connections."""
         return len(self._connections)
 
+    def refuse_new(self) -> None:
+        """Accept no more connections; callers then try another host."""
+        self._server.close()
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self._connections):
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -31,9 +31,10 @@
 
 # Time between looks at idle connections and the settings file, in seconds.
 HOUSEKEEPING_S = 1.0
-# Part of the grace period after which open connections are closed, and after
-# which the process ends; the rest is for the last answers' way.
-CLOSE_SHARE = 0.7
+# Part of the grace period after which no connection is accepted any more and
+# idle ones are closed, and after which the process ends. What lies between is
+# for requests that came just before: callers use a look-up for up to 6 s.
+CLOSE_SHARE = 0.5
 END_SHARE = 0.85
 # Longest time for closing what is still open, in seconds: within what the
 # grace period leaves, whatever a peer that is cut off holds up.
@@ -185,6 +186,7 @@
         await self._registrar.leave()
         while read_clock() - stopped_at < grace_s * END_SHARE:
             if read_clock() - stopped_at > grace_s * CLOSE_SHARE:
+                self._callers.refuse_new()
                 self._callers.close_idle()
                 if not self._callers.count_open():
                     return
--- a/test/entry/test_serving.py
+++ b/test/entry/test_serving.py
@@ -192,6 +192,23 @@
             self.assertEqual((await idle.receive()).status, 200)
         self.assertIsNone(self.store.get_spec("entry-hosts", "front-1"))
 
+    async def test_a_late_caller_of_a_stopping_host_is_sent_elsewhere(self):
+        """Past half of the grace there is no time left to serve it."""
+        self.host.entry.node.file.bounds.grace_s = 3.0
+        for upstream in self.upstreams:
+            upstream.hold_s = 0.6
+        async with Caller(self.host) as caller:
+            await asyncio.sleep(0.1)
+            self.host.stopping.set()
+            await asyncio.sleep(1.2)
+            caller.send("/order/1", method="POST", body=b"x")
+            await asyncio.sleep(0.5)
+            with self.assertRaises(OSError):
+                async with Caller(self.host):
+                    pass
+            answer = await caller.receive()
+        self.assertEqual(answer.status, 200)
+
     async def test_a_stop_ends_within_its_grace_whatever_hangs(self):
         node = self.host.entry.node
         node.store = HangingStore(node.store)
