--- a/radishstile/slot/settings.py
+++ b/radishstile/slot/settings.py
@@ -8,8 +8,6 @@
 
     `warm_objects`: objects that an upstream is taken to remember; the
     smallest memory on the users' sheets is 25.
-    `warm_wait_share`: part of what a warm run saves that a claim spends on
-    waiting for one; half leaves the other half as gain.
     `queue_objectives`: longest expected wait, in objectives, of a claim that
     can't be answered within its objective any more; an answer that is late
     earns a fifth, so it must not push out those in time.
@@ -27,7 +25,6 @@
 
     __slots__ = (
         "warm_objects",
-        "warm_wait_share",
         "queue_objectives",
         "slow_ratio",
         "trouble_limit",
@@ -41,7 +38,6 @@
     def __init__(
         self,
         warm_objects: int = 25,
-        warm_wait_share: float = 0.5,
         queue_objectives: float = 0.5,
         slow_ratio: float = 2.5,
         trouble_limit: float = 0.3,
@@ -52,7 +48,6 @@
         smoothing: float = 0.2,
     ):
         self.warm_objects = warm_objects
-        self.warm_wait_share = warm_wait_share
         self.queue_objectives = queue_objectives
         self.slow_ratio = slow_ratio
         self.trouble_limit = trouble_limit
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 import os
 import random
 
+from soak.configuration import make_configuration
 from soak.hosts import Host
 from soak.proxy import Proxy
 from soak.record import Record
@@ -12,13 +13,7 @@
 from soak.upstream import LEAVING_S, Upstream
 from standin.objects import ObjectStore
 
-# Workspaces: one without a limit, one that is held to its rate.
-FREE = "bureau"
-LIMITED = "employer"
-RATE_PER_S = 15
-BURST = 15
-# Keys that a run may withdraw.
-SPARE_KEYS = 6
+# How long a run takes, in seconds.
 WORK_S = 0.06
 
 
@@ -151,59 +146,3 @@
         self.store.remove("servers", name)
         if name in self.upstreams:
             await self.crash(name)
-
-
-def make_configuration(record: Record) -> dict:
-    """Return the first configuration, and note its keys in `record`."""
-    keys = {FREE: ["key-free"], LIMITED: ["key-limited"]}
-    keys[FREE] += [f"key-spare-{number}" for number in range(SPARE_KEYS)]
-    for workspace, held in keys.items():
-        for key in held:
-            record.keys[key] = workspace
-    route = {
-        "hostname": "press.example",
-        "service": "press",
-        "timeout_s": 1.8,
-        "target_latency_s": 0.5,
-        "attempts": 2,
-        "public": False,
-        "session_affinity": True,
-    }
-    return {
-        "version": "r1",
-        "routes": {
-            "read": {
-                **route,
-                "path_prefix": "/read/",
-                "route_type": "safe",
-                "priority": 2,
-            },
-            "order": {
-                **route,
-                "path_prefix": "/order/",
-                "route_type": "unsafe",
-                "priority": 1,
-            },
-        },
-        "services": {"press": {"warmup_s": 0.0, "warmup_per_s": 100.0}},
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1_000_000,
-            "header_timeout_s": 3,
-            "idle_timeout_s": 15,
-        },
-        "tenants": {
-            FREE: {
-                "api_keys": keys[FREE],
-                "priority": 1,
-                "rate_per_s": 0,
-                "burst": 0,
-            },
-            LIMITED: {
-                "api_keys": keys[LIMITED],
-                "priority": 1,
-                "rate_per_s": RATE_PER_S,
-                "burst": BURST,
-            },
-        },
-    }
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
-from soak.fleet import BURST, LIMITED, RATE_PER_S
+from soak.configuration import BURST, LIMITED, RATE_PER_S
 from soak.record import Attempt, Record, Run, Span
 from soak.settings import SoakSettings
 from soak.upstream import make_body
