--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -95,7 +95,7 @@
 
     async def stop(self) -> None:
         """Accept no more, and cut what is still open."""
-        self._server.close()
+        self.refuse_new()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/radishstile/entry/command.py
+++ b/radishstile/entry/command.py
@@ -58,7 +58,7 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    # A later start must have a higher incarnation.
+    # Each start must have an incarnation of its own.
     incarnation = time.time_ns() // _NS_PER_MS
     await EntryHost(file, path, incarnation).run(stop, reload)
 
@@ -66,8 +66,8 @@
 def end_process() -> None:
     """End without tearing the interpreter down.
 
-    Nothing is left to close or to write, and the teardown takes longer on a
-    small machine than is left of its grace period.
+    Nothing is left to close or to write, and the teardown would take some of
+    the grace period on a small machine.
     """
     sys.stdout.flush()
     os._exit(0)
--- a/radishstile/entry/leads.py
+++ b/radishstile/entry/leads.py
@@ -89,7 +89,9 @@
 
     def find_lead(self) -> Peer | None:
         """Return the peer to follow, or None if this host leads itself."""
-        candidates = self._list_candidates()
+        return self._find_lead(self._list_candidates())
+
+    def _find_lead(self, candidates: list[Candidate]) -> Peer | None:
         name = choose_lead(candidates)
         if name != self._lead:
             self._log_change(name, candidates)
@@ -100,8 +102,8 @@
 
     def find_source(self) -> Peer | None:
         """Return the peer to follow the store through, or None for none."""
-        lead = self.find_lead()
         near = self._list_candidates()
+        lead = self._find_lead(near)
         if lead is None:
             name = choose_source_of_lead(
                 Candidate(
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -76,6 +76,10 @@
         # On the lasting clock.
         self._started_at = read_lasting_clock()
 
+    def measure_uptime(self) -> float:
+        """Return the seconds since this host started."""
+        return read_lasting_clock() - self._started_at
+
     def measure_age(self) -> float:
         """Return the age of this host's proof of freshness, in seconds."""
         return min(self.freshness.measure_age(read_lasting_clock()), NEVER_S)
@@ -122,11 +126,11 @@
         """Wait a moment if the host has only just started."""
         if self.informed.is_set():
             return
-        age_s = read_lasting_clock() - self._started_at
-        if age_s >= STARTING_S:
+        left_s = STARTING_S - self.measure_uptime()
+        if left_s <= 0:
             return
         try:
-            async with asyncio.timeout(STARTING_S - age_s):
+            async with asyncio.timeout(left_s):
                 await self.informed.wait()
         except TimeoutError:
             # The store is away: the request is refused with the reason.
--- a/radishstile/entry/registrar.py
+++ b/radishstile/entry/registrar.py
@@ -73,11 +73,10 @@
         if self._node.file.is_first_start:
             try:
                 await store.create(HOST_KIND, name, spec)
-                return
             except ObjectConflictError:
                 # An answer was lost, or the host has started again since.
                 await store.replace(HOST_KIND, name, spec)
-                return
+            return
         try:
             await store.replace(HOST_KIND, name, spec)
         except ObjectMissingError:
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -56,14 +56,13 @@
     mirrors, so that calls to the store grow with regions and not with hosts.
     """
 
-    __slots__ = ("_node", "_leads", "_mirrors", "_is_lost", "_started_at")
+    __slots__ = ("_node", "_leads", "_mirrors", "_is_lost")
 
     def __init__(self, node: EntryNode, leads: Leads):
         self._node = node
         self._leads = leads
         self._mirrors = {feed.kind: Mirror(feed.kind) for feed in FEEDS}
         self._is_lost = False
-        self._started_at = 0.0
 
     def find_mirror(self, kind: str) -> Mirror:
         """Return this host's copy of a kind; raises `WireError` if none."""
@@ -74,7 +73,6 @@
 
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
-        self._started_at = read_clock()
         async with asyncio.TaskGroup() as group:
             for make_feed in FEEDS:
                 feed = make_feed(self._node)
@@ -171,7 +169,7 @@
             return False
         is_first = self._node.list_region()[0] == self._node.me
         wait_s = FIRST_WAIT_S if is_first else START_WAIT_S
-        return read_clock() - self._started_at < wait_s
+        return self._node.measure_uptime() < wait_s
 
     def _find_peer(self, mirror: Mirror) -> Peer | None:
         """Return the peer to follow a kind through, or None for the store."""
--- a/radishstile/slot/book.py
+++ b/radishstile/slot/book.py
@@ -271,17 +271,19 @@
             wait_s = self._expect_wait(book, claim, now)
         else:
             wait_s = home.expect_wait(claim.priority, now)
-        end_at = now + wait_s + expected_s
-        if home is not None and end_at > claim.objective_at:
+        is_timely = now + wait_s + expected_s <= claim.objective_at
+        if home is not None and not is_timely:
             spare = choice.find_spare()
             if spare is not None:
                 return self._start(book, spare, claim, now)
-        if not self._is_worth_queueing(claim, wait_s, expected_s, now):
+        latest_end_at = now + wait_s + expected_s * HOLD_MARGIN
+        if latest_end_at > claim.deadline_at or not (
+            is_timely or self._is_short(claim, wait_s)
+        ):
             return _deny(claim, wait_s)
         patient_until = now
         if home is not None:
             patient_until = claim.objective_at - expected_s
-        is_timely = end_at <= claim.objective_at
         book.queue.put(
             Waiting(claim, home, patient_until, expected_s, is_timely)
         )
@@ -305,14 +307,8 @@
         ahead_s = book.queue.measure_ahead(claim.priority)
         return (running_s + ahead_s) / slots
 
-    def _is_worth_queueing(
-        self, claim: Claim, wait_s: float, expected_s: float, now: float
-    ) -> bool:
-        end_at = now + wait_s + expected_s
-        if now + wait_s + expected_s * HOLD_MARGIN > claim.deadline_at:
-            return False
-        if end_at <= claim.objective_at:
-            return True
+    def _is_short(self, claim: Claim, wait_s: float) -> bool:
+        """Return whether a late answer is worth a wait."""
         objective_s = claim.objective_at - claim.arrived_at
         return wait_s <= self._settings.queue_objectives * objective_s
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,13 +6,11 @@
 import aiohttp
 import httptools
 
+from soak.configuration import HOSTNAME, ORDER_PATH, READ_PATH
 from soak.fleet import Fleet
 from soak.hosts import DIRECTORY_PORT
 from soak.record import Attempt
 
-HOSTNAME = "press.example"
-READ_PATH = "/read/"
-ORDER_PATH = "/order/"
 DEADLINE_S = 2.0
 # How long past its deadline a caller waits, in seconds.
 PATIENCE_S = 0.5
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -9,6 +9,9 @@
 BURST = 15
 # Keys that a run may withdraw.
 SPARE_KEYS = 6
+HOSTNAME = "press.example"
+READ_PATH = "/read/"
+ORDER_PATH = "/order/"
 # Rank of the two kinds of request; reads give way to orders.
 READ_PRIORITY = 2
 ORDER_PRIORITY = 1
@@ -24,8 +27,8 @@
     return {
         "version": "r1",
         "routes": {
-            "read": _make_route("/read/", "safe", READ_PRIORITY),
-            "order": _make_route("/order/", "unsafe", ORDER_PRIORITY),
+            "read": _make_route(READ_PATH, "safe", READ_PRIORITY),
+            "order": _make_route(ORDER_PATH, "unsafe", ORDER_PRIORITY),
         },
         "services": {"press": {"warmup_s": 0.0, "warmup_per_s": 100.0}},
         "limits": {
@@ -43,7 +46,7 @@
 
 def _make_route(prefix: str, kind: str, priority: int) -> dict:
     return {
-        "hostname": "press.example",
+        "hostname": HOSTNAME,
         "path_prefix": prefix,
         "route_type": kind,
         "priority": priority,
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -27,7 +27,6 @@
         "zone",
         "address",
         "store",
-        "starts",
         "_settings",
         "_process",
     )
@@ -40,7 +39,6 @@
         self.address = address
         # The proxy on this host's way to the store.
         self.store = store
-        self.starts = 0
         self._settings: SoakSettings = settings
         self._process: asyncio.subprocess.Process | None = None
 
@@ -53,7 +51,6 @@
         log = os.open(path.with_suffix(".log"), flags)
         try:
             while True:
-                self.starts += 1
                 self._process = await asyncio.create_subprocess_exec(
                     *command, env=environment, stdout=log, stderr=log
                 )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -22,7 +22,7 @@
 
 
 class Proxy:
-    """Passes connections to one port on; `harm` may change at any time."""
+    """Passes connections to one port on; its harm may change at any time."""
 
     __slots__ = ("port", "_harm", "_target", "_server", "_writers", "_calm")
 
@@ -34,11 +34,6 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._calm = asyncio.Event()
 
-    @property
-    def harm(self) -> Harm:
-        """Return what happens to connections now."""
-        return self._harm
-
     async def start(self) -> "Proxy":
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._pass, "127.0.0.1", 0)
--- a/soak/record.py
+++ b/soak/record.py
@@ -11,7 +11,6 @@
         "authorization",
         "upstream",
         "at",
-        "is_whole",
     )
 
     def __init__(
@@ -29,7 +28,6 @@
         self.authorization = authorization
         self.upstream = upstream
         self.at = at
-        self.is_whole = False
 
 
 class Attempt:
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -79,7 +79,7 @@
                 message = await _read_message(reader)
                 if message is None:
                     return
-                writer.write(await self._answer(message, writer))
+                writer.write(await self._answer(message))
                 await writer.drain()
         except OSError:
             return
@@ -87,7 +87,7 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(self, message: "_Message", writer) -> bytes:
+    async def _answer(self, message: "_Message") -> bytes:
         request_id = message.headers.get("x-request-id", "")
         expected = message.headers.get("x-expect-instance", self.name)
         if expected != self.name:
@@ -108,7 +108,6 @@
             await asyncio.sleep(self.work_s * self.slowness)
         finally:
             self.busy -= 1
-        run.is_whole = not writer.is_closing()
         body = make_body(request_id, message.target)
         return _encode(200, request_id, body, "X-Response-Stamp: stamp")
 
