Answer each inquiry of a limit's owner

A new owner opens its pool when each host has claimed what it holds, and asks again until they have. A host answered only the first inquiry of an epoch: one that heard it before it knew the owner lost that claim and, being idle, never sent another, so that the workspace's requests were refused as overloaded until the fleet ended.

Each inquiry of the current epoch requests a claim now.

--- a/radishstile/workspace/limiter.py
+++ b/radishstile/workspace/limiter.py
@@ -202,14 +202,18 @@
         return wait_s > self.settings.exhausted_wait_s
 
     def adopt(self, epoch: int, now: float) -> None:
-        """Switch to the owner of a newer epoch; ignore older epochs.
+        """Answer the inquiry of an owner; switch to it if it is newer.
 
-        Borrowed tokens of an unregistered host become void, since the new
+        Owners inquire again until they have a claim, so each inquiry of the
+        current epoch requests one: the last claim may have been lost.
+        Borrowed tokens of an unregistered host become void, since a new
         owner has not counted them.
         """
-        if not self._holding.adopt_epoch(epoch):
+        if epoch < self._holding.epoch:
             return
         self._is_claim_requested = True
+        if not self._holding.adopt_epoch(epoch):
+            return
         self.is_exhausted = False
         self._returned = 0.0
         if not self.is_registered:
--- a/test/fleet/test_owner.py
+++ b/test/fleet/test_owner.py
@@ -100,7 +100,7 @@
         self,
     ):
         self.has_unregistered = True
-        self.seeds = (8,)
+        self.seeds = (14,)
         self.run_schedule()
 
 
--- a/test/workspace/test_admission.py
+++ b/test/workspace/test_admission.py
@@ -137,6 +137,27 @@
         self.assertEqual(self.sent[-1].epoch, 9)
         self.assertGreater(self.sent[-1].burst, 0)
 
+    async def test_repeated_inquiry_is_answered_if_the_claim_was_lost(self):
+        """Guards against a new owner that waits for an idle host forever.
+
+        The host hears the inquiry before it knows the owner, so its only
+        claim fails.
+        """
+        self.is_owner_unreachable = True
+        self.admission.accept("press", Inquiry(RESOURCE, 3))
+        await asyncio.sleep(1)
+        self.is_owner_unreachable = False
+        self.admission.accept("press", Inquiry(RESOURCE, 3))
+        await asyncio.sleep(1)
+        self.assertTrue(self.owner.is_open)
+
+    async def test_inquiry_of_an_older_owner_is_not_answered(self):
+        await self.admit_first()
+        count = len(self.sent)
+        self.admission.accept("press", Inquiry(RESOURCE, 2))
+        await asyncio.sleep(0.01)
+        self.assertEqual(len(self.sent), count)
+
 
 class LimiterTest(PausedTestCase):
     async def asyncSetUp(self):
