Show in the status whether a host has joined the fleet

A host that starts last is current and knows all owners from a roster written before it registered, and rejects patches for some hundred milliseconds. The demo took it for ready: one of 30 demos failed with 'this host can't accept patches now'. The status has 'joined' (registered, and hears its neighbours), and the demo waits for it on each host.

--- a/radishstile/fleet/fleet.py
+++ b/radishstile/fleet/fleet.py
@@ -283,15 +283,21 @@
         zone if it has any there. Otherwise other hosts could consider the
         store unavailable and keep using the version before the patch.
         """
-        if not self.roster.is_registered(self.local_member.identity):
-            return False
         reached_at = self.freshness.store_reached_at
         is_reached = self.freshness.store_failed_at is None
         if not is_reached or not self.freshness.is_recent(reached_at, now):
             return False
+        return self.has_joined(now) and self.is_current(now)
+
+    def has_joined(self, now: float) -> bool:
+        """Return whether this host is registered and hears its neighbours.
+
+        At least half of those that it watches must have answered lately.
+        """
+        if not self.roster.is_registered(self.local_member.identity):
+            return False
         oldest = now - self.settings.suspect_after_s
-        has_neighbours = self.directory.hears_most_neighbours(oldest)
-        return has_neighbours and self.is_current(now)
+        return self.directory.hears_most_neighbours(oldest)
 
     def list_heartbeat_peers(self, now: float) -> list[Member]:
         """Return the members to send heartbeats to, and expect answers."""
--- a/radishstile/operation/status.py
+++ b/radishstile/operation/status.py
@@ -13,6 +13,7 @@
         "configuration_version": node.revision.version,
         "roster_version": fleet.roster.version,
         "current": "current" if reason is None else f"not current: {reason}",
+        "joined": fleet.has_joined(now),
         "members": _describe_members(parts),
         "homes": {
             name: entry.host for name, entry in fleet.roster.owners.items()
--- a/standin/process_fleet.py
+++ b/standin/process_fleet.py
@@ -140,7 +140,7 @@
         return self._processes[name].pid
 
     async def wait_ready(self, hosts: list[str]) -> None:
-        """Wait until each host is current and knows the owner of all slots."""
+        """Wait until each host serves requests and accepts patches."""
         waiting = list(hosts)
         while waiting:
             if await self._is_ready(waiting[0]):
@@ -291,7 +291,8 @@
         slots = {f"slots/{u.group}/{u.zone}" for u in self.layout.upstreams}
         is_complete = status["configuration_version"] > len(self.keys)
         has_owners = slots <= status["homes"].keys()
-        return is_complete and has_owners and status["current"] == "current"
+        is_current = status["current"] == "current"
+        return is_complete and has_owners and is_current and status["joined"]
 
     async def _stop_all(self, names: list[str]) -> list[str]:
         started = [name for name in names if name in self._processes]
--- a/test/fleet/test_freshness.py
+++ b/test/fleet/test_freshness.py
@@ -4,6 +4,7 @@
 
 from radishstile.fleet.event import BecameCurrent, BecameOutdated
 from radishstile.fleet.fleet import Fleet
+from radishstile.fleet.roster import Roster
 from radishstile.fleet.state import MachineReport
 from test.fleet._common import SETTINGS, build_fleet, build_member, exchange
 
@@ -156,6 +157,27 @@
         self.assertTrue(self.fleets["a1"].is_current(19))
         self.assertFalse(self.fleets["a1"].may_accept_patches(19))
 
+    def test_host_that_is_not_in_the_roster_yet_has_not_joined(self):
+        """Guards against a host shown as joined that rejects patches.
+
+        A host that starts last is current and knows all owners from a roster
+        that was written before it registered.
+        """
+        members = [build_member(zone, 0) for zone in ZONES]
+        fleet = build_fleet(members[0], members[1:])
+        fleet.tick(0)
+        fleet.record_store_reached(0, 0, 4)
+        for member in members[1:]:
+            fleet.record_connected(member, 0)
+        self.assertTrue(fleet.is_current(0))
+        self.assertFalse(fleet.has_joined(0))
+        self.assertFalse(fleet.may_accept_patches(0))
+        fleet.apply_roster(
+            Roster(2, {member.host: member for member in members}), 0
+        )
+        self.assertTrue(fleet.has_joined(0))
+        self.assertTrue(fleet.may_accept_patches(0))
+
     def test_patches_need_neighbours_of_the_local_zone(self):
         members = [build_member("a1", i) for i in range(3)]
         members += [build_member(zone, 0) for zone in ZONES[1:]]
