Send heartbeats and changes of objects to hosts as what differs

Cause: with 113 hosts, three quarters of the bytes between hosts were copies of stored objects (each change carried the whole object, so a configuration of 77 workspaces whole to each host) and heartbeat answers with the names of all hosts of the region.

Change: a mirror keeps and passes on changes as merge patches of the version before (by its revision; whole where the base differs or no patch can say it), copies of objects are compressed, and a leader leaves out the list of hosts whose digest the follower has.

--- a/radishstile/configuration/patch.py
+++ b/radishstile/configuration/patch.py
@@ -5,6 +5,7 @@
 import jsonpatch
 import jsonpointer
 
+from radishstile.configuration.merge import merge
 from radishstile.errors import ConfigurationError
 
 
@@ -47,7 +48,7 @@
 
 @apply_patch.register
 def _(patch: MergePatch, document: dict) -> dict:
-    return _merge(document, patch.body)
+    return merge(document, patch.body)
 
 
 @apply_patch.register
@@ -63,19 +64,6 @@
         raise ConfigurationError(f"patch: {error}") from error
 
 
-def _merge(target: object, patch: object) -> object:
-    # RFC 7396, section 2; a library would add nothing to these lines.
-    if not isinstance(patch, dict):
-        return patch
-    merged = dict(target) if isinstance(target, dict) else {}
-    for key, value in patch.items():
-        if value is None:
-            merged.pop(key, None)
-            continue
-        merged[key] = _merge(merged.get(key), value)
-    return merged
-
-
 def diff_documents(old: dict, new: dict) -> list[dict]:
     """Return the JSON Patch operations from `old` to `new`."""
     return jsonpatch.make_patch(old, new).patch
--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -14,6 +14,7 @@
     choose_leader,
     choose_leader_source,
     choose_source,
+    digest_hosts,
 )
 from radishstile.member import Member
 from radishstile.wire.messages.slot import FollowLead, LeadState
@@ -156,8 +157,11 @@
         loads = {}
         if not message.follows:
             loads = self._admission.scheduler.measure_loads(weight)
+        serving = self.followers.list_serving(now)
+        digest = digest_hosts(serving)
         return LeadState(
-            hosts=self.followers.list_serving(now),
+            hosts=[] if message.hosts_digest == digest else serving,
+            hosts_digest=digest,
             version=node.catalog.version if node.catalog else 0,
             age_s=node.measure_confirmation_age(),
             news_age_s=node.measure_store_data_age(),
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -52,6 +52,17 @@
         """Return the age of the peer's store data, in seconds."""
         return self.state.news_age_s + now - self.answered_at
 
+    def record_answer(self, state: LeadState, now: float) -> None:
+        """Apply the answer to a heartbeat.
+
+        It leaves out the hosts if they are those of the last answer.
+        """
+        known = self.state
+        if known is not None and known.hosts_digest == state.hosts_digest:
+            state.hosts = known.hosts
+        self.state = state
+        self.answered_at = now
+
     def suspect(self) -> None:
         """Make the peer unusable until it answers a heartbeat."""
         self.answered_at = float("-inf")
@@ -148,8 +159,7 @@
         except WireError as error:
             _LOG.info("peers: Heartbeat to %s failed: %s", peer.member, error)
             return
-        peer.answered_at = read_clock()
-        peer.state = state
+        peer.record_answer(state, read_clock())
         self._node.accept_confirmation(state.version, asked_at - state.age_s)
 
     def _make_heartbeat(self, peer: Peer) -> FollowLead:
@@ -158,6 +168,7 @@
             is_leaving=node.is_leaving,
             follows=peer.is_followed,
             echo=peer.state.clock if peer.state else 0.0,
+            hosts_digest=peer.state.hosts_digest if peer.state else 0,
             version=node.catalog.version if node.catalog else 0,
             age_s=node.measure_confirmation_age(),
         )
--- a/radishstile/entry/sources.py
+++ b/radishstile/entry/sources.py
@@ -1,5 +1,7 @@
 """Reading stored objects through a peer instead of from the store."""
 
+from functools import singledispatch
+
 from radishstile.entry.peers import Peer
 from radishstile.errors import (
     HistoryLostError,
@@ -10,6 +12,7 @@
     Change,
     Changes,
     Listing,
+    Patch,
     PlatformObject,
 )
 from radishstile.wire.messages.base import Message
@@ -66,7 +69,7 @@
 def encode_changes(changes: Changes) -> MirrorReply:
     """Return the message for changes."""
     return MirrorReply(
-        objects=[_encode(change) for change in changes.changes],
+        objects=[_encode_change(change) for change in changes.changes],
         revision=changes.revision,
         is_lost=False,
     )
@@ -79,7 +82,13 @@
         raise HistoryLostError(f"{kind}: the peer no longer has the changes")
 
 
-def _encode(change: Change) -> list:
+@singledispatch
+def _encode_change(change) -> list:
+    raise TypeError(type(change).__name__)
+
+
+@_encode_change.register
+def _(change: Change) -> list:
     stored = change.object
     return [
         stored.name,
@@ -90,7 +99,21 @@
     ]
 
 
-def _decode(record: list) -> Change:
-    name, revision, spec, status, is_removed = record
+@_encode_change.register
+def _(change: Patch) -> list:
+    return [
+        change.name,
+        change.revision,
+        change.spec,
+        change.status,
+        False,
+        change.base_revision,
+    ]
+
+
+def _decode(record: list) -> Change | Patch:
+    name, revision, spec, status, is_removed, *base_revision = record
+    if base_revision:
+        return Patch(name, revision, base_revision[0], spec, status)
     stored = PlatformObject(name, revision, False, spec, status)
     return Change(stored, is_removed)
--- a/radishstile/fleet/leadership.py
+++ b/radishstile/fleet/leadership.py
@@ -7,6 +7,8 @@
 partition, and an isolated host goes on with its own share.
 """
 
+import xxhash
+
 # How long a leader counts a follower after its last heartbeat, in seconds:
 # three intervals of `FOLLOW_INTERVAL_S`, to tolerate a lost packet.
 FOLLOWER_TIMEOUT_S = 1.5
@@ -113,6 +115,11 @@
     return None
 
 
+def digest_hosts(hosts: list[str]) -> int:
+    """Return the 64-bit XXH3 of the names of hosts, in order."""
+    return xxhash.xxh3_64_intdigest("\0".join(hosts).encode())
+
+
 class Followers:
     """The hosts that follow this one, each until its heartbeats time out."""
 
--- a/radishstile/platform/mirror.py
+++ b/radishstile/platform/mirror.py
@@ -2,12 +2,16 @@
 
 import asyncio
 from collections import deque
+from functools import singledispatchmethod
+from typing import Any
 
+from radishstile.configuration.merge import make_merge_patch, merge
 from radishstile.errors import HistoryLostError
 from radishstile.platform.objects import (
     Change,
     Changes,
     Listing,
+    Patch,
     PlatformObject,
 )
 
@@ -21,7 +25,7 @@
 
     __slots__ = ("revision", "change")
 
-    def __init__(self, revision: int, change: Change):
+    def __init__(self, revision: int, change: Change | Patch):
         self.revision = revision
         self.change = change
 
@@ -30,8 +34,10 @@
     """The objects of one kind as of `revision`, which is None at first.
 
     It can be listed and watched as the store can, so hosts can use either.
-    Changes after `_history_start` are kept; a watcher that is behind it must
-    list all objects again.
+    Changes after `_history_start` are kept, as patches where possible: a new
+    version of a large configuration is sent to each host, and differs little
+    from the last. A watcher that is behind, or that has another version than
+    a patch is made from, must list all objects again.
     """
 
     __slots__ = (
@@ -62,20 +68,60 @@
         return True
 
     def apply(self, changes: Changes) -> list[Change]:
-        """Apply changes and return the new ones."""
-        new = [change for change in changes.changes if self._is_new(change)]
+        """Apply changes and return the new ones, complete.
+
+        Raises `HistoryLostError` if a patch is made from another version.
+        """
         revision = max(changes.revision, self.revision)
-        for change in new:
-            name = change.object.name
-            if change.is_removed:
-                self._objects.pop(name, None)
-            else:
-                self._objects[name] = change.object
-            self._append_history(RevisedChange(revision, change))
+        new = []
+        for received in changes.changes:
+            change = self._complete(received)
+            if self._is_new(change):
+                self._put(change, revision)
+                new.append(change)
         if revision > self.revision:
             self._set_revision(revision)
         return new
 
+    @singledispatchmethod
+    def _complete(self, received) -> Change:
+        """Return the complete change for one that was received."""
+        raise TypeError(type(received).__name__)
+
+    @_complete.register
+    def _(self, received: Change) -> Change:
+        return received
+
+    @_complete.register
+    def _(self, received: Patch) -> Change:
+        known = self._objects.get(received.name)
+        if known is not None and known.revision >= received.revision:
+            return Change(known, False)
+        if known is None or known.revision != received.base_revision:
+            raise HistoryLostError(
+                f"{self.kind}: {received.name} is not at revision "
+                f"{received.base_revision}"
+            )
+        stored = PlatformObject(
+            received.name,
+            received.revision,
+            False,
+            _apply_patch(known.spec, received.spec),
+            _apply_patch(known.status, received.status),
+        )
+        return Change(stored, False)
+
+    def _put(self, change: Change, revision: int) -> None:
+        """Apply a new change and append it to the history."""
+        name = change.object.name
+        if change.is_removed:
+            self._objects.pop(name, None)
+            self._append_history(RevisedChange(revision, change))
+            return
+        patch = _make_patch(self._objects.get(name), change.object)
+        self._objects[name] = change.object
+        self._append_history(RevisedChange(revision, patch or change))
+
     def list_all(self) -> Listing:
         """Return all objects; raises `HistoryLostError` if not listed yet."""
         if self.revision is None:
@@ -122,3 +168,27 @@
     def _set_revision(self, revision: int) -> None:
         self.revision = revision
         self._changed.set()
+
+
+def _make_patch(
+    known: PlatformObject | None, changed: PlatformObject
+) -> Patch | None:
+    """Return the patch from a version to the next, None if there is none."""
+    if known is None:
+        return None
+    spec = _diff(known.spec, changed.spec)
+    status = _diff(known.status, changed.status)
+    if spec is None or status is None:
+        return None
+    return Patch(changed.name, changed.revision, known.revision, spec, status)
+
+
+def _diff(old: Any, new: Any) -> dict | None:
+    """Return the merge patch, empty for no change, None if there is none."""
+    if old is None and new is None:
+        return {}
+    return make_merge_patch(old, new)
+
+
+def _apply_patch(value: Any, patch: dict) -> Any:
+    return merge(value, patch) if patch else value
--- a/radishstile/platform/objects.py
+++ b/radishstile/platform/objects.py
@@ -70,12 +70,38 @@
         self.is_removed = is_removed
 
 
+class Patch:
+    """A change as merge patches of the object's version at `base_revision`.
+
+    An empty patch leaves its part unchanged.
+    """
+
+    __slots__ = ("name", "revision", "base_revision", "spec", "status")
+
+    def __init__(
+        self,
+        name: str,
+        revision: int,
+        base_revision: int,
+        spec: dict,
+        status: dict,
+    ):
+        self.name = name
+        self.revision = revision
+        self.base_revision = base_revision
+        self.spec = spec
+        self.status = status
+
+
 class Changes:
-    """Result of a watch and the revision to continue from."""
+    """Result of a watch and the revision to continue from.
+
+    A mirror's watchers get patches where they can be made; the store has none.
+    """
 
     __slots__ = ("changes", "revision")
 
-    def __init__(self, changes: list[Change], revision: int):
+    def __init__(self, changes: list[Change | Patch], revision: int):
         self.changes = changes
         self.revision = revision
 
--- a/radishstile/wire/codec.py
+++ b/radishstile/wire/codec.py
@@ -1,14 +1,25 @@
-"""Encodes envelopes as msgpack, and checks field types."""
+"""Encodes envelopes as msgpack, and checks field types.
 
+Long content is compressed if the message's type asks for it. The first byte
+tells: zlib's header differs from that of a list of four.
+"""
+
+import zlib
 from typing import get_type_hints
 
 import msgpack
 
 from radishstile.errors import FrameError
+from radishstile.wire.frames import FRAME_LIMIT_BYTES, check_length
 from radishstile.wire.messages.base import Headers, Message, PartData
 from radishstile.wire.registry import MESSAGE_TYPES
 from radishstile.wire.settings import PART_LIMIT_BYTES
 
+# Content from this length on is compressed, in bytes.
+COMPRESSION_MIN_BYTES = 512
+# The fastest; copies of stored objects shrink to about a fifth.
+_COMPRESSION_LEVEL = 1
+_ZLIB_HEADER = b"\x78"
 # HTTP header values may contain bytes that are not UTF-8.
 _UNICODE_ERRORS = "surrogateescape"
 _UNPACK_ERRORS = (
@@ -41,10 +52,14 @@
     _check_fields(type(message), values)
     record = [envelope.incarnation, envelope.exchange, number, values]
     try:
-        return msgpack.packb(record, unicode_errors=_UNICODE_ERRORS)
+        content = msgpack.packb(record, unicode_errors=_UNICODE_ERRORS)
     except (ValueError, TypeError, OverflowError) as error:
         name = type(message).__name__
         raise FrameError(f"{name} can't be encoded: {error}") from error
+    if not message.is_compressed or len(content) < COMPRESSION_MIN_BYTES:
+        return content
+    check_length(len(content), FRAME_LIMIT_BYTES)
+    return zlib.compress(content, _COMPRESSION_LEVEL)
 
 
 def decode(content: bytes) -> Envelope:
@@ -52,6 +67,8 @@
 
     Raises a `FrameError` that names the invalid field.
     """
+    if content.startswith(_ZLIB_HEADER):
+        content = _decompress(content)
     record = _unpack(content)
     if type(record) is not list or len(record) != 4:
         raise FrameError("envelope is not a list of four")
@@ -67,6 +84,18 @@
     return Envelope(incarnation, exchange, message)
 
 
+def _decompress(content: bytes) -> bytes:
+    """Return the content, if it is complete and not larger than a frame."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(content, FRAME_LIMIT_BYTES)
+    except zlib.error as error:
+        raise FrameError(f"frame can't be decompressed: {error}") from error
+    if not decompressor.eof or decompressor.unused_data:
+        raise FrameError("compressed frame is not complete or too large")
+    return data
+
+
 def _unpack(content: bytes):
     try:
         return msgpack.unpackb(content, unicode_errors=_UNICODE_ERRORS)
--- a/radishstile/wire/frames.py
+++ b/radishstile/wire/frames.py
@@ -18,13 +18,13 @@
     """
     prefix = await reader.readexactly(PREFIX_BYTES)
     length = int.from_bytes(prefix, "big")
-    _check_length(length, limit_bytes)
+    check_length(length, limit_bytes)
     return await reader.readexactly(length)
 
 
 def build_frame(content: bytes) -> bytes:
     """Return `content` prefixed with its length."""
-    _check_length(len(content), FRAME_LIMIT_BYTES)
+    check_length(len(content), FRAME_LIMIT_BYTES)
     return len(content).to_bytes(PREFIX_BYTES, "big") + content
 
 
@@ -35,7 +35,8 @@
     return len(frame)
 
 
-def _check_length(length: int, limit_bytes: int) -> None:
+def check_length(length: int, limit_bytes: int) -> None:
+    """Raise `FrameError` unless a frame may have this length, in bytes."""
     if length == 0:
         raise FrameError("frame is empty")
     if length > limit_bytes:
--- a/radishstile/wire/messages/base.py
+++ b/radishstile/wire/messages/base.py
@@ -9,11 +9,13 @@
 class Message:
     """A message whose fields are its slots, in order.
 
-    The codec checks the annotated types of the fields.
+    The codec checks the annotated types of the fields, and compresses long
+    messages of types with `is_compressed`.
     """
 
     __slots__ = ()
     fields: tuple[str, ...] = ()
+    is_compressed = False
 
     def __init_subclass__(cls):
         super().__init_subclass__()
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -85,15 +85,24 @@
     """A host's heartbeat to a leader.
 
     `follows` tells whether the host follows the receiver or only queries it.
-    `echo` is the `clock` of the receiver's last answer. `version` is the
+    `echo` is the `clock` of the receiver's last answer, and `hosts_digest`
+    that of the hosts in it; both are 0 if there was none. `version` is the
     host's configuration, and `age_s` the time since its confirmation.
     """
 
-    __slots__ = ("is_leaving", "follows", "echo", "version", "age_s")
+    __slots__ = (
+        "is_leaving",
+        "follows",
+        "echo",
+        "hosts_digest",
+        "version",
+        "age_s",
+    )
 
     is_leaving: bool
     follows: bool
     echo: float
+    hosts_digest: int
     version: int
     age_s: float
 
@@ -101,7 +110,8 @@
 class LeadState(Message):
     """Answers `FollowLead`.
 
-    `hosts` are the region's hosts that callers may be sent to. `age_s` is the
+    `hosts` are the region's hosts that callers may be sent to; the list is
+    left out if its `hosts_digest` is that of the heartbeat. `age_s` is the
     time since the leader's configuration, `version`, was confirmed to be the
     newest, and `news_age_s` the age of its store data. `lead` is the host
     that the sender follows, empty if it is leaving; `loads` maps services to
@@ -111,6 +121,7 @@
 
     __slots__ = (
         "hosts",
+        "hosts_digest",
         "version",
         "age_s",
         "news_age_s",
@@ -121,6 +132,7 @@
     )
 
     hosts: list[str]
+    hosts_digest: int
     version: int
     age_s: float
     news_age_s: float
@@ -167,10 +179,12 @@
     """Answers `MirrorQuery`; `is_lost` if the changes are no longer kept.
 
     Each of `objects` is a list of name, revision, spec, status, and whether
-    the object was removed.
+    the object was removed. A sixth value is the revision of the version that
+    spec and status are merge patches of.
     """
 
     __slots__ = ("objects", "revision", "is_lost")
+    is_compressed = True
 
     objects: list | dict
     revision: int
--- a/test/platform/test_mirror.py
+++ b/test/platform/test_mirror.py
@@ -3,14 +3,17 @@
 import asyncio
 import unittest
 
+from radishstile.entry.sources import encode_changes
 from radishstile.errors import HistoryLostError
 from radishstile.platform.mirror import HISTORY_LIMIT_CHANGES, Mirror
 from radishstile.platform.objects import (
     Change,
     Changes,
     Listing,
+    Patch,
     PlatformObject,
 )
+from radishstile.wire.codec import Envelope, encode
 
 
 def make_object(name, revision):
@@ -87,3 +90,90 @@
             await mirror.watch(10, 0.0)
         changes = await mirror.watch(11, 0.0)
         self.assertEqual(len(changes.changes), HISTORY_LIMIT_CHANGES)
+
+
+class PatchTest(unittest.IsolatedAsyncioTestCase):
+    """Load: a configuration of 1,500 routes that changes again and again.
+
+    Sent whole to each of hundreds of hosts, each change costs tens of
+    megabytes between zones.
+    """
+
+    def setUp(self):
+        self.routes = {
+            f"r-{n}": {
+                "hostname": f"h{n % 40}.example",
+                "path_prefix": f"/p{n}/",
+                "timeout_s": 1.5,
+                "service": "press",
+            }
+            for n in range(1500)
+        }
+        self.leader, self.follower = Mirror("config"), Mirror("config")
+        first = Listing([self.make_configuration(1, 10)], 10)
+        self.leader.replace(first)
+        self.follower.replace(first)
+
+    def make_configuration(self, version, revision, **routes):
+        self.routes = {**self.routes, **routes}
+        spec = {"version": f"r{version}", "routes": self.routes}
+        return PlatformObject("main", revision, False, spec, None)
+
+    def change(self, version, revision, **routes):
+        stored = self.make_configuration(version, revision, **routes)
+        self.leader.apply(Changes([Change(stored, False)], revision))
+        return stored
+
+    async def test_change_of_a_route_is_sent_alone(self):
+        changed = {**self.routes["r-7"], "timeout_s": 2.5}
+        stored = self.change(2, 12, **{"r-7": changed})
+        changes = await self.leader.watch(10, 0.0)
+        size = len(encode(Envelope(1, 1, encode_changes(changes))))
+        self.assertLess(size, 200)
+        (complete,) = self.follower.apply(changes)
+        self.assertEqual(complete.object.spec, stored.spec)
+        self.assertEqual(complete.object.revision, 12)
+
+    async def test_several_changes_are_applied_in_order(self):
+        self.change(2, 12, **{"r-7": {"timeout_s": 2.5}})
+        self.change(3, 14, **{"r-8": {"timeout_s": 3.5}})
+        stored = self.change(4, 16, **{"r-7": {"timeout_s": 4.5}})
+        changes = await self.leader.watch(10, 0.0)
+        new = self.follower.apply(changes)
+        self.assertEqual([c.object.revision for c in new], [12, 14, 16])
+        self.assertEqual(new[-1].object.spec, stored.spec)
+
+    async def test_follower_passes_the_patches_on(self):
+        self.change(2, 12, **{"r-7": {"timeout_s": 2.5}})
+        self.follower.apply(await self.leader.watch(10, 0.0))
+        passed_on = await self.follower.watch(10, 0.0)
+        self.assertEqual([type(c) for c in passed_on.changes], [Patch])
+
+    async def test_patch_of_another_version_makes_the_host_list_again(self):
+        self.change(2, 12)
+        self.change(3, 14)
+        late = await self.leader.watch(12, 0.0)
+        with self.assertRaises(HistoryLostError):
+            self.follower.apply(late)
+        self.assertEqual(self.follower.revision, 10)
+        self.follower.replace(self.leader.list_all())
+        self.assertEqual(self.follower.revision, 14)
+
+    async def test_patch_that_is_known_already_is_ignored(self):
+        self.change(2, 12)
+        changes = await self.leader.watch(10, 0.0)
+        self.follower.apply(changes)
+        self.assertEqual(self.follower.apply(changes), [])
+
+    async def test_patch_of_a_removed_object_makes_the_host_list_again(self):
+        self.change(2, 12)
+        self.follower.apply(Changes([make_change("main", 11, True)], 11))
+        with self.assertRaises(HistoryLostError):
+            self.follower.apply(await self.leader.watch(10, 0.0))
+
+    async def test_version_that_no_patch_leads_to_is_sent_whole(self):
+        self.change(2, 12, **{"r-7": {"timeout_s": None}})
+        changes = await self.leader.watch(10, 0.0)
+        self.assertEqual([type(c) for c in changes.changes], [Change])
+        (complete,) = self.follower.apply(changes)
+        self.assertIsNone(complete.object.spec["routes"]["r-7"]["timeout_s"])
--- a/test/wire/test_codec.py
+++ b/test/wire/test_codec.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+import zlib
 from typing import get_type_hints
 
 import msgpack
@@ -13,6 +14,7 @@
 from radishstile.wire.frames import FRAME_LIMIT_BYTES, build_frame, read_frame
 from radishstile.wire.messages.base import Headers, PartData
 from radishstile.wire.messages.run import AnswerPart, RunStarted
+from radishstile.wire.messages.slot import MirrorReply
 from radishstile.wire.registry import MESSAGE_TYPES
 
 SAMPLES = {
@@ -43,6 +45,15 @@
     return kind(**{name: SAMPLES[hints[name]] for name in kind.fields})
 
 
+def make_listing():
+    """Return the copies of 50 registrations."""
+    objects = [
+        [f"i-{n}", 100 + n, {"zone": "akl-a", "service": "press"}, None, False]
+        for n in range(50)
+    ]
+    return MirrorReply(objects=objects, revision=150, is_lost=False)
+
+
 class CodecTest(unittest.TestCase):
     def test_round_trip_of_every_message(self):
         for kind in MESSAGE_TYPES.values():
@@ -53,6 +64,37 @@
                 self.assertEqual(envelope.incarnation, 12)
                 self.assertEqual(envelope.exchange, 34)
 
+    def test_copies_of_objects_are_compressed(self):
+        message = make_listing()
+        content = encode(Envelope(1, 2, message))
+        plain = msgpack.packb(message.values())
+        self.assertLess(len(content), len(plain) / 5)
+        self.assertEqual(decode(content).message, message)
+
+    def test_rejects_a_spoiled_compressed_frame(self):
+        content = encode(Envelope(1, 2, make_listing()))
+        spoiled = {
+            "cut": content[:-1],
+            "longer": content + b"x",
+            "changed": content[:40] + b"\0\0\0\0" + content[44:],
+            "header only": content[:1],
+        }
+        for name, data in spoiled.items():
+            with self.subTest(name), self.assertRaises(FrameError):
+                decode(data)
+
+    def test_rejects_a_small_frame_that_expands_without_end(self):
+        bomb = zlib.compress(b"\0" * 50 * FRAME_LIMIT_BYTES)
+        self.assertLess(len(bomb), FRAME_LIMIT_BYTES)
+        with self.assertRaises(FrameError):
+            decode(bomb)
+
+    def test_does_not_send_what_the_peer_would_reject(self):
+        message = make_listing()
+        message.objects = ["a" * FRAME_LIMIT_BYTES]
+        with self.assertRaises(FrameError):
+            encode(Envelope(1, 2, message))
+
     def test_type_numbers_are_stable(self):
         numbers = {kind.__name__: n for n, kind in MESSAGE_TYPES.items()}
         self.assertEqual(numbers["Hello"], 1)
