Serve at once after a restart of the whole fleet

Cause: a leader's share of the workspaces' rates grows as its followers join, and its buckets started nearly empty. After all hosts had lost power it refused most requests of the first seconds as above their workspace's rate, which used up the callers' only retry.

--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 
 from radishstile.entry.logs import log_fields
-from radishstile.entry.node import EntryNode, read_clock
+from radishstile.entry.node import STARTUP_WAIT_S, EntryNode, read_clock
 from radishstile.errors import RefusalError
 from radishstile.outcome import Outcome, Reason
 from radishstile.run.poison import (
@@ -29,6 +29,8 @@
 # A broken run and a refused connection to the same upstream within this time
 # count as one crash, in seconds.
 CRASH_WINDOW_S = 1.5
+# Shortest wait for a token, in seconds: above the clock's resolution.
+RATE_WAIT_MIN_S = 0.005
 
 
 class ClaimTerms:
@@ -71,6 +73,7 @@
         "_terms",
         "_broken_runs",
         "_has_waiting_claims",
+        "_rates_changed",
         "reports",
     )
 
@@ -86,6 +89,7 @@
         # Recently broken runs by upstream.
         self._broken_runs: dict[str, list[_BrokenRun]] = {}
         self._has_waiting_claims = asyncio.Event()
+        self._rates_changed = asyncio.Event()
         # Reports on poison requests, to be sent to other hosts.
         self.reports: asyncio.Queue[CrashReport | SuccessReport] = (
             asyncio.Queue()
@@ -111,6 +115,7 @@
             self.scheduler.replace_upstreams(usable, catalog.services, now)
         )
         self.quotas.apply_workspaces(catalog.workspaces, now)
+        self._rates_changed.set()
 
     def borrow(self, region: str, slots: dict[str, int]) -> None:
         """Use slots borrowed from another region, by upstream."""
@@ -121,13 +126,15 @@
         now = read_clock()
         self._deliver(self.scheduler.set_share(slot_share, now))
         self.quotas.resize(rate_share, now)
+        self._rates_changed.set()
 
     async def acquire(self, claim: Claim, terms: ClaimTerms) -> Grant:
         """Wait for a slot; raises `RefusalError` if the claim is denied."""
-        now = read_clock()
-        self._check_poison(terms, now)
-        self._charge(claim, terms, now)
-        decision = self.scheduler.submit(claim, terms.objective_s, now)
+        self._check_poison(terms, read_clock())
+        await self._charge(claim, terms)
+        decision = self.scheduler.submit(
+            claim, terms.objective_s, read_clock()
+        )
         try:
             grant = await self._wait(claim, decision)
         except RefusalError as refusal:
@@ -159,12 +166,23 @@
         if self.poison.apply(report, read_clock()):
             self.reports.put_nowait(report)
 
-    def _charge(self, claim: Claim, terms: ClaimTerms, now: float) -> None:
+    async def _charge(self, claim: Claim, terms: ClaimTerms) -> None:
+        """Charge a claim to its workspace's rate.
+
+        Right after a start, when followers are still joining and this host's
+        share grows with each, a claim waits for a token instead.
+        """
         if not terms.workspace:
             return
-        wait_s = self.quotas.take(terms.workspace, now)
-        if wait_s is None:
-            return
+        while True:
+            now = read_clock()
+            wait_s = self.quotas.take(terms.workspace, now)
+            if wait_s is None:
+                return
+            starting_s = STARTUP_WAIT_S - self._node.measure_uptime()
+            if starting_s <= 0:
+                break
+            await self._wait_for_rates(min(wait_s, starting_s))
         refusal = RefusalError(
             Reason.RATE_EXCEEDED,
             Outcome.NOT_RUN,
@@ -174,6 +192,15 @@
         self._log_denial(claim, refusal)
         raise refusal
 
+    async def _wait_for_rates(self, timeout_s: float) -> None:
+        """Wait until this host's share of the rates changes."""
+        self._rates_changed.clear()
+        try:
+            async with asyncio.timeout(max(timeout_s, RATE_WAIT_MIN_S)):
+                await self._rates_changed.wait()
+        except TimeoutError:
+            return
+
     def _log_denial(self, claim: Claim, refusal: RefusalError) -> None:
         catalog = self._node.catalog
         _LOG.warning(
--- a/radishstile/workspace/quota.py
+++ b/radishstile/workspace/quota.py
@@ -13,6 +13,14 @@
 # the bursts; the rest covers a change of the leader. Without it a small
 # workspace's share of its burst would be one or two requests.
 SLACK_SHARE = 0.5
+# Tokens for the share of a limit that an instance gets in its first seconds,
+# so that a fleet that has restarted as a whole serves at once. Per unit of
+# share: a part of the burst, a part of the platform's allowance, and what the
+# rate yields in the time that a restart takes at least.
+START_PERIOD_S = 2.0
+START_BURST_SHARE = 0.1
+START_SLACK_SHARE = 0.25
+RESTART_TIME_S = 0.5
 
 
 class WorkspaceQuotas:
@@ -24,11 +32,24 @@
     platform's window.
     """
 
-    __slots__ = ("_share", "_slack", "_buckets", "_workspaces")
+    __slots__ = (
+        "_share",
+        "_slack",
+        "_start_slack",
+        "_started_at",
+        "_start_share",
+        "_buckets",
+        "_workspaces",
+    )
 
     def __init__(self, slack: float = 0.0):
         self._share = 0.0
         self._slack = slack * SLACK_SHARE
+        self._start_slack = slack * START_SLACK_SHARE
+        # Time of the first call, in the caller's clock.
+        self._started_at: float | None = None
+        # The largest share so far in the first seconds.
+        self._start_share = 0.0
         self._buckets: dict[str, TokenBucket] = {}
         self._workspaces: dict[str, Workspace] = {}
 
@@ -51,6 +72,7 @@
     def resize(self, share: float, now: float) -> None:
         """Set the share of each limit that may be used here."""
         self._share = share
+        gained = self._gain_start_share(share, now)
         for name, workspace in self._workspaces.items():
             rate = workspace.rate_per_s * share * USABLE_SHARE
             burst = (workspace.burst + self._slack) * share
@@ -61,6 +83,28 @@
                 bucket.add(burst * INITIAL_LEVEL_SHARE)
             else:
                 bucket.resize(rate, burst, now)
+            bucket.add(gained * self._count_start_tokens(workspace))
+
+    def _gain_start_share(self, share: float, now: float) -> float:
+        """Return by how much the share exceeds all earlier ones.
+
+        Returns 0 after the first seconds.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        if now - self._started_at > START_PERIOD_S:
+            return 0.0
+        gained = max(0.0, share - self._start_share)
+        self._start_share += gained
+        return gained
+
+    def _count_start_tokens(self, workspace: Workspace) -> float:
+        """Return the tokens for a start with the whole limit."""
+        return (
+            workspace.burst * START_BURST_SHARE
+            + self._start_slack
+            + workspace.rate_per_s * RESTART_TIME_S
+        )
 
     def take(self, name: str, now: float) -> float | None:
         """Spend one token; return None, or the seconds until one is free.
--- /dev/null
+++ b/test/entry/test_admission.py
@@ -0,0 +1,102 @@
+"""Tests of charging claims to their workspaces' rates."""
+
+import asyncio
+from types import SimpleNamespace
+
+from radishstile.catalog.catalog import Service, Workspace
+from radishstile.entry.admission import AdmissionController, ClaimTerms
+from radishstile.errors import RefusalError
+from radishstile.outcome import Reason
+from test._common import PausedTestCase
+from test.slot._common import SERVICE, make_claim, make_registration
+
+REGISTERED_HOSTS = 113
+REGION_SHARE = 1 / 3
+# A tenth of the burst, a quarter of the allowance, and half a second's rate.
+START_TOKENS = 3.4 + 5.0 + 17.0
+
+
+class StubNode:
+    """A node that started when the loop's clock was at zero."""
+
+    def __init__(self, clock):
+        workspace = Workspace("bureau", frozenset(), 1, 34.0, 34.0)
+        self._clock = clock
+        self.local_member = SimpleNamespace(region="akl")
+        self.file = SimpleNamespace(bounds=SimpleNamespace(quota_slack=20.0))
+        self.catalog = SimpleNamespace(
+            version=1,
+            services={SERVICE: Service(SERVICE, 3.0, 8.0)},
+            workspaces={"bureau": workspace},
+        )
+        self.registry = SimpleNamespace(
+            list_usable=lambda: [make_registration("u", slots=50)]
+        )
+
+    def measure_uptime(self):
+        return self._clock.time()
+
+
+class RestartTest(PausedTestCase):
+    """Load: all hosts restart at once, and their callers come back.
+
+    A leader's share of the rates is tiny until its followers have found it.
+    With a share of 1 in 113 it refused most requests of the first seconds as
+    above their workspace's rate, which used up the callers' only retry.
+    """
+
+    async def asyncSetUp(self):
+        node = StubNode(asyncio.get_running_loop())
+        self.admission = AdmissionController(node)
+        self.admission.resize(1 / REGISTERED_HOSTS, 1 / REGISTERED_HOSTS)
+        self.admission.refresh()
+        self.count = 0
+
+    def claim(self):
+        self.count += 1
+        claim = make_claim(f"c{self.count}", now=self.now)
+        terms = ClaimTerms("bureau", b"", 0.5)
+        return asyncio.create_task(self.admission.acquire(claim, terms))
+
+    async def test_claims_wait_until_the_followers_have_joined(self):
+        claims = [self.claim() for _ in range(6)]
+        await asyncio.sleep(0.4)
+        self.assertFalse(any(claim.done() for claim in claims))
+        self.admission.resize(1.0, REGION_SHARE)
+        await asyncio.sleep(0.05)
+        self.assertTrue(all(claim.done() for claim in claims))
+        for claim in claims:
+            self.assertEqual(claim.result().upstream_id, "u")
+
+    async def test_wait_ends_when_the_start_is_over(self):
+        claims = [self.claim() for _ in range(6)]
+        await asyncio.sleep(0.75)
+        refused = [claim for claim in claims if claim.exception()]
+        self.assertGreaterEqual(len(refused), 5)
+        reason = refused[0].exception().reason
+        self.assertIs(reason, Reason.RATE_EXCEEDED)
+
+    async def test_later_claims_above_the_rate_are_refused_at_once(self):
+        await asyncio.sleep(3.0)
+        claims = [self.claim() for _ in range(6)]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertGreaterEqual(sum(claim.done() for claim in claims), 5)
+        for claim in claims:
+            claim.cancel()
+            try:
+                await claim
+            except (RefusalError, asyncio.CancelledError):
+                continue
+
+    async def test_cancelled_claim_spends_no_token(self):
+        claim = self.claim()
+        await asyncio.sleep(0.1)
+        claim.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await claim
+        self.admission.resize(1.0, REGION_SHARE)
+        count = 0
+        while self.admission.quotas.take("bureau", self.now) is None:
+            count += 1
+        self.assertEqual(count, int(REGION_SHARE * START_TOKENS))
