Pass on a new listing as the changes that it makes

Cause: while the store drops its history a leader has to list again, and each listing dropped its own history, so that all hosts that watch it listed all objects again after it.

Change: a mirror compares a listing with what it has and keeps the differences for its watchers.

--- a/radishstile/platform/mirror.py
+++ b/radishstile/platform/mirror.py
@@ -58,12 +58,26 @@
         self._changed = asyncio.Event()
 
     def replace(self, listing: Listing) -> bool:
-        """Apply a complete list; return False if it is an older one."""
-        if self.revision is not None and listing.revision < self.revision:
+        """Apply a complete list; return False if it is an older one.
+
+        Watchers get what it changes, so that a host that has to list again
+        does not make all that watch it do the same.
+        """
+        if self.revision is None:
+            self._objects = {stored.name: stored for stored in listing.objects}
+            self._history_start = listing.revision
+            self._set_revision(listing.revision)
+            return True
+        if listing.revision < self.revision:
             return False
-        self._objects = {stored.name: stored for stored in listing.objects}
-        self._history.clear()
-        self._history_start = listing.revision
+        listed = {stored.name for stored in listing.objects}
+        for known in list(self._objects.values()):
+            if known.name not in listed:
+                self._put(Change(known, True), listing.revision)
+        for stored in listing.objects:
+            change = Change(stored, False)
+            if self._is_new(change):
+                self._put(change, listing.revision)
         self._set_revision(listing.revision)
         return True
 
