Count a listing through a peer as store data of the leader

Cause: a leader that the store rejects reads through another region's leader. While the history is lost it lists in place of watching, and listings did not count as store data: its region replaced it as stale, and lost its queue, quotas and loans.

--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -234,6 +234,8 @@
         if peer is None:
             subscriber.confirm(asked_at)
             await asyncio.sleep(subscriber.list_pause_s)
+        else:
+            self._record_peer_data(subscriber, peer)
         return True
 
     async def _watch(
@@ -253,10 +255,16 @@
             await asyncio.sleep(
                 subscriber.change_pause_s if changes.changes else 0.0
             )
-        elif (
-            self._leadership.is_leading
-            and subscriber.kind == CONFIGURATION_KIND
-        ):
+        else:
+            self._record_peer_data(subscriber, peer)
+
+    def _record_peer_data(self, subscriber: Subscriber, peer: Peer) -> None:
+        """Record the age of the store data that a leader got from a peer.
+
+        Followers would replace a leader whose data they take for old.
+        """
+        is_leading = self._leadership.is_leading
+        if is_leading and subscriber.kind == CONFIGURATION_KIND:
             age_s = peer.measure_store_data_age(read_clock())
             self._node.record_store_data(read_boottime_clock() - age_s)
 
