Give no waiting claim the slot of an upstream that has left

A run that ended on an upstream already removed handed its slot to a waiting claim, whose host then found the upstream gone and spent a retry on another.

--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -193,6 +193,9 @@
         state = self._get_service(run.claim.service)
         if ending is Ending.SERVED:
             state.estimates[run.claim.route].record(run.is_warm, held_s)
+        if self._upstreams.get(upstream.upstream_id) is not upstream:
+            # It has left or restarted: its slot is free for nobody.
+            return []
         return self._start_waiting(state, upstream, now)
 
     def cancel(self, claim_id: str, service: str) -> None:
--- a/test/slot/test_scheduler.py
+++ b/test/slot/test_scheduler.py
@@ -66,6 +66,26 @@
         decision = submit(scheduler, make_claim("next", now=NOW + 1))
         self.assertIs(type(decision), Grant)
 
+    def test_slot_of_an_upstream_that_left_goes_to_nobody(self):
+        """Guards against a claim that is sent to an upstream that is gone."""
+        scheduler = make_scheduler(
+            make_registration("old", slots=1), make_registration("new", 1)
+        )
+        record_hold_times(scheduler, 0.1)
+        names = {}
+        for name in ("a", "b"):
+            names[name] = submit(scheduler, make_claim(name)).upstream_id
+        submit(scheduler, make_claim("waiting"))
+        on_old = next(n for n, upstream in names.items() if upstream == "old")
+        scheduler.replace_upstreams([make_registration("new", 1)], {}, NOW)
+        ended = scheduler.finish(on_old, Ending.SERVED, 0.1, NOW + 0.1)
+        self.assertEqual(ended, [])
+        on_new = next(n for n, upstream in names.items() if upstream == "new")
+        (grant,) = scheduler.finish(on_new, Ending.SERVED, 0.1, NOW + 0.1)
+        self.assertEqual(
+            (grant.claim_id, grant.upstream_id), ("waiting", "new")
+        )
+
 
 class DenialTest(unittest.TestCase):
     def test_denies_at_once_a_claim_that_will_miss_its_deadline(self):
