Handle store answers of another shape or without end as no answer

JSON of another shape raised KeyError or TypeError, which ended the task that follows the store and the process with it; a body without end was read into memory until the call's timeout. Both raise StoreUnavailableError now, the second after 16 MiB.

--- a/radishstile/platform/objects.py
+++ b/radishstile/platform/objects.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store; sends each call once."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -22,6 +23,9 @@
 CALL_TIMEOUT_S = 1.5
 # Time for the answer of a watch after its wait.
 WATCH_GRACE_S = 0.6
+# Largest answer in bytes: some changes of the largest objects, 1 MiB each. A
+# body without end is read no further.
+ANSWER_LIMIT_BYTES = 16_777_216
 _MS_PER_S = 1000
 
 _TOO_MANY_REQUESTS = 429
@@ -142,10 +146,11 @@
         query: dict[str, str] = {}
         while True:
             record = await self._read(CallKind.LIST, kind, query)
-            objects += [_decode_object(item) for item in record["items"]]
+            page = _decode(_decode_page, record, kind)
+            objects += page.objects
             if revision is None:
-                revision = record["store_revision"]
-            if not record.get("more"):
+                revision = page.revision
+            if not record.get("more") or not page.objects:
                 return Listing(objects, revision)
             query = {"after": objects[-1].name}
 
@@ -160,19 +165,16 @@
         }
         timeout_s = wait_s + WATCH_GRACE_S
         record = await self._read(CallKind.WATCH, kind, query, timeout_s)
-        changes = [
-            Change(_decode_object(event["object"]), bool(event["removed"]))
-            for event in record["events"]
-        ]
-        return Changes(changes, record["store_revision"])
+        return _decode(_decode_changes, record, kind)
 
     async def read(self, kind: str, name: str) -> PlatformObject | None:
         """Return one object, or None if there is none."""
         path = f"{kind}/{quote(name)}"
         try:
-            return _decode_object(await self._read(CallKind.READ, path, {}))
+            record = await self._read(CallKind.READ, path, {})
         except ObjectMissingError:
             return None
+        return _decode(_decode_object, record, path)
 
     async def create(self, kind: str, name: str, spec: Any) -> None:
         """Create an object; raises `ObjectConflictError` if it exists."""
@@ -237,7 +239,7 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 _check_status(response.status, path)
-                record = orjson.loads(await response.read() or b"{}")
+                record = orjson.loads(await _read_body(response) or b"{}")
         except aiohttp.ClientConnectorError as error:
             self.calls.record_failure()
             raise StoreUnavailableError(f"{path}: can't connect") from error
@@ -266,6 +268,39 @@
     raise WriteDoubtError(f"{path}: the store answered {status}")
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body; raises `ValueError` if it exceeds the limit."""
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > ANSWER_LIMIT_BYTES:
+            raise ValueError("the answer is too large")
+    return bytes(body)
+
+
+def _decode(decode: Callable[[Any], Any], record: Any, path: str) -> Any:
+    """Decode an answer; raises `StoreUnavailableError` if it is another."""
+    try:
+        return decode(record)
+    except (AttributeError, KeyError, TypeError) as error:
+        raise StoreUnavailableError(
+            f"{path}: unexpected answer ({type(error).__name__}: {error})"
+        ) from error
+
+
+def _decode_page(record: dict) -> Listing:
+    objects = [_decode_object(item) for item in record["items"]]
+    return Listing(objects, int(record["store_revision"]))
+
+
+def _decode_changes(record: dict) -> Changes:
+    changes = [
+        Change(_decode_object(event["object"]), bool(event["removed"]))
+        for event in record["events"]
+    ]
+    return Changes(changes, int(record["store_revision"]))
+
+
 def _decode_object(record: dict) -> PlatformObject:
     metadata = record["metadata"]
     return PlatformObject(
--- a/standin/object_store.py
+++ b/standin/object_store.py
@@ -27,9 +27,14 @@
     ANSWERS_LOST = "answers-lost"
     # Writes take effect after `LATE_WRITE_DELAY_S`; their answers are lost.
     WRITES_LATE = "writes-late"
+    # Reads are answered with JSON of another shape.
+    UNEXPECTED = "unexpected"
+    # Reads are answered with a body without end.
+    ENDLESS = "endless"
 
 
 LATE_WRITE_DELAY_S = 1.0
+ENDLESS_PART_BYTES = 65_536
 
 
 class _StoredObject:
@@ -60,11 +65,15 @@
 
 
 class ObjectStore:
-    """Serves `/v1/objects`; `calls` counts requests by method."""
+    """Serves `/v1/objects`; `calls` counts requests by method.
+
+    `endless_bytes` is what was written of the last answer without end.
+    """
 
     __slots__ = (
         "failure_mode",
         "calls",
+        "endless_bytes",
         "revision",
         "_kinds",
         "_events",
@@ -78,6 +87,7 @@
     def __init__(self):
         self.failure_mode = FailureMode.NONE
         self.calls: dict[str, int] = {}
+        self.endless_bytes = 0
         self.revision = 1
         self._kinds: dict[str, dict[str, _StoredObject]] = {}
         self._events: list[_ChangeEvent] = []
@@ -170,6 +180,10 @@
             return web.Response(status=503)
         if self.failure_mode is FailureMode.THROTTLED:
             return web.Response(status=429)
+        if method == "GET" and self.failure_mode is FailureMode.UNEXPECTED:
+            return _make_response(200, {"items": [{"name": "a"}]})
+        if method == "GET" and self.failure_mode is FailureMode.ENDLESS:
+            return await self._answer_without_end(request)
         if method == "GET":
             return await self._read(request)
         body = orjson.loads(await request.read() or b"null")
@@ -191,6 +205,19 @@
         request.transport.abort()
         return web.Response()
 
+    async def _answer_without_end(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        self.endless_bytes = 0
+        try:
+            while True:
+                await response.write(bytes(ENDLESS_PART_BYTES))
+                self.endless_bytes += ENDLESS_PART_BYTES
+        except ConnectionError:
+            return response
+
     async def _write_late(self, request: web.Request, body) -> None:
         await asyncio.sleep(LATE_WRITE_DELAY_S)
         self._write(request, body)
--- a/test/platform/test_objects.py
+++ b/test/platform/test_objects.py
@@ -11,7 +11,7 @@
 )
 from radishstile.platform import objects
 from radishstile.platform.host_file import Endpoint
-from radishstile.platform.objects import ObjectClient
+from radishstile.platform.objects import ANSWER_LIMIT_BYTES, ObjectClient
 from standin.object_store import (
     LATE_WRITE_DELAY_S,
     PAGE_SIZE,
@@ -68,6 +68,27 @@
             await self.client.delete("hosts", "a", stored.revision)
         self.assertEqual(self.store.get_spec("hosts", "a"), {"n": 3})
 
+    async def test_an_answer_of_another_shape_raises_unavailable(self):
+        """Guards against an error that is none of the client's.
+
+        It ended the task that follows the store, and the process with it.
+        """
+        self.store.failure_mode = FailureMode.UNEXPECTED
+        for call in (
+            self.client.list_kind("config"),
+            self.client.watch("config", 1, 0.1),
+            self.client.read("config", "main"),
+        ):
+            with self.assertRaises(StoreUnavailableError):
+                await call
+
+    async def test_an_answer_without_end_is_not_read_on(self):
+        self.store.failure_mode = FailureMode.ENDLESS
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.list_kind("config")
+        # The rest is in buffers of both sides.
+        self.assertLess(self.store.endless_bytes, 2 * ANSWER_LIMIT_BYTES)
+
     async def test_a_busy_store_raises_unavailable_and_writes_nothing(self):
         for trouble in (FailureMode.BUSY, FailureMode.THROTTLED):
             self.store.failure_mode = trouble
