--- a/test/configuration/test_merge.py
+++ b/test/configuration/test_merge.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import given
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from radishstile.configuration.merge import make_merge_patch, merge
@@ -19,6 +19,12 @@
 
 
 class MergePatchTest(unittest.TestCase):
+    @settings(
+        derandomize=True,
+        max_examples=300,
+        deadline=None,
+        suppress_health_check=[HealthCheck.too_slow],
+    )
     @given(OBJECTS, OBJECTS)
     def test_patch_leads_to_the_new_document(self, old, new):
         patch = make_merge_patch(old, new)
