Connect to whichever host of the region leads

Cause: a host connected to the first four of its region only.

Change: a host stays connected to the first four that answer, to those that its peers follow, and to the first whose heartbeat tells of fresh store data, so that the first hosts, which all others know, pass on who leads.

--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -11,6 +11,8 @@
     FOLLOW_INTERVAL_S,
     Candidate,
     Followers,
+    FreshHosts,
+    choose_dialled_hosts,
     choose_leader,
     choose_leader_source,
     choose_source,
@@ -21,10 +23,7 @@
 
 _LOG = logging.getLogger("radishstile.leadership")
 
-# Hosts of the local region that a host stays connected to: the leader, and
-# three more that can replace it at once.
-DIALLED_HOSTS = 4
-# The same in each remote region, for a leader.
+# First hosts of each remote region that a leader stays connected to.
 DIALLED_REMOTE_HOSTS = 2
 
 
@@ -39,6 +38,7 @@
         "_leader",
         "_followed_at",
         "_shares",
+        "_fresh_hosts",
         "_hosts_changed",
     )
 
@@ -53,6 +53,7 @@
         # The loop's time at which the leader was chosen.
         self._followed_at = 0.0
         self._shares = (0.0, 0.0)
+        self._fresh_hosts = FreshHosts()
         self._hosts_changed = asyncio.Event()
 
     @property
@@ -148,6 +149,7 @@
             self.followers.record_heartbeat(host, message.is_leaving, now)
         else:
             self.followers.drop(host)
+        self._fresh_hosts.record(host, message.news_age_s, now)
         # The sender measured that age after it received the echoed clock,
         # so the time is never too recent.
         node.accept_confirmation(message.version, message.echo - message.age_s)
@@ -253,12 +255,18 @@
 
     def _list_wanted_peers(self) -> list[Member]:
         node = self._node
-        local = [
-            m
+        local = {
+            m.host: m
             for m in node.list_region_hosts()
             if m.host != node.local_member.host
-        ]
-        wanted = local[:DIALLED_HOSTS]
+        }
+        names = list(local)
+        dialled = choose_dialled_hosts(
+            names,
+            self.peers.list_contacts(node.local_member.region),
+            self._fresh_hosts.find_first(names, read_clock()),
+        )
+        wanted = [local[host] for host in dialled]
         if not self.is_leading:
             return wanted
         for region in node.hosts.list_regions():
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -5,7 +5,11 @@
 
 from radishstile.entry.node import EntryNode, read_boottime_clock, read_clock
 from radishstile.errors import WireError
-from radishstile.fleet.leadership import FOLLOW_INTERVAL_S, LEADER_TIMEOUT_S
+from radishstile.fleet.leadership import (
+    FOLLOW_INTERVAL_S,
+    LEADER_TIMEOUT_S,
+    Contact,
+)
 from radishstile.member import Member
 from radishstile.wire.client import PeerClient
 from radishstile.wire.counters import WireCounters
@@ -22,14 +26,23 @@
 class Peer:
     """A host that this one connects to, and its last reported state.
 
-    `answered_at` is the loop's time of its last answer, in seconds;
-    `is_followed` tells whether this host follows it.
+    `dialled_at` and `answered_at` are the loop's times, in seconds, when this
+    host began to connect to it and of its last answer; `is_followed` tells
+    whether this host follows it.
     """
 
-    __slots__ = ("client", "answered_at", "state", "is_followed", "changed")
+    __slots__ = (
+        "client",
+        "dialled_at",
+        "answered_at",
+        "state",
+        "is_followed",
+        "changed",
+    )
 
-    def __init__(self, client: PeerClient):
+    def __init__(self, client: PeerClient, now: float):
         self.client = client
+        self.dialled_at = now
         self.answered_at = float("-inf")
         self.state: LeadState | None = None
         self.is_followed = False
@@ -48,6 +61,12 @@
             bool(self.state.lead) and now - self.answered_at < LEADER_TIMEOUT_S
         )
 
+    def is_lost(self, now: float) -> bool:
+        """Return whether the peer has not been usable for too long."""
+        if self.is_usable(now):
+            return False
+        return now - self.dialled_at >= LEADER_TIMEOUT_S
+
     def measure_store_data_age(self, now: float) -> float:
         """Return the age of the peer's store data, in seconds."""
         return self.state.news_age_s + now - self.answered_at
@@ -94,6 +113,18 @@
             if peer.member.region == region and peer.is_usable(now)
         ]
 
+    def list_contacts(self, region: str) -> dict[str, Contact]:
+        """Return what is known of the peers of a region, by host."""
+        now = read_clock()
+        return {
+            host: Contact(
+                peer.is_lost(now),
+                peer.state.lead if peer.is_usable(now) else "",
+            )
+            for host, peer in self._peers.items()
+            if peer.member.region == region
+        }
+
     def list_connected(self) -> list[Peer]:
         """Return the peers with an open connection."""
         return [p for p in self._peers.values() if p.client.is_connected]
@@ -122,7 +153,7 @@
                     self._settings,
                     self._counters,
                 )
-                peer = self._peers[host] = Peer(client)
+                peer = self._peers[host] = Peer(client, read_clock())
                 self._tasks[host] = group.create_task(self._run_peer(peer))
 
     async def _run_peer(self, peer: Peer) -> None:
@@ -171,6 +202,7 @@
             hosts_digest=peer.state.hosts_digest if peer.state else 0,
             version=node.catalog.version if node.catalog else 0,
             age_s=node.measure_confirmation_age(),
+            news_age_s=node.measure_store_data_age(),
         )
 
 
--- a/radishstile/fleet/leadership.py
+++ b/radishstile/fleet/leadership.py
@@ -32,6 +32,73 @@
 # seconds apart, so that all can use the first answer.
 PROBE_INTERVAL_S = 0.3
 PROBES_PER_INTERVAL = 2
+# Hosts of its region that a host stays connected to, while they answer: the
+# leader, and three more that can replace it at once.
+DIALLED_HOSTS = 4
+
+
+class Contact:
+    """A host of the region that another one connects to, as that one sees it.
+
+    `is_lost` tells whether it has not answered for too long. `leader` is the
+    host that it follows, empty if it is not known.
+    """
+
+    __slots__ = ("is_lost", "leader")
+
+    def __init__(self, is_lost: bool, leader: str):
+        self.is_lost = is_lost
+        self.leader = leader
+
+
+class FreshHosts:
+    """The hosts whose heartbeats told that they have fresh store data."""
+
+    __slots__ = ("_data_at",)
+
+    def __init__(self):
+        # The loop's time that each host's store data dates from, in seconds.
+        self._data_at: dict[str, float] = {}
+
+    def record(self, host: str, age_s: float, now: float) -> None:
+        """Record the age of a host's store data, in seconds."""
+        if age_s <= FRESH_MAX_AGE_S:
+            self._data_at[host] = now - age_s
+        else:
+            self._data_at.pop(host, None)
+
+    def find_first(self, hosts: list[str], now: float) -> str | None:
+        """Return the first of some hosts that still has fresh data."""
+        for host in hosts:
+            data_at = self._data_at.get(host, float("-inf"))
+            if now - data_at <= FRESH_MAX_AGE_S:
+                return host
+        return None
+
+
+def choose_dialled_hosts(
+    hosts: list[str], contacts: dict[str, Contact], fresh_host: str | None
+) -> list[str]:
+    """Return which of a region's hosts to connect to, in leader order.
+
+    `hosts` are the others of the region, in leader order; `contacts` are those
+    connected to before. The first hosts that are not lost may replace the
+    leader. `fresh_host`, which has told them that it has fresh store data, and
+    the hosts that contacts follow are connected to as well: otherwise a host
+    that can use none of the first ones would lead itself, although others
+    follow one that it does not see.
+    """
+    followed = {contact.leader for contact in contacts.values()}
+    dialled = []
+    live_count = 0
+    for host in hosts:
+        contact = contacts.get(host)
+        if live_count < DIALLED_HOSTS:
+            dialled.append(host)
+            live_count += contact is None or not contact.is_lost
+        elif host == fresh_host or host in followed:
+            dialled.append(host)
+    return dialled
 
 
 class Candidate:
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -88,6 +88,7 @@
     `echo` is the `clock` of the receiver's last answer, and `hosts_digest`
     that of the hosts in it; both are 0 if there was none. `version` is the
     host's configuration, and `age_s` the time since its confirmation.
+    `news_age_s` is the age of the host's store data.
     """
 
     __slots__ = (
@@ -97,6 +98,7 @@
         "hosts_digest",
         "version",
         "age_s",
+        "news_age_s",
     )
 
     is_leaving: bool
@@ -105,6 +107,7 @@
     hosts_digest: int
     version: int
     age_s: float
+    news_age_s: float
 
 
 class LeadState(Message):
--- a/test/entry/test_peers.py
+++ b/test/entry/test_peers.py
@@ -47,7 +47,7 @@
         admission = SimpleNamespace(resize=lambda *shares: None)
         self.peers = Peers(self.node, None)
         self.leadership = Leadership(self.node, admission, self.peers)
-        self.peer = Peer(None)
+        self.peer = Peer(None, self.now)
         self.peer.is_followed = True
 
     def beat(self, host="front-akl-a-1"):
--- a/test/fleet/test_propagation.py
+++ b/test/fleet/test_propagation.py
@@ -10,6 +10,9 @@
 from radishstile.fleet.leadership import (
     FOLLOW_INTERVAL_S,
     Candidate,
+    Contact,
+    FreshHosts,
+    choose_dialled_hosts,
     choose_leader,
     choose_leader_source,
     choose_source,
@@ -24,7 +27,6 @@
 REGION_DELAY_S = 0.1
 REGIONS = ("akl", "wlg", "chc")
 HOSTS = 7
-CONNECTED_PEERS = 4
 # Limit for applying a configuration and learning of a leaving upstream.
 LIMIT_S = 2.5
 # Time before the first event, for the model to settle, in seconds.
@@ -42,8 +44,11 @@
         self.source = self.leader
         self.version = 0
         self.store_answered_at = self.store_data_at = float("-inf")
-        # Time of each peer's store data, from its last heartbeat.
+        # Time of each peer's store data and its leader, from its last
+        # heartbeat.
         self.peer_data_at = {}
+        self.peer_leaders = {}
+        self.fresh_hosts = FreshHosts()
         self.next_call_at = self.next_heartbeat_at = self.next_check_at = (
             phase_s
         )
@@ -53,11 +58,14 @@
 class PropagationModel:
     """All hosts; the store's version is 1 from `changed_at` on."""
 
-    def __init__(self, seed, rejected, changed_at, rejected_from):
+    def __init__(
+        self, seed, rejected, changed_at, rejected_from, region_hosts=HOSTS
+    ):
         draw = random.Random(seed)
         self.hosts = {}
+        self.region_hosts = region_hosts
         for region in REGIONS:
-            for number in range(HOSTS):
+            for number in range(region_hosts):
                 host = SimulatedHost(
                     region, number, draw.uniform(0, FOLLOW_INTERVAL_S)
                 )
@@ -76,8 +84,17 @@
     def step(self, host, now):
         if now >= host.next_heartbeat_at:
             host.next_heartbeat_at += FOLLOW_INTERVAL_S
-            for name in self.list_connected(host):
-                host.peer_data_at[name] = self.hosts[name].store_data_at
+            connected = self.list_connected(host, now)
+            for name in connected:
+                self.hosts[name].fresh_hosts.record(
+                    host.name, now - host.store_data_at, now
+                )
+            host.peer_data_at = {
+                name: self.hosts[name].store_data_at for name in connected
+            }
+            host.peer_leaders = {
+                name: self.hosts[name].leader for name in connected
+            }
         if now >= host.next_check_at:
             host.next_check_at += CHECK_INTERVAL_S
             self.choose_source(host, now)
@@ -86,19 +103,31 @@
         else:
             self.watch_peer(host, self.hosts[host.source], now)
 
-    def list_connected(self, host):
-        local_hosts = [f"{host.region}-{n}" for n in range(HOSTS)]
-        names = [name for name in local_hosts if name != host.name][
-            :CONNECTED_PEERS
-        ]
+    def list_connected(self, host, now):
+        local_hosts = self.list_region(host.region)
+        local_hosts.remove(host.name)
+        contacts = {
+            name: Contact(False, leader)
+            for name, leader in host.peer_leaders.items()
+            if name in local_hosts
+        }
+        names = choose_dialled_hosts(
+            local_hosts,
+            contacts,
+            host.fresh_hosts.find_first(local_hosts, now),
+        )
         if host.leader == host.name:
             names += [f"{r}-{n}" for r in REGIONS for n in (0, 1)]
+            names += map(self.find_leader, REGIONS)
         return {name for name in names if name != host.name}
 
+    def list_region(self, region):
+        return [f"{region}-{n}" for n in range(self.region_hosts)]
+
     def choose_source(self, host, now):
         local_hosts = [
-            self.describe(host, f"{host.region}-{n}", now)
-            for n in range(HOSTS)
+            self.describe(host, name, now)
+            for name in self.list_region(host.region)
         ]
         leader = choose_leader(local_hosts)
         if leader != host.leader:
@@ -145,7 +174,8 @@
             self.learn(host, source.version, now)
         if host.leader == host.name:
             host.store_data_at = max(
-                host.store_data_at, host.peer_data_at[source.name]
+                host.store_data_at,
+                host.peer_data_at.get(source.name, float("-inf")),
             )
 
     def learn(self, host, version, now):
@@ -194,3 +224,62 @@
             rejected = self.draw_hosts(seed, 3)
             took_s = self.measure(seed, rejected)
             self.assertLess(took_s, LIMIT_S, (seed, sorted(rejected)))
+
+
+class RejectedFirstHostsTest(unittest.TestCase):
+    """The store rejects the first hosts of each region, more than are dialled.
+
+    The others saw only those, whose data was old, so each of them led itself
+    until the end of the day: upstreams got several times their slots.
+    """
+
+    HOSTS = 40
+    REJECTED = 5
+    # Time after which a host must know what it is told, in seconds.
+    CONTACT_S = 4.0
+
+    def count_leaders(self, seed):
+        """Return the largest number of leaders of a region at the end."""
+        rejected = {f"{r}-{n}" for r in REGIONS for n in range(self.REJECTED)}
+        model = PropagationModel(
+            seed, rejected, float("inf"), WARMUP_S, self.HOSTS
+        )
+        model.run(WARMUP_S + self.CONTACT_S)
+        leaders = {(host.region, host.leader) for host in model.hosts.values()}
+        return max(
+            sum(region == name for region, _ in leaders) for name in REGIONS
+        )
+
+    def test_all_hosts_follow_one_leader_soon(self):
+        for seed in range(5):
+            self.assertEqual(self.count_leaders(seed), 1, seed)
+
+
+class DialledHostsTest(unittest.TestCase):
+    ORDER = [f"akl-{n}" for n in range(9)]
+
+    def choose(self, lost=(), fresh_host=None, **leaders):
+        contacts = {host: Contact(True, "") for host in lost}
+        for host, leader in leaders.items():
+            contacts[host.replace("_", "-")] = Contact(False, leader)
+        return choose_dialled_hosts(self.ORDER, contacts, fresh_host)
+
+    def test_the_first_hosts_are_dialled(self):
+        self.assertEqual(self.choose(), self.ORDER[:4])
+
+    def test_others_take_the_place_of_lost_ones(self):
+        lost = self.ORDER[:4]
+        self.assertEqual(self.choose(lost), self.ORDER[:8])
+        self.assertEqual(self.choose(lost[1:3]), self.ORDER[:6])
+
+    def test_those_that_contacts_follow_are_dialled(self):
+        self.assertEqual(
+            self.choose(akl_1="akl-7"), [*self.ORDER[:4], "akl-7"]
+        )
+
+    def test_one_that_has_fresh_data_is_dialled(self):
+        dialled = self.choose(fresh_host="akl-6")
+        self.assertEqual(dialled, [*self.ORDER[:4], "akl-6"])
+
+    def test_leaders_of_other_regions_and_unknown_ones_are_not(self):
+        self.assertEqual(self.choose(akl_1="wlg-7", akl_2=""), self.ORDER[:4])
