Divide small shares of slots among the upstreams

Change: upstreams of which less than half a slot is due yield one or none, so that together they yield what is due; which ones differs by host.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -113,7 +113,7 @@
         self.callers: list[Caller] = []
         self._random = random.Random(seed)
         self._load = load
-        self._scheduler = SlotScheduler(REGION, settings)
+        self._scheduler = SlotScheduler(REGION, "host-1", settings)
         names = [f"i-{number}" for number in range(upstreams)]
         services = {SERVICE: Service(SERVICE, 0.0, 100.0)}
         self._scheduler.replace_upstreams(
--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -79,7 +79,7 @@
 
     def __init__(self, node: EntryNode):
         self.scheduler = SlotScheduler(
-            node.local_member.region, SlotSettings()
+            node.local_member.region, node.local_member.host, SlotSettings()
         )
         self.quotas = WorkspaceQuotas(node.file.bounds.quota_slack)
         self.poison = PoisonDetector(RunSettings())
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -9,6 +9,7 @@
 from radishstile.outcome import Reason
 from radishstile.slot.claim import Claim, Decision, Denial, Ending, Grant
 from radishstile.slot.claim import Queued as QueuedClaim
+from radishstile.slot.division import divide_slots
 from radishstile.slot.estimate import HoldTimeEstimate
 from radishstile.slot.lending import TARGET_UTILIZATION, RegionLoad
 from radishstile.slot.queue import WaitingClaim
@@ -32,14 +33,16 @@
 class SlotScheduler:
     """Grants slots, at most `share` of each upstream's in `region`.
 
-    `share` is the fraction of the region's hosts that claim here. Schedulers
-    whose shares sum to at most one never grant a slot twice. Of upstreams in
-    other regions, only borrowed slots are granted.
+    `share` is the fraction of the region's hosts that claim here, and `host`
+    the one that schedules. Schedulers whose shares sum to at most one grant
+    about as many slots together as there are: see `divide_slots`. Of upstreams
+    in other regions, only borrowed slots are granted.
     """
 
     __slots__ = (
         "region",
         "share",
+        "_host",
         "_settings",
         "_services",
         "_upstreams",
@@ -47,9 +50,10 @@
         "_sampled_at",
     )
 
-    def __init__(self, region: str, settings: SlotSettings):
+    def __init__(self, region: str, host: str, settings: SlotSettings):
         self.region = region
         self.share = 0.0
+        self._host = host
         self._settings = settings
         self._sampled_at = 0.0
         self._services: dict[str, ServiceState] = {}
@@ -86,8 +90,7 @@
     def set_share(self, share: float, now: float) -> list[Decision]:
         """Change the share of the region's slots to grant."""
         self.share = share
-        for upstream in self._upstreams.values():
-            upstream.resize(share, self._is_local(upstream))
+        self._divide_slots()
         self._update_rankings()
         return self.tick(now)
 
@@ -137,11 +140,11 @@
         lent: dict[str, int] = {}
         for upstream in ranking.order(region):
             upstream.lent.pop(region, None)
-            upstream.resize(self.share, True)
+            upstream.resize()
             slots = min(wanted, upstream.capacity)
             if slots > 0 and not upstream.is_cold(now):
                 upstream.lent[region] = slots
-                upstream.resize(self.share, True)
+                upstream.resize()
                 lent[upstream.upstream_id] = slots
                 wanted -= slots
         return lent
@@ -229,6 +232,22 @@
     def _is_local(self, upstream: UpstreamState) -> bool:
         return upstream.registration.region == self.region
 
+    def _divide_slots(self) -> None:
+        """Set each upstream's capacity."""
+        by_service: dict[str, list[Registration]] = {}
+        for upstream in self._upstreams.values():
+            if self._is_local(upstream):
+                registration = upstream.registration
+                by_service.setdefault(registration.service, []).append(
+                    registration
+                )
+        for registrations in by_service.values():
+            slots = divide_slots(registrations, self.share, self._host)
+            for upstream_id, allotted in slots.items():
+                self._upstreams[upstream_id].allotted = allotted
+        for upstream in self._upstreams.values():
+            upstream.resize()
+
     def _update_rankings(self) -> None:
         by_service: dict[str, list[UpstreamState]] = {}
         for upstream in self._upstreams.values():
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -42,14 +42,16 @@
 class UpstreamState:
     """The slots of one incarnation of an upstream and the runs on them.
 
-    `capacity` is the number of slots that this scheduler may grant, without
-    those lent to other regions. `borrowed` is the number of slots borrowed, if
-    the upstream is in another region. `is_untried` is whether it joined after
-    the first list of upstreams and had no run yet.
+    `allotted` is the number of slots that this scheduler may grant or lend,
+    and `capacity` is that without those lent to other regions. `borrowed` is
+    the number of slots borrowed, if the upstream is in another region.
+    `is_untried` is whether it joined after the first list of upstreams and had
+    no run yet.
     """
 
     __slots__ = (
         "registration",
+        "allotted",
         "capacity",
         "borrowed",
         "lent",
@@ -75,6 +77,7 @@
         now: float,
     ):
         self.registration = registration
+        self.allotted = 0
         self.capacity = 0
         self.borrowed = 0
         # Number of slots lent to each region.
@@ -106,14 +109,10 @@
         """Return the number of occupied slots."""
         return len(self.runs)
 
-    def resize(self, share: float, is_local: bool) -> None:
-        """Set the capacity to a share of the slots, or to those borrowed."""
-        if not is_local:
-            self.capacity = self.borrowed
-            return
-        slots = round(self.registration.slots * share)
-        kept = max(1, slots) if share > 0 else 0
-        self.capacity = max(0, kept - sum(self.lent.values()))
+    def resize(self) -> None:
+        """Set the capacity from the slots allotted, lent and borrowed."""
+        free = max(0, self.allotted - sum(self.lent.values()))
+        self.capacity = free + self.borrowed
 
     def update(self, registration: Registration) -> None:
         """Apply a changed registration of the same incarnation."""
--- a/test/entry/test_admission.py
+++ b/test/entry/test_admission.py
@@ -22,7 +22,7 @@
     def __init__(self, clock):
         workspace = Workspace("bureau", frozenset(), 1, 34.0, 34.0)
         self._clock = clock
-        self.local_member = SimpleNamespace(region="akl")
+        self.local_member = SimpleNamespace(host="front-akl-a-1", region="akl")
         self.file = SimpleNamespace(bounds=SimpleNamespace(quota_slack=20.0))
         self.catalog = SimpleNamespace(
             version=1,
