Save where objects are cached for a region's next leader

Cause: after a restart of all hosts, or the loss of a leader, the new scheduler knew of no cached object. It ran most requests cold on other upstreams, three times as long, and refused the rest while the callers of the outage came back.

Change: the leader saves what the upstreams of its region have cached in the store, at most every 5 s and only if it has changed; a new leader reads it once. Records of incarnations that have ended are not used.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -7,6 +7,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import Counter, OrderedDict
 
@@ -72,6 +73,11 @@
     RequestKind("lookup", 2, 177.0, 0.84, 0.712, 4.744, 266, 1.0),
     RequestKind("order", 1, 67.0, 1.12, 0.930, 6.972, 100, 2.0),
 )
+# Time of a restart of all hosts, the upstreams that are left then, and the
+# time whose requests come back at once, in seconds.
+RESTART_AT_S = 15.0
+RESTART_UPSTREAMS = 24
+RETURNING_S = 2.0
 # The share of a request's value that a late answer earns.
 LATE_VALUE_SHARE = 0.2
 
@@ -96,6 +102,7 @@
         "callers",
         "_random",
         "_load",
+        "_settings",
         "_scheduler",
         "_object_caches",
         "_events",
@@ -113,21 +120,17 @@
         self.callers: list[Caller] = []
         self._random = random.Random(seed)
         self._load = load
-        self._scheduler = SlotScheduler(REGION, "host-1", settings)
+        self._settings = settings
         names = [f"i-{number}" for number in range(upstreams)]
-        services = {SERVICE: Service(SERVICE, 0.0, 100.0)}
-        self._scheduler.replace_upstreams(
-            [_register(name) for name in names], services, 0.0
-        )
-        self._scheduler.set_share(1.0, 0.0)
         self._object_caches = {name: OrderedDict() for name in names}
+        self._scheduler = self._make_scheduler(0.0)
         self._events: list = []
         self._count = itertools.count()
         # Callers with a pending claim, by claim id.
         self._pending_claims: dict[str, Caller] = {}
 
     def run(self) -> "OverloadSimulation":
-        """Run until all events are processed."""
+        """Run until all events are processed; return this simulation."""
         for kind in KINDS:
             self._schedule(0.0, self._arrive, kind)
         self._schedule(0.0, self._tick)
@@ -136,9 +139,11 @@
             step(now, *arguments)
         return self
 
-    def compute_earned_share(self) -> float:
-        """Return the earned share of the value of all scored requests."""
-        scored = [c for c in self.callers if c.began_at >= SCORED_FROM_S]
+    def compute_earned_share(
+        self, from_s: float = SCORED_FROM_S, until_s: float = math.inf
+    ) -> float:
+        """Return the earned share of the value of a time's requests."""
+        scored = [c for c in self.callers if from_s <= c.began_at < until_s]
         total_value = sum(caller.kind.value for caller in scored)
         shares = {"on time": 1.0, "late": LATE_VALUE_SHARE}
         earned = sum(c.kind.value * shares.get(c.result, 0.0) for c in scored)
@@ -152,6 +157,14 @@
             results[caller.kind.name, caller.result] += 1
         return results
 
+    def _make_scheduler(self, now: float) -> SlotScheduler:
+        scheduler = SlotScheduler(REGION, "host-1", self._settings)
+        registrations = [_register(name) for name in self._object_caches]
+        services = {SERVICE: Service(SERVICE, 0.0, 100.0)}
+        scheduler.replace_upstreams(registrations, services, now)
+        scheduler.set_share(1.0, now)
+        return scheduler
+
     def _schedule(self, when: float, step, *arguments) -> None:
         event = (when, next(self._count), step, arguments)
         heapq.heappush(self._events, event)
@@ -161,6 +174,9 @@
             return
         gap_s = self._random.expovariate(kind.rate_per_s * self._load)
         self._schedule(now + gap_s, self._arrive, kind)
+        self._add_caller(now, kind)
+
+    def _add_caller(self, now: float, kind: RequestKind) -> None:
         number = self._random.randrange(kind.objects)
         caller = Caller(kind, f"{kind.name}/{number}", now)
         self.callers.append(caller)
@@ -237,6 +253,31 @@
             self._schedule(now + TICK_S, self._tick)
 
 
+class RestartSimulation(OverloadSimulation):
+    """A run in which the scheduler is lost and replaced at `RESTART_AT_S`.
+
+    The requests of the time before come back at once. With `has_records`, the
+    new scheduler knows what its predecessor knew of the upstreams' caches.
+    """
+
+    __slots__ = ("_has_records",)
+
+    def __init__(self, settings: SlotSettings, seed: int, has_records: bool):
+        super().__init__(settings, 1.0, seed, RESTART_UPSTREAMS)
+        self._has_records = has_records
+        self._schedule(RESTART_AT_S, self._restart)
+
+    def _restart(self, now: float) -> None:
+        records = self._scheduler.list_caches()
+        self._scheduler = self._make_scheduler(now)
+        if self._has_records:
+            self._scheduler.restore_caches(records)
+        self._pending_claims.clear()
+        for kind in KINDS:
+            for _ in range(int(kind.rate_per_s * RETURNING_S)):
+                self._add_caller(now, kind)
+
+
 def _register(name: str) -> Registration:
     return Registration(
         name,
@@ -268,6 +309,17 @@
         print(
             f"{upstreams} upstreams, load {load}: {earned_share:.3f} {totals}"
         )
+    for has_records in (False, True):
+        shares = [
+            RestartSimulation(SlotSettings(), seed, has_records)
+            .run()
+            .compute_earned_share(RESTART_AT_S, RESTART_AT_S + 2.0)
+            for seed in range(3)
+        ]
+        print(
+            f"restart, records of caches {has_records}: "
+            f"{sum(shares) / len(shares):.3f} of the next 2 s"
+        )
 
 
 if __name__ == "__main__":
--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -40,6 +40,7 @@
         "_shares",
         "_fresh_hosts",
         "_hosts_changed",
+        "_changed",
     )
 
     def __init__(
@@ -55,6 +56,8 @@
         self._shares = (0.0, 0.0)
         self._fresh_hosts = FreshHosts()
         self._hosts_changed = asyncio.Event()
+        # Set when the leader or the registered hosts have changed.
+        self._changed = asyncio.Event()
 
     @property
     def is_leading(self) -> bool:
@@ -83,6 +86,12 @@
     def notify_hosts_changed(self) -> None:
         """Request an update after the registered hosts changed."""
         self._hosts_changed.set()
+        self._changed.set()
+
+    async def wait_change(self) -> None:
+        """Wait until the leader or the registered hosts change."""
+        self._changed.clear()
+        await self._changed.wait()
 
     def list_serving(self) -> list[str]:
         """Return the region's hosts that serve callers."""
@@ -248,6 +257,7 @@
     def _follow(self, name: str) -> None:
         self._leader = name
         self._followed_at = read_clock()
+        self._changed.set()
         self.peers.follow(name)
         if not self.is_leading:
             self.followers.drop(self._node.local_member.host)
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -5,6 +5,7 @@
 import os
 
 from radishstile.entry.admission import AdmissionController
+from radishstile.entry.cache_recorder import CacheRecorder
 from radishstile.entry.callers import CallerServer
 from radishstile.entry.claims import SlotClient
 from radishstile.entry.connection_pool import ConnectionPool
@@ -62,6 +63,7 @@
         "_directory",
         "_registrar",
         "_replica",
+        "_cache_recorder",
         "_report_sender",
         "_peer_server",
     )
@@ -100,6 +102,9 @@
         )
         self._registrar = Registrar(node, self._leadership)
         self._replica = Replica(node, self._leadership)
+        self._cache_recorder = CacheRecorder(
+            node, self._leadership, self._admission
+        )
         self._report_sender = PoisonReportSender(
             self._admission, self._leadership.peers
         )
@@ -136,6 +141,7 @@
                 self._registrar.run(),
                 self._leadership.run(),
                 self._loans.run(),
+                self._cache_recorder.run(),
                 self._report_sender.run(),
                 self._admission.run(),
                 self._apply_changes(),
--- a/radishstile/fleet/hosts.py
+++ b/radishstile/fleet/hosts.py
@@ -30,15 +30,18 @@
 class HostTable:
     """The registered hosts by name; `local_host` is always among them.
 
+    `is_loaded` is whether a complete list was applied.
+
     A leader works for its whole region, so hosts are ordered by cores, most
     first, then by name. All hosts compute the same order, also those that
     start together and still know earlier incarnations of each other.
     """
 
-    __slots__ = ("local_host", "_by_name", "_orders")
+    __slots__ = ("local_host", "is_loaded", "_by_name", "_orders")
 
     def __init__(self, local_host: RegisteredHost):
         self.local_host = local_host
+        self.is_loaded = False
         self._by_name: dict[str, RegisteredHost] = {}
         # Leader orders by region, cached until the hosts change.
         self._orders: dict[str, list[Member]] = {}
@@ -62,6 +65,7 @@
 
     def replace_all(self, hosts: Iterable[RegisteredHost]) -> None:
         """Replace all hosts by a complete list."""
+        self.is_loaded = True
         self._by_name = {host.name: host for host in hosts}
         self._orders.clear()
 
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -7,6 +7,7 @@
 
 from radishstile.catalog.catalog import Service
 from radishstile.outcome import Reason
+from radishstile.slot.cache_record import CacheRecord
 from radishstile.slot.claim import Claim, Decision, Denial, Ending, Grant
 from radishstile.slot.claim import Queued as QueuedClaim
 from radishstile.slot.division import divide_slots
@@ -47,6 +48,7 @@
         "_services",
         "_upstreams",
         "_upstreams_by_claim",
+        "_restored",
         "_sampled_at",
     )
 
@@ -60,6 +62,8 @@
         self._upstreams: dict[str, UpstreamState] = {}
         # The upstream whose slot each running claim occupies, by claim id.
         self._upstreams_by_claim: dict[str, UpstreamState] = {}
+        # Records of caches whose upstreams are not known yet, by incarnation.
+        self._restored: dict[tuple[str, int], CacheRecord] = {}
 
     def replace_upstreams(
         self,
@@ -85,6 +89,7 @@
                 upstream.update(registration)
             kept[registration.upstream_id] = upstream
         self._upstreams = kept
+        self._apply_restored()
         return self.set_share(self.share, now)
 
     def set_share(self, share: float, now: float) -> list[Decision]:
@@ -94,6 +99,22 @@
         self._update_rankings()
         return self.tick(now)
 
+    def list_caches(self) -> list[CacheRecord]:
+        """Return what the upstreams have cached, as far as it is known."""
+        records = [
+            CacheRecord(*u.registration.incarnation, u.list_cached())
+            for u in self._upstreams.values()
+        ]
+        return [record for record in records if record.object_keys]
+
+    def restore_caches(self, records: list[CacheRecord]) -> None:
+        """Apply what an earlier scheduler knew of the upstreams' caches.
+
+        Records of incarnations that have ended are never used.
+        """
+        self._restored = {record.incarnation: record for record in records}
+        self._apply_restored()
+
     def sample_demand(self, needs: dict[str, float], now: float) -> None:
         """Sample each service's demand if the sample interval has passed.
 
@@ -232,6 +253,13 @@
     def _is_local(self, upstream: UpstreamState) -> bool:
         return upstream.registration.region == self.region
 
+    def _apply_restored(self) -> None:
+        for upstream in self._upstreams.values():
+            incarnation = upstream.registration.incarnation
+            record = self._restored.pop(incarnation, None)
+            if record is not None:
+                upstream.restore_cached(record.object_keys)
+
     def _divide_slots(self) -> None:
         """Set each upstream's capacity."""
         by_service: dict[str, list[Registration]] = {}
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -161,6 +161,17 @@
             run.claim.object_key == object_key for run in self.runs.values()
         )
 
+    def list_cached(self) -> list[str]:
+        """Return the keys of the cached objects, by their last run."""
+        return list(self._cached_objects)
+
+    def restore_cached(self, object_keys: list[str]) -> None:
+        """Add objects that were cached before those known here were run."""
+        known = list(self._cached_objects)
+        self._cached_objects.clear()
+        for object_key in object_keys + known:
+            self._record_cached(object_key)
+
     def has_idle_slots(self) -> bool:
         """Return whether half of the slots stay free after one more run."""
         return 2 * (self.running + 1) <= self.capacity
--- /dev/null
+++ b/test/entry/test_cache_recorder.py
@@ -0,0 +1,142 @@
+"""Tests of saving and restoring where a region's objects are cached."""
+
+import asyncio
+from types import SimpleNamespace
+
+from radishstile.entry.cache_recorder import (
+    SAVE_INTERVAL_S,
+    SETTLE_S,
+    CacheRecorder,
+)
+from radishstile.errors import ObjectMissingError, StoreUnavailableError
+from radishstile.platform.cache_records import encode_caches
+from radishstile.platform.objects import PlatformObject
+from radishstile.slot.cache_record import CacheRecord
+from test._common import PausedTestCase
+
+RECORDS = [CacheRecord("u1", 1, ["a", "b"])]
+OTHERS = [CacheRecord("u1", 1, ["a", "c"])]
+
+
+class StubStore:
+    """Keeps the records of one region and counts the calls."""
+
+    def __init__(self):
+        self.spec = None
+        self.is_available = True
+        self.calls = []
+
+    async def read(self, kind, name):
+        self._record("read")
+        return self.spec and PlatformObject(name, 1, False, self.spec, None)
+
+    async def replace(self, kind, name, spec):
+        self._record("replace")
+        if self.spec is None:
+            raise ObjectMissingError(name)
+        self.spec = spec
+
+    async def create(self, kind, name, spec):
+        self._record("create")
+        self.spec = spec
+
+    def _record(self, call):
+        self.calls.append(call)
+        if not self.is_available:
+            raise StoreUnavailableError("the store is down")
+
+
+class StubLeadership:
+    def __init__(self):
+        self.is_leading = True
+        self.followed_at = 0.0
+        self.changed = asyncio.Event()
+
+    async def wait_change(self):
+        self.changed.clear()
+        await self.changed.wait()
+
+
+class CacheRecorderTest(PausedTestCase):
+    async def asyncSetUp(self):
+        self.store = StubStore()
+        self.leadership = StubLeadership()
+        self.restored = []
+        self.task = None
+        self.records = RECORDS
+        local = SimpleNamespace(host="front-a", region="akl")
+        self.order = [local]
+        self.node = SimpleNamespace(
+            store=self.store,
+            local_member=local,
+            hosts=SimpleNamespace(is_loaded=True),
+            list_region_hosts=lambda: self.order,
+            measure_store_answer_age=lambda: 0.1,
+        )
+        self.scheduler = SimpleNamespace(
+            share=1.0,
+            list_caches=lambda: self.records,
+            restore_caches=self.restored.append,
+        )
+        self.recorder = CacheRecorder(
+            self.node,
+            self.leadership,
+            SimpleNamespace(scheduler=self.scheduler),
+        )
+
+    async def run_for(self, seconds):
+        """Run the recorder for the first time, or go on, for some seconds."""
+        if self.task is None:
+            self.task = asyncio.create_task(self.recorder.run())
+            self.addCleanup(self.task.cancel)
+        await asyncio.sleep(seconds)
+
+    async def test_a_new_leader_restores_the_records_at_once(self):
+        self.store.spec = encode_caches(RECORDS)
+        await self.run_for(0.01)
+        self.assertEqual(self.restored, [RECORDS])
+
+    async def test_a_host_does_not_read_until_it_knows_the_others(self):
+        """All hosts start at once, and each leads itself at first."""
+        self.node.hosts.is_loaded = False
+        await self.run_for(1.0)
+        self.assertEqual(self.store.calls, [])
+        self.order = [SimpleNamespace(host="front-0"), *self.order]
+        self.node.hosts.is_loaded = True
+        self.leadership.followed_at = self.now
+        self.leadership.changed.set()
+        await self.run_for(SETTLE_S / 2)
+        self.leadership.is_leading = False
+        await self.run_for(10 * SAVE_INTERVAL_S)
+        self.assertEqual(self.store.calls, [])
+
+    async def test_one_that_is_not_the_first_restores_when_it_is_settled(self):
+        self.order = [SimpleNamespace(host="front-0"), *self.order]
+        await self.run_for(2 * SETTLE_S + 0.01)
+        self.assertEqual(self.store.calls, ["read"])
+
+    async def test_only_changed_records_are_saved(self):
+        await self.run_for(2.5 * SAVE_INTERVAL_S)
+        self.assertEqual(self.store.calls, ["read", "replace", "create"])
+        self.records = OTHERS
+        await self.run_for(2 * SAVE_INTERVAL_S)
+        self.assertEqual(self.store.calls[3:], ["replace"])
+        self.assertEqual(self.store.spec, encode_caches(OTHERS))
+
+    async def test_a_host_that_few_follow_saves_nothing(self):
+        self.scheduler.share = 0.1
+        await self.run_for(3 * SAVE_INTERVAL_S)
+        self.assertEqual(self.store.calls, ["read"])
+
+    async def test_goes_on_after_an_outage_of_the_store(self):
+        self.store.is_available = False
+        await self.run_for(1.5 * SAVE_INTERVAL_S)
+        self.store.is_available = True
+        await self.run_for(SAVE_INTERVAL_S)
+        self.assertEqual(self.store.spec, encode_caches(RECORDS))
+
+    async def test_malformed_records_are_ignored(self):
+        self.store.spec = {"keys": 5}
+        await self.run_for(0.01)
+        self.assertEqual(self.restored, [])
+        self.assertFalse(self.task.done())
