Restore the region's demand together with the caches

A new leader planned loans from the numbers of hosts until it had sampled the claims of half a second, most of them callers that come back. The record of a scheduler has the demand of each service too, and a record that can't be read while the store is down is read later, before it is replaced.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -256,22 +256,22 @@
 class RestartSimulation(OverloadSimulation):
     """A run in which the scheduler is lost and replaced at `RESTART_AT_S`.
 
-    The requests of the time before come back at once. With `has_records`, the
-    new scheduler knows what its predecessor knew of the upstreams' caches.
+    The requests of the time before come back at once. With `has_record`, the
+    new scheduler knows what its predecessor had learned.
     """
 
-    __slots__ = ("_has_records",)
+    __slots__ = ("_has_record",)
 
-    def __init__(self, settings: SlotSettings, seed: int, has_records: bool):
+    def __init__(self, settings: SlotSettings, seed: int, has_record: bool):
         super().__init__(settings, 1.0, seed, RESTART_UPSTREAMS)
-        self._has_records = has_records
+        self._has_record = has_record
         self._schedule(RESTART_AT_S, self._restart)
 
     def _restart(self, now: float) -> None:
-        records = self._scheduler.list_caches()
+        record = self._scheduler.make_record()
         self._scheduler = self._make_scheduler(now)
-        if self._has_records:
-            self._scheduler.restore_caches(records)
+        if self._has_record:
+            self._scheduler.restore(record)
         self._pending_claims.clear()
         for kind in KINDS:
             for _ in range(int(kind.rate_per_s * RETURNING_S)):
@@ -309,15 +309,15 @@
         print(
             f"{upstreams} upstreams, load {load}: {earned_share:.3f} {totals}"
         )
-    for has_records in (False, True):
+    for has_record in (False, True):
         shares = [
-            RestartSimulation(SlotSettings(), seed, has_records)
+            RestartSimulation(SlotSettings(), seed, has_record)
             .run()
             .compute_earned_share(RESTART_AT_S, RESTART_AT_S + 2.0)
             for seed in range(3)
         ]
         print(
-            f"restart, records of caches {has_records}: "
+            f"restart, records of caches {has_record}: "
             f"{sum(shares) / len(shares):.3f} of the next 2 s"
         )
 
--- a/radishstile/entry/cache_recorder.py
+++ b/radishstile/entry/recorder.py
@@ -1,4 +1,4 @@
-"""Saves where a region's objects are cached, for its next leader."""
+"""Saves what a region's leader has learned, for the next one."""
 
 import asyncio
 import logging
@@ -9,14 +9,14 @@
 from radishstile.entry.node import EntryNode, read_clock
 from radishstile.errors import ObjectMissingError, PlatformError
 from radishstile.fleet.leadership import FRESH_MAX_AGE_S
-from radishstile.platform.cache_records import (
-    CACHE_KIND,
-    decode_caches,
-    encode_caches,
+from radishstile.platform.registrations import MalformedEntryError
+from radishstile.platform.scheduler_records import (
+    SCHEDULER_KIND,
+    decode_scheduler,
+    encode_scheduler,
 )
-from radishstile.slot.cache_record import CacheRecord
 
-_LOG = logging.getLogger("radishstile.caches")
+_LOG = logging.getLogger("radishstile.recorder")
 
 # Interval at which a leader saves changed records, in seconds.
 SAVE_INTERVAL_S = 5.0
@@ -29,12 +29,13 @@
 SETTLE_S = 0.4
 
 
-class CacheRecorder:
-    """Saves the leader's records of caches, and restores them for a new one.
+class SchedulerRecorder:
+    """Saves the record of a leader's scheduler, and restores it for the next.
 
     A scheduler that does not know which upstreams have cached an object runs
-    it cold elsewhere, three times as long. After a restart of all hosts, their
-    callers come back at once, and only the store still has the records.
+    it cold elsewhere, three times as long, and one that does not know the
+    region's demand borrows the wrong number of slots. After a restart of all
+    hosts, their callers come back at once, and only the store has the record.
     """
 
     __slots__ = ("_node", "_leadership", "_admission", "_saved")
@@ -48,78 +49,77 @@
         self._node = node
         self._leadership = leadership
         self._admission = admission
-        # The cached objects as of the last save.
+        # The objects that were cached when this host saved a record last.
         self._saved: set[tuple[str, str]] = set()
 
     async def run(self) -> None:
-        """Restore and save the records each time this host leads."""
+        """Restore the record each time this host leads, and save it then."""
         while True:
             # Until the hosts are known, each one leads itself.
             is_known = self._node.hosts.is_loaded
             if not is_known or not self._leadership.is_leading:
                 await self._leadership.wait_change()
-                continue
-            if not self._is_settled():
+            elif not self._is_settled():
                 await asyncio.sleep(SETTLE_S)
-                continue
-            await self._restore()
-            await self._save_while_leading()
+            else:
+                await self._keep_record()
 
     def _is_settled(self) -> bool:
         is_first = self._node.list_region_hosts()[0] == self._node.local_member
         led_s = read_clock() - self._leadership.followed_at
         return is_first or led_s >= SETTLE_S
 
+    async def _keep_record(self) -> None:
+        """Restore the record, and save changed ones while this host leads."""
+        is_restored = False
+        while self._leadership.is_leading:
+            try:
+                if not is_restored:
+                    await self._restore()
+                    is_restored = True
+                elif self._may_save():
+                    await self._save()
+            except PlatformError as error:
+                _LOG.warning("recorder: Record not kept: %s", error)
+            await asyncio.sleep(SAVE_INTERVAL_S)
+
     async def _restore(self) -> None:
-        """Restore the records that the previous leader has saved."""
+        """Restore the record that the previous leader has saved."""
         region = self._node.local_member.region
+        stored = await self._node.store.read(SCHEDULER_KIND, region)
+        if stored is None:
+            return
         try:
-            stored = await self._node.store.read(CACHE_KIND, region)
-            records = decode_caches(stored) if stored else []
-        except PlatformError as error:
-            _LOG.warning("caches: Records not restored: %s", error)
+            record = decode_scheduler(stored)
+        except MalformedEntryError as error:
+            self._node.metrics.malformed_entries.inc({"kind": SCHEDULER_KIND})
+            _LOG.warning("recorder: Malformed record ignored: %s", error)
             return
-        self._admission.scheduler.restore_caches(records)
+        self._admission.scheduler.restore(record)
         _LOG.info(
-            "caches: Records restored.",
+            "recorder: Record restored.",
             extra=log_fields(
-                upstreams=len(records),
-                objects=sum(len(record.object_keys) for record in records),
+                revision=stored.revision,
+                upstreams=len(record.caches),
+                objects=len(record.list_cached()),
             ),
         )
 
-    async def _save_while_leading(self) -> None:
-        while self._leadership.is_leading:
-            await asyncio.sleep(SAVE_INTERVAL_S)
-            if not self._may_save():
-                continue
-            try:
-                await self._save()
-            except PlatformError as error:
-                _LOG.warning("caches: Records not saved: %s", error)
-
     def _may_save(self) -> bool:
         if self._admission.scheduler.share < SAVE_MIN_SHARE:
             return False
         return self._node.measure_store_answer_age() <= FRESH_MAX_AGE_S
 
     async def _save(self) -> None:
-        records = self._admission.scheduler.list_caches()
-        cached = _list_cached(records)
+        """Save the record if other objects are cached than last time."""
+        record = self._admission.scheduler.make_record()
+        cached = record.list_cached()
         if cached == self._saved:
             return
         region = self._node.local_member.region
-        spec = encode_caches(records)
+        spec = encode_scheduler(record)
         try:
-            await self._node.store.replace(CACHE_KIND, region, spec)
+            await self._node.store.replace(SCHEDULER_KIND, region, spec)
         except ObjectMissingError:
-            await self._node.store.create(CACHE_KIND, region, spec)
+            await self._node.store.create(SCHEDULER_KIND, region, spec)
         self._saved = cached
-
-
-def _list_cached(records: list[CacheRecord]) -> set[tuple[str, str]]:
-    return {
-        (record.upstream_id, key)
-        for record in records
-        for key in record.object_keys
-    }
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -5,7 +5,6 @@
 import os
 
 from radishstile.entry.admission import AdmissionController
-from radishstile.entry.cache_recorder import CacheRecorder
 from radishstile.entry.callers import CallerServer
 from radishstile.entry.claims import SlotClient
 from radishstile.entry.connection_pool import ConnectionPool
@@ -18,6 +17,7 @@
 from radishstile.entry.node import EntryNode, read_clock
 from radishstile.entry.peers import Peers
 from radishstile.entry.poison_reports import PoisonReportSender
+from radishstile.entry.recorder import SchedulerRecorder
 from radishstile.entry.registrar import Registrar
 from radishstile.entry.replica import Replica
 from radishstile.errors import SettingsError
@@ -63,7 +63,7 @@
         "_directory",
         "_registrar",
         "_replica",
-        "_cache_recorder",
+        "_recorder",
         "_report_sender",
         "_peer_server",
     )
@@ -102,7 +102,7 @@
         )
         self._registrar = Registrar(node, self._leadership)
         self._replica = Replica(node, self._leadership)
-        self._cache_recorder = CacheRecorder(
+        self._recorder = SchedulerRecorder(
             node, self._leadership, self._admission
         )
         self._report_sender = PoisonReportSender(
@@ -141,7 +141,7 @@
                 self._registrar.run(),
                 self._leadership.run(),
                 self._loans.run(),
-                self._cache_recorder.run(),
+                self._recorder.run(),
                 self._report_sender.run(),
                 self._admission.run(),
                 self._apply_changes(),
--- /dev/null
+++ b/radishstile/platform/scheduler_records.py
@@ -0,0 +1,72 @@
+"""Encodes the records of slot schedulers for the store."""
+
+from typing import Any
+
+from radishstile.platform.objects import PlatformObject
+from radishstile.platform.registrations import MalformedEntryError
+from radishstile.slot.record import CacheRecord, SchedulerRecord
+
+# Kind of the stored objects, one for each region. Only entry hosts use it.
+SCHEDULER_KIND = "entry-schedulers"
+
+
+def encode_scheduler(record: SchedulerRecord) -> dict:
+    """Return the spec for a record; each object key is written once."""
+    numbers: dict[str, int] = {}
+    upstreams = [
+        [
+            cache.upstream_id,
+            cache.started_at_ms,
+            [numbers.setdefault(k, len(numbers)) for k in cache.object_keys],
+        ]
+        for cache in record.caches
+    ]
+    return {
+        "demands": {
+            service: round(slots, 2)
+            for service, slots in record.demands.items()
+        },
+        "keys": list(numbers),
+        "upstreams": upstreams,
+    }
+
+
+def decode_scheduler(stored: PlatformObject) -> SchedulerRecord:
+    """Return the stored record; raises `MalformedEntryError`."""
+    try:
+        demands = {
+            service: _require_number(slots)
+            for service, slots in stored.spec["demands"].items()
+        }
+        keys = stored.spec["keys"]
+        caches = [
+            CacheRecord(
+                _require_type(str, upstream_id),
+                _require_type(int, started_at_ms),
+                [_require_type(str, keys[number]) for number in numbers],
+            )
+            for upstream_id, started_at_ms, numbers in stored.spec["upstreams"]
+        ]
+        return SchedulerRecord(demands, caches)
+    except (
+        AttributeError,
+        IndexError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise MalformedEntryError(
+            f"{SCHEDULER_KIND}/{stored.name}: {type(error).__name__}: {error}"
+        ) from error
+
+
+def _require_number(value: Any) -> float:
+    if type(value) not in (int, float) or not value >= 0:
+        raise TypeError(f"expected a number, found {value!r}")
+    return float(value)
+
+
+def _require_type(kind: type, value: Any) -> Any:
+    if type(value) is not kind:
+        raise TypeError(f"expected {kind.__name__}, found {value!r}")
+    return value
--- a/radishstile/slot/cache_record.py
+++ b/radishstile/slot/record.py
@@ -1,4 +1,4 @@
-"""What a scheduler tells its successor about an upstream's cache."""
+"""What a slot scheduler tells its successor."""
 
 
 class CacheRecord:
@@ -29,3 +29,32 @@
     def incarnation(self) -> tuple[str, int]:
         """Return the id and start time, as those of a registration."""
         return self.upstream_id, self.started_at_ms
+
+
+class SchedulerRecord:
+    """What a region's scheduler has learned.
+
+    `demands` are the slots that the claims for each service would occupy, and
+    `caches` what the upstreams have cached.
+    """
+
+    __slots__ = ("demands", "caches")
+
+    def __init__(self, demands: dict[str, float], caches: list[CacheRecord]):
+        self.demands = demands
+        self.caches = caches
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, SchedulerRecord) and (
+            (self.demands, self.caches) == (other.demands, other.caches)
+        )
+
+    __hash__ = None
+
+    def list_cached(self) -> set[tuple[str, str]]:
+        """Return the pairs of upstreams and the objects that they cached."""
+        return {
+            (cache.upstream_id, key)
+            for cache in self.caches
+            for key in cache.object_keys
+        }
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -7,7 +7,6 @@
 
 from radishstile.catalog.catalog import Service
 from radishstile.outcome import Reason
-from radishstile.slot.cache_record import CacheRecord
 from radishstile.slot.claim import Claim, Decision, Denial, Ending, Grant
 from radishstile.slot.claim import Queued as QueuedClaim
 from radishstile.slot.division import divide_slots
@@ -15,6 +14,7 @@
 from radishstile.slot.lending import TARGET_UTILIZATION, RegionLoad
 from radishstile.slot.queue import WaitingClaim
 from radishstile.slot.ranking import Ranking
+from radishstile.slot.record import CacheRecord, SchedulerRecord
 from radishstile.slot.selector import UpstreamSelector
 from radishstile.slot.service import DEMAND_SAMPLE_INTERVAL_S, ServiceState
 from radishstile.slot.settings import SlotSettings
@@ -62,7 +62,7 @@
         self._upstreams: dict[str, UpstreamState] = {}
         # The upstream whose slot each running claim occupies, by claim id.
         self._upstreams_by_claim: dict[str, UpstreamState] = {}
-        # Records of caches whose upstreams are not known yet, by incarnation.
+        # Restored caches whose upstreams are not known yet, by incarnation.
         self._restored: dict[tuple[str, int], CacheRecord] = {}
 
     def replace_upstreams(
@@ -99,20 +99,27 @@
         self._update_rankings()
         return self.tick(now)
 
-    def list_caches(self) -> list[CacheRecord]:
-        """Return what the upstreams have cached, as far as it is known."""
-        records = [
+    def make_record(self) -> SchedulerRecord:
+        """Return what this scheduler has learned."""
+        caches = [
             CacheRecord(*u.registration.incarnation, u.list_cached())
             for u in self._upstreams.values()
         ]
-        return [record for record in records if record.object_keys]
+        demands = {
+            name: state.demand
+            for name, state in self._services.items()
+            if state.demand is not None
+        }
+        return SchedulerRecord(demands, [c for c in caches if c.object_keys])
 
-    def restore_caches(self, records: list[CacheRecord]) -> None:
-        """Apply what an earlier scheduler knew of the upstreams' caches.
+    def restore(self, record: SchedulerRecord) -> None:
+        """Apply what an earlier scheduler of the region has learned.
 
-        Records of incarnations that have ended are never used.
+        Caches of incarnations that have ended are left out.
         """
-        self._restored = {record.incarnation: record for record in records}
+        for name, demand in record.demands.items():
+            self._get_service(name).restore_demand(demand)
+        self._restored = {cache.incarnation: cache for cache in record.caches}
         self._apply_restored()
 
     def sample_demand(self, needs: dict[str, float], now: float) -> None:
@@ -256,9 +263,9 @@
     def _apply_restored(self) -> None:
         for upstream in self._upstreams.values():
             incarnation = upstream.registration.incarnation
-            record = self._restored.pop(incarnation, None)
-            if record is not None:
-                upstream.restore_cached(record.object_keys)
+            cache = self._restored.pop(incarnation, None)
+            if cache is not None:
+                upstream.restore_cached(cache.object_keys)
 
     def _divide_slots(self) -> None:
         """Set each upstream's capacity."""
--- a/radishstile/slot/service.py
+++ b/radishstile/slot/service.py
@@ -10,6 +10,8 @@
 # The first samples weigh more, because there is no history yet.
 MIN_SAMPLE_WEIGHT = 0.12
 DEMAND_SAMPLE_INTERVAL_S = 0.5
+# Samples that a restored estimate counts as.
+RESTORED_SAMPLES = 4
 
 
 class ServiceState:
@@ -40,6 +42,16 @@
         """Add a claim's expected slot-seconds to the current sample."""
         self._offered_work_s += expected_s
 
+    def restore_demand(self, demand: float) -> None:
+        """Set the estimate of a scheduler that was lost, unless it is known.
+
+        It counts as some samples: just after a restart many claims are
+        callers that come back.
+        """
+        if self.demand is None:
+            self.demand = demand
+            self._sample_count = RESTORED_SAMPLES
+
     def sample_demand(self, elapsed_s: float, prior: float) -> None:
         """Add the claims since the last sample to the moving average.
 
--- a/test/entry/test_cache_recorder.py
+++ b/test/entry/test_recorder.py
@@ -1,21 +1,22 @@
-"""Tests of saving and restoring where a region's objects are cached."""
+"""Tests of saving and restoring what a region's leader has learned."""
 
 import asyncio
 from types import SimpleNamespace
 
-from radishstile.entry.cache_recorder import (
+from radishstile.entry.metrics import EntryMetrics
+from radishstile.entry.recorder import (
     SAVE_INTERVAL_S,
     SETTLE_S,
-    CacheRecorder,
+    SchedulerRecorder,
 )
 from radishstile.errors import ObjectMissingError, StoreUnavailableError
-from radishstile.platform.cache_records import encode_caches
 from radishstile.platform.objects import PlatformObject
-from radishstile.slot.cache_record import CacheRecord
+from radishstile.platform.scheduler_records import encode_scheduler
+from radishstile.slot.record import CacheRecord, SchedulerRecord
 from test._common import PausedTestCase
 
-RECORDS = [CacheRecord("u1", 1, ["a", "b"])]
-OTHERS = [CacheRecord("u1", 1, ["a", "c"])]
+RECORD = SchedulerRecord({}, [CacheRecord("u1", 1, ["a", "b"])])
+OTHER = SchedulerRecord({}, [CacheRecord("u1", 1, ["a", "c"])])
 
 
 class StubStore:
@@ -57,13 +58,13 @@
         await self.changed.wait()
 
 
-class CacheRecorderTest(PausedTestCase):
+class SchedulerRecorderTest(PausedTestCase):
     async def asyncSetUp(self):
         self.store = StubStore()
         self.leadership = StubLeadership()
         self.restored = []
         self.task = None
-        self.records = RECORDS
+        self.record = RECORD
         local = SimpleNamespace(host="front-a", region="akl")
         self.order = [local]
         self.node = SimpleNamespace(
@@ -72,13 +73,14 @@
             hosts=SimpleNamespace(is_loaded=True),
             list_region_hosts=lambda: self.order,
             measure_store_answer_age=lambda: 0.1,
+            metrics=EntryMetrics(),
         )
         self.scheduler = SimpleNamespace(
             share=1.0,
-            list_caches=lambda: self.records,
-            restore_caches=self.restored.append,
+            make_record=lambda: self.record,
+            restore=self.restored.append,
         )
-        self.recorder = CacheRecorder(
+        self.recorder = SchedulerRecorder(
             self.node,
             self.leadership,
             SimpleNamespace(scheduler=self.scheduler),
@@ -92,9 +94,9 @@
         await asyncio.sleep(seconds)
 
     async def test_a_new_leader_restores_the_records_at_once(self):
-        self.store.spec = encode_caches(RECORDS)
+        self.store.spec = encode_scheduler(RECORD)
         await self.run_for(0.01)
-        self.assertEqual(self.restored, [RECORDS])
+        self.assertEqual(self.restored, [RECORD])
 
     async def test_a_host_does_not_read_until_it_knows_the_others(self):
         """All hosts start at once, and each leads itself at first."""
@@ -118,10 +120,10 @@
     async def test_only_changed_records_are_saved(self):
         await self.run_for(2.5 * SAVE_INTERVAL_S)
         self.assertEqual(self.store.calls, ["read", "replace", "create"])
-        self.records = OTHERS
+        self.record = OTHER
         await self.run_for(2 * SAVE_INTERVAL_S)
         self.assertEqual(self.store.calls[3:], ["replace"])
-        self.assertEqual(self.store.spec, encode_caches(OTHERS))
+        self.assertEqual(self.store.spec, encode_scheduler(OTHER))
 
     async def test_a_host_that_few_follow_saves_nothing(self):
         self.scheduler.share = 0.1
@@ -129,11 +131,14 @@
         self.assertEqual(self.store.calls, ["read"])
 
     async def test_goes_on_after_an_outage_of_the_store(self):
+        self.store.spec = encode_scheduler(OTHER)
         self.store.is_available = False
         await self.run_for(1.5 * SAVE_INTERVAL_S)
         self.store.is_available = True
         await self.run_for(SAVE_INTERVAL_S)
-        self.assertEqual(self.store.spec, encode_caches(RECORDS))
+        self.assertEqual(self.restored, [OTHER])
+        await self.run_for(SAVE_INTERVAL_S)
+        self.assertEqual(self.store.spec, encode_scheduler(RECORD))
 
     async def test_malformed_records_are_ignored(self):
         self.store.spec = {"keys": 5}
--- a/test/slot/test_restart.py
+++ b/test/slot/test_restart.py
@@ -8,11 +8,12 @@
 import unittest
 
 from bench.overload import RESTART_AT_S, RestartSimulation
-from radishstile.slot.cache_record import CacheRecord
 from radishstile.slot.claim import Ending
+from radishstile.slot.record import CacheRecord, SchedulerRecord
 from radishstile.slot.settings import SlotSettings
 from test.slot._common import (
     NOW,
+    SERVICE,
     make_claim,
     make_registration,
     make_scheduler,
@@ -47,7 +48,7 @@
     def test_successor_uses_the_same_upstreams(self):
         upstreams = self.run_objects(6)
         successor = make_scheduler(*self.registrations)
-        successor.restore_caches(self.scheduler.list_caches())
+        successor.restore(self.scheduler.make_record())
         for key, upstream_id in upstreams.items():
             grant = self.grant(successor, key)
             self.assertEqual(
@@ -58,7 +59,7 @@
     def test_records_may_come_before_the_upstreams(self):
         upstreams = self.run_objects(1)
         successor = make_scheduler()
-        successor.restore_caches(self.scheduler.list_caches())
+        successor.restore(self.scheduler.make_record())
         successor.replace_upstreams(self.registrations, {}, NOW)
         grant = self.grant(successor, "object-0")
         self.assertTrue(grant.is_warm)
@@ -71,7 +72,7 @@
             for n in (1, 2, 3)
         ]
         successor = make_scheduler(*restarted)
-        successor.restore_caches(self.scheduler.list_caches())
+        successor.restore(self.scheduler.make_record())
         self.assertFalse(self.grant(successor, "object-0").is_warm)
 
     def test_own_knowledge_counts_as_newer(self):
@@ -80,14 +81,43 @@
         submit(scheduler, make_claim("c", key="new"))
         scheduler.finish("c", Ending.SERVED, 0.2, NOW)
         old = [f"old-{n}" for n in range(settings.warm_objects)]
-        scheduler.restore_caches([CacheRecord("u1", 1, old)])
-        [record] = scheduler.list_caches()
+        scheduler.restore(SchedulerRecord({}, [CacheRecord("u1", 1, old)]))
+        [record] = scheduler.make_record().caches
         self.assertEqual(record.object_keys, [*old[1:], "new"])
 
 
+class DemandTest(unittest.TestCase):
+    """Callers that come back at once must not look like the usual demand."""
+
+    def make_successor(self):
+        scheduler = make_scheduler(make_registration("u1", slots=40))
+        scheduler.restore(SchedulerRecord({SERVICE: 12.0}, []))
+        return scheduler
+
+    def measure_demand(self, scheduler):
+        return scheduler.measure_loads(1.0)[SERVICE].demand
+
+    def test_successor_knows_the_demand_before_the_first_claim(self):
+        scheduler = self.make_successor()
+        self.assertEqual(self.measure_demand(scheduler), 12.0)
+        self.assertEqual(scheduler.make_record().demands, {SERVICE: 12.0})
+
+    def test_a_first_burst_of_claims_changes_it_little(self):
+        scheduler = self.make_successor()
+        for number in range(40):
+            submit(scheduler, make_claim(f"c{number}"))
+        scheduler.sample_demand({}, NOW)
+        self.assertLess(self.measure_demand(scheduler), 2 * 12.0)
+
+    def test_what_is_known_already_is_kept(self):
+        scheduler = self.make_successor()
+        scheduler.restore(SchedulerRecord({SERVICE: 99.0}, []))
+        self.assertEqual(self.measure_demand(scheduler), 12.0)
+
+
 class RestartSimulationTest(unittest.TestCase):
-    def measure(self, seed, has_records):
-        run = RestartSimulation(SlotSettings(), seed, has_records).run()
+    def measure(self, seed, has_record):
+        run = RestartSimulation(SlotSettings(), seed, has_record).run()
         return run.compute_earned_share(RESTART_AT_S, RESTART_AT_S + 2.0)
 
     def test_returning_callers_are_served_from_the_caches(self):
