Ask other regions for slots right after a change of leader

Cause: a leader renewed its loans every half a second, first after half a second.

Change: it renews every 0.1 s in the first second.

--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -22,6 +22,10 @@
 
 # Interval at which loans are renewed, in seconds.
 RENEWAL_INTERVAL_S = 0.5
+# The same in a leader's first second, as its region may have few upstreams of
+# its own and callers that come back after an outage.
+START_RENEWAL_INTERVAL_S = 0.1
+START_PERIOD_S = 1.0
 # Expiry of a loan that is not renewed, in seconds, for the lender and for the
 # borrower. The borrower's is shorter, so that no slot is used twice.
 LENT_TIMEOUT_S = 3.0
@@ -70,11 +74,17 @@
     async def run(self) -> None:
         """Sample demand and renew loans periodically."""
         while True:
-            await asyncio.sleep(RENEWAL_INTERVAL_S)
+            await asyncio.sleep(self._choose_interval())
             self._end_expired()
             if self._leadership.is_leading:
                 await self._renew()
 
+    def _choose_interval(self) -> float:
+        led_s = read_clock() - self._leadership.followed_at
+        if led_s < START_PERIOD_S and self._leadership.is_leading:
+            return START_RENEWAL_INTERVAL_S
+        return RENEWAL_INTERVAL_S
+
     def lend(self, message: BorrowSlots) -> LentSlots:
         """Return the slots and tokens lent to another region."""
         now = read_clock()
