Let no host take itself for the first before it knows the others

Cause: a host that starts waits 0.15 s for a peer to read from if it is the first of its region, else 0.6 s. Where the store is 55 ms away the list of hosts takes longer than that, and until then each host is the only one it knows: all hosts of such a region read everything from the store after a restart of the fleet, and followed one after the other as each got data first.

Change: a host is the first only once it knows the registered hosts.

--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -175,11 +175,15 @@
         """Return whether to wait for a peer to read from.
 
         A host that has just started reads the hosts from the store, and the
-        rest from a peer; the first host of a region waits less.
+        rest from a peer; the first host of a region waits less. Far from the
+        store the hosts are not known in that time, and each would take itself
+        for the first.
         """
         if subscriber.kind == HOST_KIND:
             return False
-        is_first = self._node.list_region_hosts()[0] == self._node.local_member
+        is_first = self._node.hosts.is_loaded and (
+            self._node.list_region_hosts()[0] == self._node.local_member
+        )
         wait_s = FIRST_HOST_PEER_WAIT_S if is_first else PEER_WAIT_S
         return self._node.measure_uptime() < wait_s
 
--- a/test/entry/test_replica.py
+++ b/test/entry/test_replica.py
@@ -1,13 +1,22 @@
 """Tests of the replica's retry pause while its sources change."""
 
 import asyncio
+import unittest
 from types import SimpleNamespace
 from unittest import mock
 
 from radishstile.entry.node import read_boottime_clock
-from radishstile.entry.replica import SOURCE_CHECK_INTERVAL_S, Replica
+from radishstile.entry.replica import (
+    FIRST_HOST_PEER_WAIT_S,
+    PEER_WAIT_S,
+    SOURCE_CHECK_INTERVAL_S,
+    Replica,
+)
+from radishstile.fleet.hosts import HostTable, RegisteredHost
+from radishstile.member import Member
 from radishstile.platform.mirror import Mirror
 from radishstile.platform.objects import Listing
+from radishstile.platform.registrations import HOST_KIND
 from test._common import PausedTestCase
 
 PAUSE_S = 2.0
@@ -75,3 +84,52 @@
     async def test_followers_and_other_kinds_record_nothing(self):
         self.assertEqual(await self.list_through_peer(False, "config"), [])
         self.assertEqual(await self.list_through_peer(True, "servers"), [])
+
+
+class StartTest(unittest.TestCase):
+    """All hosts of a region far from the store start at once.
+
+    The list of hosts takes longer than the first host waits for a peer. All
+    took themselves for the first: each read everything from the store, and
+    the leader changed twice in the first second.
+    """
+
+    def setUp(self):
+        members = [
+            Member(f"front-{n}", 1, "wlg-a", "wlg", f"10.0.0.{n}", 1, 2)
+            for n in (1, 2)
+        ]
+        self.hosts = [RegisteredHost(member, 0.6) for member in members]
+
+    def waits(self, number, uptime_s, kind="config", is_loaded=True):
+        """Return whether a host waits for a peer instead of the store."""
+        table = HostTable(self.hosts[number])
+        if is_loaded:
+            table.replace_all(self.hosts)
+        node = SimpleNamespace(
+            hosts=table,
+            local_member=self.hosts[number].member,
+            list_region_hosts=lambda: table.list_leader_order("wlg"),
+            measure_uptime=lambda: uptime_s,
+        )
+        replica = Replica(node, None)
+        return replica._should_await_peer(SimpleNamespace(kind=kind))
+
+    def test_no_host_takes_itself_for_the_first_before_it_knows_the_hosts(
+        self,
+    ):
+        uptime_s = FIRST_HOST_PEER_WAIT_S + 0.1
+        for number in (0, 1):
+            self.assertTrue(self.waits(number, uptime_s, is_loaded=False))
+
+    def test_the_first_host_calls_the_store_soon(self):
+        self.assertTrue(self.waits(0, FIRST_HOST_PEER_WAIT_S - 0.01))
+        self.assertFalse(self.waits(0, FIRST_HOST_PEER_WAIT_S))
+        self.assertTrue(self.waits(1, FIRST_HOST_PEER_WAIT_S))
+
+    def test_all_call_the_store_if_it_has_not_answered_for_long(self):
+        for number in (0, 1):
+            self.assertFalse(self.waits(number, PEER_WAIT_S, is_loaded=False))
+
+    def test_the_hosts_are_read_from_the_store_at_once(self):
+        self.assertFalse(self.waits(1, 0.0, HOST_KIND, is_loaded=False))
