Keep an upstream in use that one host does not know yet

Cause: a host that was granted an upstream which is not in its registry reported it as misdirected, and the leader took it out of use for 4 s.

Change: such a grant ends as abandoned; nothing was sent, and the request claims another slot without a charge to the retry budget. A host without the list of upstreams refuses at once. Hosts that start look for a peer to read from every 0.02 s and exchange heartbeats every 0.05 s.

--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -116,12 +116,12 @@
 
     def _plan(self, request: CallerRequest) -> RequestPlan:
         catalog = self._node.catalog
-        if catalog is None:
+        if catalog is None or not self._node.registry.is_loaded:
             raise RefusalError(
                 Reason.NOT_CURRENT,
                 Outcome.NOT_RUN,
                 DEFAULT_RETRY_AFTER_S,
-                "no configuration has been loaded yet",
+                "no configuration or no upstreams have been loaded yet",
             )
         route = catalog.find_route(request.hostname, request.http_request.path)
         if route is None:
@@ -247,10 +247,12 @@
         try:
             upstream = self._node.registry.find_usable(upstream_id)
             if upstream is None:
-                # This host already knows that the upstream is leaving.
-                ending = Ending.MISDIRECTED
+                # It is new, and not known here yet, or leaving. The slot ends
+                # as abandoned, since nothing is known of its health.
                 return AttemptResult(
-                    ending, upstream_id, detail="upstream is leaving"
+                    Ending.UNREACHABLE,
+                    upstream_id,
+                    detail="upstream is not in use at this host",
                 )
             connection = await self._connections.acquire(upstream)
             ending = Ending.TIMED_OUT
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -20,7 +20,7 @@
 
 # Heartbeat interval of a host that is not initialized yet, in seconds: it
 # needs a peer that is.
-STARTUP_HEARTBEAT_INTERVAL_S = 0.1
+STARTUP_HEARTBEAT_INTERVAL_S = 0.05
 
 
 class Peer:
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -39,7 +39,7 @@
 FIRST_HOST_PEER_WAIT_S = 0.15
 PEER_WAIT_S = 0.6
 # Interval of checks for such a peer, in seconds.
-PEER_CHECK_INTERVAL_S = 0.05
+PEER_CHECK_INTERVAL_S = 0.02
 # Interval of checks for a change of the source, in seconds.
 SOURCE_CHECK_INTERVAL_S = 0.25
 # Pauses after failed calls, in seconds, doubled up to the maximum. Followers
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -193,6 +193,24 @@
             await self.ask()
         self.assertEqual((len(draining.runs), len(ready.runs)), (0, 6))
 
+    async def test_upstream_that_is_not_known_yet_is_not_suspended(self):
+        """The leader knows a new upstream before its followers do.
+
+        Each grant of it that a follower could not use kept it out of use for
+        four seconds, as if its address had been given away.
+        """
+        await self.ask("/order/1", method="POST", body=b"x")
+        first, other = sorted(
+            self.upstreams, key=lambda u: len(u.runs), reverse=True
+        )
+        registry = self.host.entry.node.registry
+        known = registry._by_id.pop(first.name)
+        answer = await self.ask("/order/1", method="POST", body=b"x")
+        self.assertEqual((answer.status, len(other.runs)), (200, 1))
+        registry._by_id[first.name] = known
+        await self.ask("/order/1", method="POST", body=b"x")
+        self.assertEqual((len(first.runs), len(other.runs)), (2, 1))
+
     async def test_evacuated_zone_gets_no_requests_until_it_is_restored(self):
         self.store.put("evacuations", "akl-a", {})
         await asyncio.sleep(0.1)
