Let claims wait at a leader that has just started

Cause: hosts that start together follow a leader before it has read which upstreams there are; it denied their claims as without an upstream. Hosts 55 ms from the store took up to 0.75 s to be initialized, and refused what came after 0.7 s.

--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -129,7 +129,12 @@
         self._rates_changed.set()
 
     async def acquire(self, claim: Claim, terms: ClaimTerms) -> Grant:
-        """Wait for a slot; raises `RefusalError` if the claim is denied."""
+        """Wait for a slot; raises `RefusalError` if the claim is denied.
+
+        Hosts that start together follow a leader before it has read which
+        upstreams there are; their claims wait for that.
+        """
+        await self._node.wait_initialized()
         self._check_poison(terms, read_clock())
         await self._charge(claim, terms)
         decision = self.scheduler.submit(
