--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -215,6 +215,8 @@
                 reason=refusal.reason.value,
                 why=str(refusal),
                 service=claim.service,
+                zone=claim.zone,
+                regions=sorted(claim.regions),
                 version=catalog.version if catalog else 0,
                 priority=claim.priority,
                 slots_held=self.scheduler.count_running(),
