--- a/radishstile/platform/registrations.py
+++ b/radishstile/platform/registrations.py
@@ -6,6 +6,11 @@
 from radishstile.fleet.hosts import RegisteredHost
 from radishstile.member import Member
 from radishstile.platform.objects import PlatformObject
+from radishstile.platform.values import (
+    require_number,
+    require_positive,
+    require_type,
+)
 from radishstile.upstream.registration import Readiness, Registration
 
 # Kinds of stored objects. Upstreams write the first, the operator the second,
@@ -34,19 +39,19 @@
         record = {**_to_dict(stored.status), **_to_dict(stored.spec)}
         info = record["info"]
         status = _find_status(stored, record)
-        address, port = _split_address(_require_type(str, record["address"]))
-        zone = _require_type(str, info["zone"])
+        address, port = _split_address(require_type(str, record["address"]))
+        zone = require_type(str, info["zone"])
         return Registration(
             stored.name,
-            _require_type(str, info["service"]),
+            require_type(str, info["service"]),
             address,
             port,
             zone,
             zones[zone],
-            _require_positive(info["slots"]),
+            require_positive(info["slots"]),
             Readiness(status["state"]),
-            _require_number(status.get("warmup_left_s", 0)),
-            _require_type(int, record.get("born", 0)),
+            require_number(status.get("warmup_left_s", 0)),
+            require_type(int, record.get("born", 0)),
             now,
         )
     except (KeyError, TypeError, ValueError) as error:
@@ -65,7 +70,7 @@
     Raises `MalformedEntryError`.
     """
     try:
-        cores = _require_number(stored.spec["cores"])
+        cores = require_number(stored.spec["cores"])
         return RegisteredHost(Member.from_record(stored.spec), cores)
     except (KeyError, TypeError) as error:
         raise MalformedEntryError(
@@ -88,21 +93,3 @@
     if not address:
         raise ValueError(f"{text!r} is not ADDRESS:PORT")
     return address, int(port)
-
-
-def _require_type(kind: type, value: Any) -> Any:
-    if type(value) is not kind:
-        raise TypeError(f"expected {kind.__name__}, found {value!r}")
-    return value
-
-
-def _require_positive(value: Any) -> int:
-    if _require_type(int, value) < 1:
-        raise ValueError(f"expected 1 or more, found {value}")
-    return value
-
-
-def _require_number(value: Any) -> float:
-    if type(value) not in (int, float) or not value >= 0:
-        raise TypeError(f"expected a number, found {value!r}")
-    return float(value)
--- a/radishstile/platform/scheduler_records.py
+++ b/radishstile/platform/scheduler_records.py
@@ -1,9 +1,8 @@
 """Encodes the records of slot schedulers for the store."""
 
-from typing import Any
-
 from radishstile.platform.objects import PlatformObject
 from radishstile.platform.registrations import MalformedEntryError
+from radishstile.platform.values import require_number, require_type
 from radishstile.slot.record import CacheRecord, SchedulerRecord
 
 # Kind of the stored objects, one for each region. Only entry hosts use it.
@@ -35,15 +34,15 @@
     """Return the stored record; raises `MalformedEntryError`."""
     try:
         demands = {
-            service: _require_number(slots)
+            service: require_number(slots)
             for service, slots in stored.spec["demands"].items()
         }
         keys = stored.spec["keys"]
         caches = [
             CacheRecord(
-                _require_type(str, upstream_id),
-                _require_type(int, started_at_ms),
-                [_require_type(str, keys[number]) for number in numbers],
+                require_type(str, upstream_id),
+                require_type(int, started_at_ms),
+                [require_type(str, keys[number]) for number in numbers],
             )
             for upstream_id, started_at_ms, numbers in stored.spec["upstreams"]
         ]
@@ -58,15 +57,3 @@
         raise MalformedEntryError(
             f"{SCHEDULER_KIND}/{stored.name}: {type(error).__name__}: {error}"
         ) from error
-
-
-def _require_number(value: Any) -> float:
-    if type(value) not in (int, float) or not value >= 0:
-        raise TypeError(f"expected a number, found {value!r}")
-    return float(value)
-
-
-def _require_type(kind: type, value: Any) -> Any:
-    if type(value) is not kind:
-        raise TypeError(f"expected {kind.__name__}, found {value!r}")
-    return value
