Log where each region's slots are granted, and its loans

Leaders now log granted, total and usable slots by region with each round of loans, and a counter has the grants. No logic changes.

--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -35,15 +35,29 @@
 
 
 class Loan:
-    """What this region has borrowed from another."""
+    """What this region has borrowed from another.
 
-    __slots__ = ("slots", "renewed_at")
+    `slots` are those requested at the last renewal, and `planned` those that
+    this region's plan had, both by service. `lent` is the total that the
+    lender granted.
+    """
+
+    __slots__ = ("slots", "planned", "lent", "renewed_at")
 
     def __init__(self):
-        # Slots by service, as requested at the last renewal.
         self.slots: dict[str, float] = {}
+        self.planned: dict[str, float] = {}
+        self.lent = 0
         self.renewed_at = float("-inf")
 
+    def describe(self) -> dict:
+        """Return the loan as fields of a log line."""
+        return {
+            "planned": {k: round(v, 1) for k, v in self.planned.items()},
+            "wanted": {k: round(v, 1) for k, v in self.slots.items()},
+            "lent": self.lent,
+        }
+
 
 class Loans:
     """Borrows from other regions and lends to them, while this host leads."""
@@ -85,6 +99,29 @@
             return START_RENEWAL_INTERVAL_S
         return RENEWAL_INTERVAL_S
 
+    def _report(self) -> None:
+        """Log where slots were granted since the last round, and the loans."""
+        now = read_clock()
+        scheduler = self._admission.scheduler
+        granted = scheduler.grants.take()
+        for service, regions in granted.items():
+            for region, count in regions.items():
+                self._node.metrics.grants.add(
+                    {"service": service, "region": region}, count
+                )
+        _LOG.info(
+            "loans: Slots by region.",
+            extra=log_fields(
+                granted=granted,
+                slots=scheduler.count_slots(now),
+                loans={
+                    region: loan.describe()
+                    for region, loan in self._borrowed.items()
+                },
+                is_unlimited=self._pace.is_unlimited(now),
+            ),
+        )
+
     def lend(self, message: BorrowSlots) -> LentSlots:
         """Return the slots and tokens lent to another region."""
         now = read_clock()
@@ -149,6 +186,7 @@
                 if leader is not None
             )
         )
+        self._report()
 
     async def _borrow(
         self,
@@ -161,11 +199,13 @@
         local_region = self._node.local_member.region
         loan = self._borrowed.get(region)
         wanted: dict[str, float] = {}
+        planned: dict[str, float] = {}
         for service, loads in services.items():
             if region not in loads:
                 continue
             current = loan.slots.get(service) if loan else None
             target = plan_loan(loads, region, local_region)
+            planned[service] = target
             wanted[service] = self._pace.limit_change(
                 current, target, needs[service], read_clock()
             )
@@ -181,14 +221,14 @@
                 extra=log_fields(region=region, why=type(error).__name__),
             )
             return
-        self._apply(region, wanted, answer)
-
-    def _apply(
-        self, region: str, wanted: dict[str, float], answer: LentSlots
-    ) -> None:
         loan = self._borrowed.setdefault(region, Loan())
-        loan.renewed_at = read_clock()
         loan.slots = wanted
+        loan.planned = planned
+        self._apply(region, loan, answer)
+
+    def _apply(self, region: str, loan: Loan, answer: LentSlots) -> None:
+        loan.renewed_at = read_clock()
+        loan.lent = sum(answer.slots.values())
         self._admission.borrow(region, answer.slots)
         for name, amount in answer.tokens.items():
             self._admission.quotas.add_borrowed(name, amount)
--- a/radishstile/entry/metrics.py
+++ b/radishstile/entry/metrics.py
@@ -25,6 +25,7 @@
         "_registry",
         "answers",
         "endings",
+        "grants",
         "latency",
         "claim_wait",
         "hold_time",
@@ -42,6 +43,11 @@
         self.endings = self._add(
             Counter, "radishstile_runs", "Runs on upstreams by ending."
         )
+        self.grants = self._add(
+            Counter,
+            "radishstile_slot_grants",
+            "Granted slots by service and the upstream's region.",
+        )
         self.latency = self._add_histogram(
             "radishstile_request_seconds",
             "From a request's first byte to its answer.",
--- a/radishstile/slot/loan_limiter.py
+++ b/radishstile/slot/loan_limiter.py
@@ -44,6 +44,10 @@
         if slots < before * (1 - CAPACITY_LOSS_SHARE):
             self._unlimited_until = now + UNLIMITED_S
 
+    def is_unlimited(self, now: float) -> bool:
+        """Return whether loans follow the plan at once."""
+        return now < self._unlimited_until
+
     def limit_change(
         self, current: float | None, target: float, need: float, now: float
     ) -> float:
@@ -52,7 +56,7 @@
         `current` is None if there was no loan; `need` is the region's total
         need.
         """
-        if current is None or now < self._unlimited_until:
+        if current is None or self.is_unlimited(now):
             return target
         limit = max(MIN_STEP_SLOTS, need * MAX_STEP_SHARE)
         return step_towards(current, target, limit)
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -11,6 +11,7 @@
 from radishstile.slot.claim import Queued as QueuedClaim
 from radishstile.slot.division import divide_slots
 from radishstile.slot.estimate import HoldTimeEstimate
+from radishstile.slot.grants import GrantCounts, count_slots
 from radishstile.slot.lending import TARGET_UTILIZATION, RegionLoad
 from radishstile.slot.queue import WaitingClaim
 from radishstile.slot.ranking import Ranking
@@ -43,6 +44,7 @@
     __slots__ = (
         "region",
         "share",
+        "grants",
         "_host",
         "_settings",
         "_services",
@@ -55,6 +57,7 @@
     def __init__(self, region: str, host: str, settings: SlotSettings):
         self.region = region
         self.share = 0.0
+        self.grants = GrantCounts()
         self._host = host
         self._settings = settings
         self._sampled_at = 0.0
@@ -149,6 +152,10 @@
             load.capacity += upstream.capacity + sum(upstream.lent.values())
         return loads
 
+    def count_slots(self, now: float) -> dict[str, dict[str, list[int]]]:
+        """Return the total and the usable slots by service and region."""
+        return count_slots(self._upstreams.values(), now)
+
     def lend(
         self, service: str, region: str, wanted: int, now: float
     ) -> dict[str, int]:
@@ -305,6 +312,7 @@
         expected_s = state.estimates[claim.route].get_expected_s(is_warm)
         upstream.start(Run(claim, now, expected_s, is_warm))
         self._upstreams_by_claim[claim.claim_id] = upstream
+        self.grants.record(claim.service, upstream.registration.region)
         return Grant(claim.claim_id, upstream.upstream_id, is_warm, expected_s)
 
     def _queue_or_deny(
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -130,9 +130,13 @@
             or self._duration_ratio > self._settings.slow_ratio
         )
 
+    def is_suspended(self, now: float) -> bool:
+        """Return whether the upstream could not be reached just before."""
+        return now < self._suspended_until
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether a claim may start now."""
-        if self.running >= self.capacity or now < self._suspended_until:
+        if self.running >= self.capacity or self.is_suspended(now):
             return False
         if not self.is_cold(now):
             return True
