--- /dev/null
+++ b/test/entry/test_region_shares.py
@@ -0,0 +1,40 @@
+"""Tests of the share of a region's requests that changes its region.
+
+Guards against SHIFT on grown Lantern: loans of two lenders were limited one by
+one, so both grew or shrank at once, and the loss of own slots lifted the limit.
+"""
+
+import asyncio
+
+from test._common import PausedTestCase
+from test.entry._regions import RegionFleet
+
+# Largest share of a region's requests that may change the region where they
+# run from one window of two seconds to the next.
+MAX_SHIFT = 0.15
+# Time in which loans settle after the start, and time observed, in seconds.
+SETTLED_S = 16.0
+OBSERVED_S = 12.0
+
+
+class RegionShareTest(PausedTestCase):
+    async def asyncSetUp(self):
+        self.fleet = RegionFleet()
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        await asyncio.sleep(SETTLED_S)
+
+    async def check_shift(self):
+        await asyncio.sleep(OBSERVED_S)
+        shift, at = self.fleet.measure_shift("gulf", SETTLED_S - 4.0)
+        self.assertLessEqual(shift, MAX_SHIFT, f"at {at - SETTLED_S:+.2f} s")
+
+    # SHIFT: callers leave the region, and both loans shrink at once.
+    async def test_falling_demand_moves_few_requests_to_another_region(self):
+        self.fleet.load["gulf"] = 0.4
+        await self.check_shift()
+
+    # SHIFT: some upstreams are taken away, and the loans grow without a limit.
+    async def test_removed_upstreams_move_few_requests_to_another_region(self):
+        self.fleet.remove_upstreams("gulf", 0.25)
+        await self.check_shift()
