Limit all loans of a region together

Cause: each loan was limited by itself, so two loans that grew or shrank at once moved twice the share; the limit was lifted for 4 s by the loss of a tenth of the region's slots, whatever took them; the lender cut a loan in one step; a lender's new leader lent nothing until its hosts had followed it, and a borrower's new leader asked for its whole plan. The bound is for the sum.

The limiter now bounds the region's mix of own and borrowed slots over 2 s, for all loans of a service. The lender takes nothing back by itself, and loans go on when a leader of either side changes.

--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -37,25 +37,35 @@
 class Loan:
     """What this region has borrowed from another.
 
-    `slots` are those requested at the last renewal, and `planned` those that
-    this region's plan had, both by service. `lent` is the total that the
-    lender granted.
+    `lender` identifies the process that lent it. By service, `planned` are
+    the slots of the last plan, `wanted` those asked for and `slots` those in
+    use: as asked for where the lender had them, else as lent.
     """
 
-    __slots__ = ("slots", "planned", "lent", "renewed_at")
+    __slots__ = ("lender", "planned", "wanted", "slots", "renewed_at")
 
     def __init__(self):
-        self.slots: dict[str, float] = {}
+        self.lender: tuple[str, int] = ("", 0)
         self.planned: dict[str, float] = {}
-        self.lent = 0
+        self.wanted: dict[str, float] = {}
+        self.slots: dict[str, float] = {}
         self.renewed_at = float("-inf")
 
-    def describe(self) -> dict:
-        """Return the loan as fields of a log line."""
+    def record(self, service: str, lent: int) -> None:
+        """Record the slots of a service that the lender has granted."""
+        wanted = self.wanted.get(service, 0.0)
+        is_whole = abs(wanted - lent) < 1
+        self.slots[service] = wanted if is_whole else float(lent)
+
+    def describe(self) -> dict[str, list[float]]:
+        """Return the slots planned, wanted and in use by service."""
         return {
-            "planned": {k: round(v, 1) for k, v in self.planned.items()},
-            "wanted": {k: round(v, 1) for k, v in self.slots.items()},
-            "lent": self.lent,
+            service: [
+                round(self.planned.get(service, 0.0), 1),
+                round(self.wanted.get(service, 0.0), 1),
+                round(slots, 1),
+            ]
+            for service, slots in self.slots.items()
         }
 
 
@@ -68,7 +78,9 @@
         "_admission",
         "_borrowed",
         "_lent_at",
-        "_pace",
+        "_limiter",
+        "_led_since",
+        "_planned",
     )
 
     def __init__(
@@ -83,7 +95,11 @@
         self._borrowed: dict[str, Loan] = {}
         # The loop's time of the last request by each borrowing region.
         self._lent_at: dict[str, float] = {}
-        self._pace = LoanRateLimiter()
+        self._limiter = LoanRateLimiter()
+        # The loop's time since which this host leads, as the limiter knows.
+        self._led_since = float("-inf")
+        # The last plan of each loan, by service and lender.
+        self._planned: dict[tuple[str, str], float] = {}
 
     async def run(self) -> None:
         """Sample demand and renew loans periodically."""
@@ -100,7 +116,7 @@
         return RENEWAL_INTERVAL_S
 
     def _report(self) -> None:
-        """Log where slots were granted since the last round, and the loans."""
+        """Log the loans, and where slots were granted since the last round."""
         now = read_clock()
         scheduler = self._admission.scheduler
         granted = scheduler.grants.take()
@@ -118,31 +134,39 @@
                     region: loan.describe()
                     for region, loan in self._borrowed.items()
                 },
-                is_unlimited=self._pace.is_unlimited(now),
+                is_unlimited=self._limiter.is_unlimited(now),
             ),
         )
 
     def lend(self, message: BorrowSlots) -> LentSlots:
-        """Return the slots and tokens lent to another region."""
+        """Return the slots and tokens lent to another region.
+
+        What it holds is not taken back here: its leader returns it in steps
+        that move few requests. A leader that knows of no loan continues the
+        one of its predecessor.
+        """
         now = read_clock()
-        self._lent_at[message.region] = now
+        region = message.region
+        scheduler = self._admission.scheduler
+        is_continued = message.is_new and region in self._lent_at
+        if message.held and region not in self._lent_at:
+            scheduler.adopt_loan(region, message.held, now)
+        self._lent_at[region] = now
         slots: dict[str, int] = {}
         for service, wanted in message.slots.items():
             loads = self._collect_loads(service)
-            if message.region not in loads:
+            if region not in loads:
                 continue
-            loan_limit = plan_loan(
-                loads, self._node.local_member.region, message.region
-            )
-            limit = min(wanted, math.ceil(loan_limit))
-            slots |= self._admission.scheduler.lend(
-                service, message.region, limit, now
-            )
+            held = sum(scheduler.list_lent(service, region).values())
+            if not is_continued:
+                plan = plan_loan(loads, self._local_region, region)
+                held = min(wanted, max(math.ceil(plan), held))
+            slots |= scheduler.lend(service, region, held, now)
         tokens = {
             name: self._admission.quotas.lend(name, amount, now)
             for name, amount in message.tokens.items()
         }
-        return LentSlots(slots=slots, tokens=tokens)
+        return LentSlots(slots=slots, tokens=tokens, is_continued=is_continued)
 
     def _end_expired(self) -> None:
         now = read_clock()
@@ -157,62 +181,76 @@
                 self._admission.borrow(region, {})
 
     async def _renew(self) -> None:
-        regions = set(self._node.file.zones.values()) - {
-            self._node.local_member.region
-        }
         services = {
             service: self._collect_loads(service)
             for service in self._list_services()
         }
         needs = {
-            service: plan_needs(loads)[self._node.local_member.region]
+            service: plan_needs(loads)[self._local_region]
             for service, loads in services.items()
         }
         now = read_clock()
-        self._pace.record_leader_change(self._leadership.followed_at)
-        for service, loads in services.items():
-            capacity = loads[self._node.local_member.region].capacity
-            self._pace.record_capacity(service, capacity, now)
+        led_since = self._leadership.followed_at
+        if led_since != self._led_since:
+            self._led_since = led_since
+            self._limiter.start(led_since)
         self._admission.scheduler.sample_demand(needs, now)
-        tokens = self._admission.quotas.list_shortfalls(read_clock())
+        tokens = self._admission.quotas.list_shortfalls(now)
+        wanted = {
+            service: self._limit_loans(service, loads)
+            for service, loads in services.items()
+        }
         leaders = {
             region: self._leadership.find_leader_of(region)
-            for region in regions
+            for region in self._list_lenders()
         }
         await asyncio.gather(
             *(
-                self._borrow(region, leader, services, needs, tokens)
+                self._borrow(region, leader, wanted, tokens)
                 for region, leader in leaders.items()
                 if leader is not None
             )
         )
         self._report()
 
+    def _limit_loans(
+        self, service: str, loads: dict[str, RegionLoad]
+    ) -> dict[str, float]:
+        """Return the slots of a service to ask each known lender for."""
+        current = {
+            region: loan.slots.get(service, 0.0)
+            for region, loan in self._borrowed.items()
+        }
+        target = {
+            region: plan_loan(loads, region, self._local_region)
+            for region in loads
+            if region != self._local_region
+        }
+        for region, slots in target.items():
+            self._planned[service, region] = slots
+        own = loads[self._local_region].capacity
+        return self._limiter.limit_change(
+            service, own, current, {**current, **target}, read_clock()
+        )
+
     async def _borrow(
         self,
         region: str,
         leader: Peer,
-        services: dict[str, dict[str, RegionLoad]],
-        needs: dict[str, float],
+        wanted: dict[str, dict[str, float]],
         tokens: dict[str, float],
     ) -> None:
-        local_region = self._node.local_member.region
+        slots = {name: by.get(region, 0.0) for name, by in wanted.items()}
         loan = self._borrowed.get(region)
-        wanted: dict[str, float] = {}
-        planned: dict[str, float] = {}
-        for service, loads in services.items():
-            if region not in loads:
-                continue
-            current = loan.slots.get(service) if loan else None
-            target = plan_loan(loads, region, local_region)
-            planned[service] = target
-            wanted[service] = self._pace.limit_change(
-                current, target, needs[service], read_clock()
-            )
-        slots = {name: round(amount) for name, amount in wanted.items()}
-        if not any(slots.values()) and not tokens and loan is None:
+        if loan is None and not tokens and not any(map(round, slots.values())):
             return
-        message = BorrowSlots(region=local_region, slots=slots, tokens=tokens)
+        message = BorrowSlots(
+            region=self._local_region,
+            slots={name: round(amount) for name, amount in slots.items()},
+            tokens=tokens,
+            held=self._list_held(region, loan, leader),
+            is_new=loan is None and self._limiter.is_unlimited(read_clock()),
+        )
         try:
             answer = await leader.client.call(message, ANSWER_TIMEOUT_S)
         except (WireError, TimeoutError) as error:
@@ -222,17 +260,38 @@
             )
             return
         loan = self._borrowed.setdefault(region, Loan())
-        loan.slots = wanted
-        loan.planned = planned
+        loan.lender = identify(leader)
+        loan.wanted = slots
         self._apply(region, loan, answer)
 
+    def _list_held(
+        self, region: str, loan: Loan | None, leader: Peer
+    ) -> dict[str, int]:
+        """Return the slots that a region's previous leader has lent."""
+        if loan is None or loan.lender == identify(leader):
+            return {}
+        return self._admission.scheduler.list_borrowed(region)
+
     def _apply(self, region: str, loan: Loan, answer: LentSlots) -> None:
         loan.renewed_at = read_clock()
-        loan.lent = sum(answer.slots.values())
         self._admission.borrow(region, answer.slots)
+        if answer.is_continued:
+            self._limiter.resume()
+        lent = self._admission.scheduler.count_borrowed(region)
+        for service in loan.wanted:
+            loan.planned[service] = self._planned.get((service, region), 0.0)
+            loan.record(service, lent[service])
         for name, amount in answer.tokens.items():
             self._admission.quotas.add_borrowed(name, amount)
 
+    @property
+    def _local_region(self) -> str:
+        return self._node.local_member.region
+
+    def _list_lenders(self) -> list[str]:
+        regions = set(self._node.file.zones.values())
+        return sorted(regions - {self._local_region})
+
     def _list_services(self) -> list[str]:
         catalog = self._node.catalog
         return sorted(catalog.services) if catalog else []
@@ -241,16 +300,20 @@
         """Return a service's load in each region with a known leader."""
         weight = len(self._leadership.followers.list_live(read_clock()))
         local_loads = self._admission.scheduler.measure_loads(weight)
-        local_region = self._node.local_member.region
         loads = {
-            local_region: local_loads.get(
+            self._local_region: local_loads.get(
                 service, RegionLoad(None, 0.0, weight)
             )
         }
-        for region in set(self._node.file.zones.values()) - {local_region}:
+        for region in self._list_lenders():
             leader = self._leadership.find_leader_of(region)
             if leader is None:
                 continue
             demand, capacity = leader.state.loads.get(service, (None, 0.0))
             loads[region] = RegionLoad(demand, capacity, leader.state.weight)
         return loads
+
+
+def identify(leader: Peer) -> tuple[str, int]:
+    """Return a leader's host and incarnation."""
+    return leader.member.host, leader.member.incarnation
--- a/radishstile/slot/lending.py
+++ b/radishstile/slot/lending.py
@@ -1,7 +1,8 @@
 """Plans slot loans: each region keeps what it needs and lends the rest.
 
-All leaders plan from the same loads and reach about the same plan; where
-plans differ, the lender's applies.
+All leaders plan from the same loads and reach about the same plan. Where plans
+differ, the lender's applies to what a loan may grow to; a borrower returns
+what it has in limited steps.
 """
 
 # Fraction of its slots that a region plans to use; the rest absorbs changes
@@ -74,8 +75,3 @@
         * shortfall[borrower]
         / total_shortfall
     )
-
-
-def step_towards(current: float, target: float, limit: float) -> float:
-    """Return `current` changed towards `target` by at most `limit`."""
-    return current + max(-limit, min(limit, target - current))
--- a/radishstile/slot/loan_limiter.py
+++ b/radishstile/slot/loan_limiter.py
@@ -1,62 +1,120 @@
 """Limits how fast a region's loans change.
 
-In normal operation loans follow demand slowly, because the share of requests
-that change the region where they run is limited. After a disruption, such as
-a restart of all hosts or the loss of a zone's upstreams, loans follow the
-plan at once; otherwise a region with few upstreams would refuse most of its
-callers until its loans had grown.
+The share of a region's requests that changes the region where they run is
+limited. It follows the region's mix: the shares of its own slots and of those
+borrowed from each other region. All loans of a service are limited together,
+since two that grow at once move the requests of both.
 """
 
-from radishstile.slot.lending import step_towards
+from collections import deque
 
-# Fraction of a region's need by which a loan may change per round of half a
-# second. At most 15% of a region's requests may change the region where they
-# run within two seconds, which are four rounds.
-MAX_STEP_SHARE = 0.03
-# Smallest step limit, in slots: without it, loans of small regions would
-# never change.
-MIN_STEP_SLOTS = 0.5
-# Time after a disruption during which loans follow the plan at once, in
+# Window over which the limit holds, in seconds.
+WINDOW_S = 2.0
+# Fraction of a service's slots that may change their region within a window.
+# The bound for requests is 0.15; the rest is for chance in where they run.
+MAX_SHIFT_SHARE = 0.08
+# Time after a leader's start during which loans follow the plan at once, in
 # seconds: the longest time that hosts may take to reconnect.
 UNLIMITED_S = 4.0
-# Fraction of a region's slots whose loss counts as a disruption.
-CAPACITY_LOSS_SHARE = 0.1
+# Halvings of the interval in which the largest permitted step is searched.
+SEARCH_STEPS = 16
+
+Mix = dict[str, float]
 
 
 class LoanRateLimiter:
     """Limits loan changes; times are the event loop's, in seconds."""
 
-    __slots__ = ("_unlimited_until", "_capacities")
+    __slots__ = ("_unlimited_until", "_mixes")
 
     def __init__(self):
         self._unlimited_until = float("-inf")
-        # The region's slots for each service, as of the last round.
-        self._capacities: dict[str, float] = {}
+        # The recent mixes of each service, with their times.
+        self._mixes: dict[str, deque[tuple[float, Mix]]] = {}
 
-    def record_leader_change(self, since: float) -> None:
-        """Record that the region's leader changed at time `since`."""
-        self._unlimited_until = max(self._unlimited_until, since + UNLIMITED_S)
+    def start(self, now: float) -> None:
+        """Let loans follow the plan at once, as none are known yet."""
+        self._unlimited_until = now + UNLIMITED_S
+        self._mixes.clear()
 
-    def record_capacity(self, service: str, slots: float, now: float) -> None:
-        """Record the slots of the region's upstreams for a service."""
-        before = self._capacities.get(service, 0.0)
-        self._capacities[service] = slots
-        if slots < before * (1 - CAPACITY_LOSS_SHARE):
-            self._unlimited_until = now + UNLIMITED_S
+    def resume(self) -> None:
+        """Limit changes from now on, as earlier loans go on."""
+        self._unlimited_until = float("-inf")
 
     def is_unlimited(self, now: float) -> bool:
         """Return whether loans follow the plan at once."""
         return now < self._unlimited_until
 
     def limit_change(
-        self, current: float | None, target: float, need: float, now: float
-    ) -> float:
-        """Return the next size of a loan that changes to `target`, in slots.
+        self,
+        service: str,
+        own: float,
+        current: dict[str, float],
+        target: dict[str, float],
+        now: float,
+    ) -> dict[str, float]:
+        """Return the next loans of a service, in slots by lender.
 
-        `current` is None if there was no loan; `need` is the region's total
-        need.
+        `own` are the slots of the region itself, `current` and `target` the
+        loans in use and those planned. A change that comes about without the
+        loans, such as the loss of own slots, is not undone.
         """
-        if current is None or self.is_unlimited(now):
-            return target
-        limit = max(MIN_STEP_SLOTS, need * MAX_STEP_SHARE)
-        return step_towards(current, target, limit)
+        if self.is_unlimited(now):
+            return dict(target)
+        history = self._record(service, _mix(own, current), now)
+        limits = [
+            (mix, max(MAX_SHIFT_SHARE, measure_shift(mix, history[-1][1])))
+            for _, mix in history
+        ]
+        low, high = 0.0, 1.0
+        step = 1.0
+        for _ in range(SEARCH_STEPS):
+            loans = _step_towards(current, target, step)
+            if _is_within(_mix(own, loans), limits):
+                low = step
+            else:
+                high = step
+            step = (low + high) / 2
+        return _step_towards(current, target, low)
+
+    def _record(
+        self, service: str, mix: Mix, now: float
+    ) -> deque[tuple[float, Mix]]:
+        """Add a mix, and return those in use within the window."""
+        history = self._mixes.setdefault(service, deque())
+        history.append((now, mix))
+        while len(history) > 1 and history[1][0] <= now - WINDOW_S:
+            history.popleft()
+        return history
+
+
+def measure_shift(before: Mix, after: Mix) -> float:
+    """Return the share that changed its region between two mixes."""
+    return sum(
+        max(0.0, after.get(region, 0.0) - before.get(region, 0.0))
+        for region in before.keys() | after.keys()
+    )
+
+
+def _is_within(mix: Mix, limits: list[tuple[Mix, float]]) -> bool:
+    return all(measure_shift(past, mix) <= limit for past, limit in limits)
+
+
+def _mix(own: float, loans: dict[str, float]) -> Mix:
+    """Return the share of each region; the region's own has no name."""
+    slots = {**loans, "": own}
+    total = sum(slots.values())
+    if total <= 0:
+        return {}
+    return {region: amount / total for region, amount in slots.items()}
+
+
+def _step_towards(
+    current: dict[str, float], target: dict[str, float], step: float
+) -> dict[str, float]:
+    """Return loans changed by a part of the way, from 0 to 1."""
+    return {
+        region: current.get(region, 0.0)
+        + step * (target.get(region, 0.0) - current.get(region, 0.0))
+        for region in current.keys() | target.keys()
+    }
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -5,6 +5,8 @@
 event loop's time in seconds and returns the decisions to deliver.
 """
 
+from collections import Counter
+
 from radishstile.catalog.catalog import Service
 from radishstile.outcome import Reason
 from radishstile.slot.claim import Claim, Decision, Denial, Ending, Grant
@@ -27,6 +29,10 @@
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
 
+# Time in which the hosts of a region follow a new leader, in seconds. Until
+# then its share is too small for the loans that it continues.
+ADOPTION_S = 2.0
+
 # The expected hold time is multiplied by this factor before it is compared
 # with a deadline or an objective, because hold times vary by 15%.
 HOLD_TIME_FACTOR = 1.25
@@ -52,6 +58,7 @@
         "_upstreams_by_claim",
         "_restored",
         "_sampled_at",
+        "_adopted_until",
     )
 
     def __init__(self, region: str, host: str, settings: SlotSettings):
@@ -67,6 +74,8 @@
         self._upstreams_by_claim: dict[str, UpstreamState] = {}
         # Restored caches whose upstreams are not known yet, by incarnation.
         self._restored: dict[tuple[str, int], CacheRecord] = {}
+        # The time until which each region keeps an adopted loan.
+        self._adopted_until: dict[str, float] = {}
 
     def replace_upstreams(
         self,
@@ -164,19 +173,13 @@
         Replaces the region's previous loan. Upstreams are used in the same
         order each time, so that the region keeps finding cached objects.
         """
-        ranking = Ranking(
-            (
-                u
-                for u in self._upstreams.values()
-                if self._is_local(u) and u.registration.service == service
-            ),
-            self.region,
-        )
+        is_adopted = now < self._adopted_until.get(region, float("-inf"))
         lent: dict[str, int] = {}
-        for upstream in ranking.order(region):
-            upstream.lent.pop(region, None)
+        for upstream in self._rank_local(service).order(region):
+            held = upstream.lent.pop(region, 0)
             upstream.resize()
-            slots = min(wanted, upstream.capacity)
+            free = max(upstream.capacity, held if is_adopted else 0)
+            slots = min(wanted, free)
             if slots > 0 and not upstream.is_cold(now):
                 upstream.lent[region] = slots
                 upstream.resize()
@@ -184,6 +187,44 @@
                 wanted -= slots
         return lent
 
+    def adopt_loan(
+        self, region: str, held: dict[str, int], now: float
+    ) -> None:
+        """Continue the loan of a previous leader, given by upstream.
+
+        Its slots are not among those of the hosts that still follow that
+        leader, so they don't depend on this scheduler's share.
+        """
+        self._adopted_until[region] = now + ADOPTION_S
+        for upstream_id, slots in held.items():
+            upstream = self._upstreams.get(upstream_id)
+            if upstream is not None and self._is_local(upstream):
+                upstream.lent[region] = min(slots, upstream.registration.slots)
+                upstream.resize()
+
+    def list_lent(self, service: str, region: str) -> dict[str, int]:
+        """Return the slots lent to a region, by upstream."""
+        return {
+            u.upstream_id: u.lent[region]
+            for u in self._upstreams.values()
+            if u.registration.service == service and region in u.lent
+        }
+
+    def list_borrowed(self, region: str) -> dict[str, int]:
+        """Return the slots borrowed from a region, by upstream."""
+        return {
+            u.upstream_id: u.borrowed
+            for u in self._upstreams.values()
+            if u.registration.region == region and u.borrowed
+        }
+
+    def count_borrowed(self, region: str) -> Counter[str]:
+        """Return the slots borrowed from a region, by service."""
+        slots: Counter[str] = Counter()
+        for upstream_id, count in self.list_borrowed(region).items():
+            slots[self._upstreams[upstream_id].registration.service] += count
+        return slots
+
     def end_loan(self, region: str, now: float) -> list[Decision]:
         """End the loan of all slots that a region has borrowed."""
         for upstream in self._upstreams.values():
@@ -264,6 +305,16 @@
             state = self._services[name] = ServiceState()
         return state
 
+    def _rank_local(self, service: str) -> Ranking:
+        return Ranking(
+            (
+                u
+                for u in self._upstreams.values()
+                if self._is_local(u) and u.registration.service == service
+            ),
+            self.region,
+        )
+
     def _is_local(self, upstream: UpstreamState) -> bool:
         return upstream.registration.region == self.region
 
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -149,23 +149,32 @@
     """Asks another region's leader to lend slots and rate-limit tokens.
 
     `slots` maps services to the total of slots wanted, and `tokens` maps
-    workspaces to tokens. The answer replaces earlier loans.
+    workspaces to tokens. The answer replaces earlier loans. `held` maps
+    upstreams to the slots that a previous leader of the lender has lent, and
+    is empty if the receiver has lent them. `is_new` tells that the sender
+    knows of no loan; one that the receiver knows of goes on.
     """
 
-    __slots__ = ("region", "slots", "tokens")
+    __slots__ = ("region", "slots", "tokens", "held", "is_new")
 
     region: str
     slots: dict
     tokens: dict
+    held: dict
+    is_new: bool
 
 
 class LentSlots(Message):
-    """Answers `BorrowSlots`: slots per upstream and tokens per workspace."""
+    """Answers `BorrowSlots`: slots per upstream and tokens per workspace.
 
-    __slots__ = ("slots", "tokens")
+    `is_continued` tells that the slots are those of an earlier loan.
+    """
+
+    __slots__ = ("slots", "tokens", "is_continued")
 
     slots: dict
     tokens: dict
+    is_continued: bool
 
 
 class MirrorQuery(Message):
