Log the limits that upstreams name in their answers

It is decoded in platform/ and is a field of the line of each attempt; malformed, doubled and absurd values tell nothing. No logic changes.

--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 
 from radishstile.catalog.catalog import (
     Catalog,
@@ -44,6 +45,7 @@
     REQUEST_ID,
     classify_answer,
     encode_request,
+    read_rate_limit,
 )
 from radishstile.run.budget import RetryBudget
 from radishstile.slot.claim import Claim, Ending
@@ -302,6 +304,8 @@
             )
             parts = await read_buffered(connection, parser)
             ending = classify_answer(parser.head)
+            result = AttemptResult(ending, upstream.upstream_id)
+            result.rate_limit = read_rate_limit(parser.head)
             if not parser.is_complete:
                 is_kept = True
                 body = UpstreamBody(
@@ -314,11 +318,11 @@
                     plan.deadline_at,
                     self._connections,
                 )
-                answer = StreamedAnswer(parser.head, body)
-                return AttemptResult(ending, upstream.upstream_id, answer)
+                result.answer = StreamedAnswer(parser.head, body)
+                return result
             is_kept = self._connections.keep(upstream, connection, parser)
-            answer = BufferedAnswer(parser.head, parts)
-            return AttemptResult(ending, upstream.upstream_id, answer)
+            result.answer = BufferedAnswer(parser.head, parts)
+            return result
         except (ConnectionError, HttpError) as error:
             return AttemptResult(
                 Ending.BROKEN, upstream.upstream_id, detail=str(error)
@@ -394,6 +398,7 @@
                 expected_s=round(slot.grant.expected_s, 3),
                 held_s=round(result.held_s, 3),
                 ending=result.ending.value,
+                rate_limit=_name_limit(result.rate_limit),
                 why=result.detail,
                 age_s=round(
                     read_clock() - plan.request.http_request.received_at, 3
@@ -402,6 +407,11 @@
         )
 
 
+def _name_limit(rate_limit: float | None) -> float | None:
+    """Return a limit for a log line, where infinity can't be written."""
+    return None if rate_limit == math.inf else rate_limit
+
+
 async def _discard(answer: Answer | None) -> None:
     """Free what an answer occupies that is not passed on."""
     if answer is not None:
--- a/radishstile/entry/plan.py
+++ b/radishstile/entry/plan.py
@@ -57,9 +57,20 @@
 
 
 class AttemptResult:
-    """How an attempt ended, with its answer if there is one to forward."""
+    """How an attempt ended, with its answer if there is one to forward.
 
-    __slots__ = ("ending", "upstream_id", "answer", "detail", "held_s")
+    `rate_limit` is the one that the answer named, in requests a second:
+    infinity for none, None if no answer came.
+    """
+
+    __slots__ = (
+        "ending",
+        "upstream_id",
+        "answer",
+        "detail",
+        "held_s",
+        "rate_limit",
+    )
 
     def __init__(
         self,
@@ -73,6 +84,7 @@
         self.answer = answer
         self.detail = detail
         self.held_s = 0.0
+        self.rate_limit: float | None = None
 
 
 class Attempts:
--- a/radishstile/platform/http_codec.py
+++ b/radishstile/platform/http_codec.py
@@ -4,6 +4,8 @@
 """
 
 import json
+import math
+import re
 
 from radishstile.entry.caller_request import CallerRequest
 from radishstile.errors import RefusalError
@@ -26,6 +28,10 @@
 _RESPONSE_STAMP = b"x-response-stamp"
 # Set by an upstream that did not run the request.
 _NOT_EXECUTED = b"x-not-executed"
+# Requests a second that an upstream takes from all hosts together.
+_RATE_LIMIT = b"server-limit"
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+_MAX_RATE_PER_S = 1e6
 _MS_PER_S = 1000
 
 _MISDIRECTED = 421
@@ -146,6 +152,25 @@
     return Ending.SERVED
 
 
+def read_rate_limit(head: AnswerHead) -> float | None:
+    """Return the requests a second that the upstream takes from all hosts.
+
+    Infinity if the answer names no limit, None if it can't be told, as the
+    header is doubled or no sensible number.
+    """
+    values = [
+        value.strip()
+        for name, value in head.headers
+        if name.lower() == _RATE_LIMIT
+    ]
+    if not values:
+        return math.inf
+    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+        return None
+    rate = float(values[0])
+    return rate if rate <= _MAX_RATE_PER_S else None
+
+
 def read_keepalive_timeout(head: AnswerHead) -> float | None:
     """Return the `timeout` of the `Keep-Alive` header in seconds, if any."""
     for part in (head.find(b"keep-alive") or b"").split(b","):
--- a/test/platform/test_http_codec.py
+++ b/test/platform/test_http_codec.py
@@ -1,5 +1,6 @@
 """Tests of encoded requests and answers: headers, statuses, keys."""
 
+import math
 import unittest
 
 from radishstile.errors import RefusalError
@@ -13,6 +14,7 @@
     encode_request,
     find_status,
     read_keepalive_timeout,
+    read_rate_limit,
 )
 from radishstile.slot.claim import Ending
 from test.slot._common import make_registration
@@ -149,3 +151,24 @@
                 self.assertEqual(find_status(refusal), 503)
                 content = encode_refusal(refusal, "r1", False)
                 self.assertIn(b"Retry-After: 0.25\r\n", content)
+
+
+class RateLimitTest(unittest.TestCase):
+    def read(self, *values):
+        headers = [(b"Server-Limit", value) for value in values]
+        return read_rate_limit(AnswerHead(200, headers))
+
+    def test_decimal_numbers_are_limits(self):
+        self.assertEqual(self.read(b"2.8"), 2.8)
+        self.assertEqual(self.read(b" 5 "), 5.0)
+        self.assertEqual(self.read(b"0"), 0.0)
+
+    def test_an_answer_without_the_header_names_no_limit(self):
+        self.assertEqual(self.read(), math.inf)
+
+    def test_anything_else_tells_nothing(self):
+        for value in (b"", b"-1", b"nan", b"inf", b"1e3", b"9" * 400, b"x"):
+            with self.subTest(value=value):
+                self.assertIsNone(self.read(value))
+        self.assertIsNone(self.read(b"2", b"3"))
+        self.assertIsNone(self.read(b"9999999"))
