Keep the rate limits that upstreams name

Cause: nothing read Server-Limit; slots bound how many requests run at a time, and nothing how many a second.

Each scheduler now uses the part of an upstream's rate that its slots are of the upstream's. Slots are divided among leaders, regions and isolated hosts already, so the parts sum to the rate, whoever leads. Every grant is charged, repeats too. Hosts keep the limits they were told, and tell each new leader; borrowers tell lenders. Waits, capacity and loans count the slots that a rate can keep busy, so a claim that can't be served in time is refused at once.

--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from functools import singledispatchmethod
 
 from radishstile.entry.logs import log_fields
@@ -166,6 +167,26 @@
             self.scheduler.finish(claim.claim_id, ending, held_s, now)
         )
 
+    def record_rate(
+        self, upstream_id: str, per_s: float | None, sent_at: float
+    ) -> None:
+        """Apply the rate limit named in the answer to a request.
+
+        `per_s` is in requests a second: infinity for none, None if there was
+        no answer. `sent_at` is the loop's time of the request, in seconds.
+        """
+        if per_s is None:
+            return
+        now = read_clock()
+        if self.scheduler.record_rate(upstream_id, per_s, sent_at, now):
+            _LOG.info(
+                "admission: Rate limit of an upstream changed.",
+                extra=log_fields(
+                    upstream=upstream_id,
+                    rate_limit=None if per_s == math.inf else per_s,
+                ),
+            )
+
     def apply_report(self, report: CrashReport | SuccessReport) -> None:
         """Apply a report, and queue it for other hosts if it is new."""
         if self.poison.apply(report, read_clock()):
--- a/radishstile/entry/body.py
+++ b/radishstile/entry/body.py
@@ -13,6 +13,7 @@
 from radishstile.errors import HttpError, RefusalError
 from radishstile.http.parser import AnswerParser
 from radishstile.outcome import Outcome, Reason
+from radishstile.platform.http_codec import read_rate_limit
 from radishstile.slot.claim import Ending
 from radishstile.upstream.registration import Registration
 
@@ -93,4 +94,7 @@
         if not is_kept:
             self._connection.stream.abort()
         held_s = read_clock() - self._started_at
-        await asyncio.shield(self._slot.release(self._ending, held_s))
+        rate_limit = read_rate_limit(self._parser.head)
+        await asyncio.shield(
+            self._slot.release(self._ending, held_s, rate_limit)
+        )
--- a/radishstile/entry/claims.py
+++ b/radishstile/entry/claims.py
@@ -44,25 +44,43 @@
         self._claim = claim
         self._admission = admission
 
-    async def release(self, ending: Ending, held_s: float) -> None:
-        """Give the slot back."""
+    async def release(
+        self, ending: Ending, held_s: float, rate_limit: float | None = None
+    ) -> None:
+        """Give the slot back; `rate_limit` is the one that was named."""
+        self._admission.record_rate(
+            self.grant.upstream_id, rate_limit, read_clock() - held_s
+        )
         self._admission.release(self._claim, self.grant, ending, held_s)
 
 
 class RemoteSlot:
     """A slot granted by a leader; it is held while the exchange is open."""
 
-    __slots__ = ("grant", "_exchange")
+    __slots__ = ("grant", "_exchange", "_admission")
 
-    def __init__(self, grant: Grant, exchange: Exchange):
+    def __init__(
+        self, grant: Grant, exchange: Exchange, admission: AdmissionController
+    ):
         self.grant = grant
         self._exchange = exchange
+        self._admission = admission
+
+    async def release(
+        self, ending: Ending, held_s: float, rate_limit: float | None = None
+    ) -> None:
+        """Give the slot back; `rate_limit` is the one that was named.
 
-    async def release(self, ending: Ending, held_s: float) -> None:
-        """Give the slot back."""
+        This host keeps it too, as it may lead later, or lose its leader.
+        """
+        self._admission.record_rate(
+            self.grant.upstream_id, rate_limit, read_clock() - held_s
+        )
         try:
             await self._exchange.send(
-                SlotReport(ending=ending.value, held_s=held_s)
+                SlotReport(
+                    ending=ending.value, held_s=held_s, rate_limit=rate_limit
+                )
             )
             # Flushes the report before the exchange is closed.
             self._exchange.mark_closed()
@@ -101,7 +119,7 @@
             if leader is None:
                 return await self.claim_as_leader(claim, terms)
             try:
-                return await claim_from_leader(leader, claim, terms)
+                return await self._claim_from(leader, claim, terms)
             except (WireError, TimeoutError) as error:
                 leader.suspect()
                 _LOG.warning(
@@ -133,7 +151,7 @@
             if leader is None:
                 continue
             try:
-                return await claim_from_leader(leader, claim, terms)
+                return await self._claim_from(leader, claim, terms)
             except (WireError, TimeoutError) as error:
                 leader.suspect()
                 _LOG.warning(
@@ -151,24 +169,24 @@
             "no leader of the allowed regions answers",
         )
 
+    async def _claim_from(
+        self, leader: Peer, claim: Claim, terms: ClaimTerms
+    ) -> Slot:
+        """Return a slot granted by a peer.
 
-async def claim_from_leader(
-    leader: Peer, claim: Claim, terms: ClaimTerms
-) -> Slot:
-    """Return a slot granted by a peer.
-
-    Raises `RefusalError`, `WireError` and `TimeoutError`.
-    """
-    exchange = await leader.client.open(encode_claim(claim, terms))
-    try:
-        message = await exchange.receive(FIRST_ANSWER_TIMEOUT_S)
-        if type(message) is SlotQueued:
-            left_s = max(0.0, claim.deadline_at - read_clock())
-            message = await exchange.receive(left_s)
-        return _decode_answer(message, exchange, claim)
-    except BaseException:
-        exchange.close()
-        raise
+        Raises `RefusalError`, `WireError` and `TimeoutError`.
+        """
+        exchange = await leader.client.open(encode_claim(claim, terms))
+        try:
+            message = await exchange.receive(FIRST_ANSWER_TIMEOUT_S)
+            if type(message) is SlotQueued:
+                left_s = max(0.0, claim.deadline_at - read_clock())
+                message = await exchange.receive(left_s)
+            grant = _decode_answer(message, claim)
+        except BaseException:
+            exchange.close()
+            raise
+        return RemoteSlot(grant, exchange, self._admission)
 
 
 def encode_claim(claim: Claim, terms: ClaimTerms) -> ClaimSlot:
@@ -213,15 +231,14 @@
     return claim, terms
 
 
-def _decode_answer(message: Message, exchange: Exchange, claim: Claim) -> Slot:
+def _decode_answer(message: Message, claim: Claim) -> Grant:
     if type(message) is SlotGranted:
-        grant = Grant(
+        return Grant(
             claim.claim_id,
             message.upstream_id,
             message.is_warm,
             message.expected_s,
         )
-        return RemoteSlot(grant, exchange)
     if type(message) is SlotDenied:
         raise RefusalError(
             Reason(message.reason),
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -245,6 +245,7 @@
         upstream_id = slot.grant.upstream_id
         started_at = read_clock()
         ending = Ending.ABANDONED
+        rate_limit = None
         is_streaming = False
         try:
             upstream = self._node.registry.find_usable(upstream_id)
@@ -261,6 +262,7 @@
             attempts.begin()
             result = await self._send(plan, slot, upstream, connection)
             ending = result.ending
+            rate_limit = result.rate_limit
             is_streaming = type(result.answer) is StreamedAnswer
             return result
         except UpstreamUnreachableError as error:
@@ -277,7 +279,7 @@
             # The slot of a streamed answer is released at the body's end.
             if not is_streaming:
                 held_s = read_clock() - started_at
-                await asyncio.shield(slot.release(ending, held_s))
+                await asyncio.shield(slot.release(ending, held_s, rate_limit))
                 self._node.metrics.hold_time.observe({}, held_s)
 
     async def _send(
--- a/radishstile/entry/handlers.py
+++ b/radishstile/entry/handlers.py
@@ -22,6 +22,7 @@
     FollowLead,
     MirrorQuery,
     MirrorReply,
+    ReportRates,
     SlotDenied,
     SlotGranted,
     SlotQueued,
@@ -79,6 +80,11 @@
     ) -> None:
         self._admission.apply_report(decode_report(message))
 
+    @_handle.register
+    async def _(self, message: ReportRates, exchange: Exchange) -> None:
+        for upstream_id, per_s in message.rates.items():
+            self._admission.record_rate(upstream_id, per_s, read_clock())
+
     @_handle.register
     async def _(self, message: BorrowSlots, exchange: Exchange) -> None:
         await exchange.send(self._loans.lend(message))
@@ -110,7 +116,7 @@
                 )
             )
             return
-        ending, held_s = Ending.ABANDONED, 0.0
+        ending, held_s, rate_limit = Ending.ABANDONED, 0.0, None
         try:
             await exchange.send(
                 SlotGranted(
@@ -121,9 +127,10 @@
             )
             report = await exchange.receive()
             ending, held_s = Ending(report.ending), report.held_s
+            rate_limit = report.rate_limit
         finally:
             # Also if the connection is lost or the caller disconnects.
-            await slot.release(ending, held_s)
+            await slot.release(ending, held_s, rate_limit)
 
     async def _acquire(
         self, claim: Claim, terms: ClaimTerms, exchange: Exchange
--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -51,11 +51,11 @@
         self.slots: dict[str, float] = {}
         self.renewed_at = float("-inf")
 
-    def record(self, service: str, lent: int) -> None:
+    def record(self, service: str, lent: float) -> None:
         """Record the slots of a service that the lender has granted."""
         wanted = self.wanted.get(service, 0.0)
         is_whole = abs(wanted - lent) < 1
-        self.slots[service] = wanted if is_whole else float(lent)
+        self.slots[service] = wanted if is_whole else lent
 
     def describe(self) -> dict[str, list[float]]:
         """Return the slots planned, wanted and in use by service."""
@@ -152,12 +152,14 @@
         if message.held and region not in self._lent_at:
             scheduler.adopt_loan(region, message.held, now)
         self._lent_at[region] = now
+        for upstream_id, per_s in message.rates.items():
+            self._admission.record_rate(upstream_id, per_s, now)
         slots: dict[str, int] = {}
         for service, wanted in message.slots.items():
             loads = self._collect_loads(service)
             if region not in loads:
                 continue
-            held = sum(scheduler.list_lent(service, region).values())
+            held = scheduler.count_lent(service, region)
             if not is_continued:
                 plan = plan_loan(loads, self._local_region, region)
                 held = min(wanted, max(math.ceil(plan), held))
@@ -249,6 +251,9 @@
             slots={name: round(amount) for name, amount in slots.items()},
             tokens=tokens,
             held=self._list_held(region, loan, leader),
+            rates=self._admission.scheduler.list_rates(
+                read_clock() - RENEWAL_INTERVAL_S, region
+            ),
             is_new=loan is None and self._limiter.is_unlimited(read_clock()),
         )
         try:
--- /dev/null
+++ b/radishstile/entry/rate_reports.py
@@ -0,0 +1,60 @@
+"""Tells a host's new leader the rate limits that upstreams have named.
+
+A new leader knows only those that its own requests have met. Without the
+others it would send each upstream in need as many requests as it has slots.
+"""
+
+import logging
+
+from radishstile.entry.admission import AdmissionController
+from radishstile.entry.leadership import Leadership
+from radishstile.entry.logs import log_fields
+from radishstile.entry.node import read_clock
+from radishstile.errors import WireError
+from radishstile.wire.messages.slot import ReportRates
+
+_LOG = logging.getLogger("radishstile.rates")
+
+# Age up to which the last answer of an upstream counts, in seconds.
+MAX_AGE_S = 10.0
+
+
+class RateReportSender:
+    """Sends the known rate limits to each leader that this host follows."""
+
+    __slots__ = ("_admission", "_leadership")
+
+    def __init__(self, admission: AdmissionController, leadership: Leadership):
+        self._admission = admission
+        self._leadership = leadership
+
+    async def run(self) -> None:
+        """Send reports until cancelled."""
+        informed = ""
+        while True:
+            host = await self._inform(informed)
+            if host == informed:
+                await self._leadership.wait_change()
+            informed = host
+
+    async def _inform(self, informed: str) -> str:
+        """Send a report if the leader is not the one that was informed.
+
+        Returns the leader's name, or an empty one if this host leads.
+        """
+        leader = self._leadership.find_leader()
+        if leader is None:
+            return ""
+        host = leader.member.host
+        if host == informed:
+            return host
+        since = read_clock() - MAX_AGE_S
+        rates = self._admission.scheduler.list_rates(since)
+        try:
+            await leader.client.notify(ReportRates(rates=rates))
+        except WireError as error:
+            _LOG.info(
+                "rates: Rate limits not sent.",
+                extra=log_fields(lead=host, why=str(error)),
+            )
+        return host
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -17,6 +17,7 @@
 from radishstile.entry.node import EntryNode, read_clock
 from radishstile.entry.peers import Peers
 from radishstile.entry.poison_reports import PoisonReportSender
+from radishstile.entry.rate_reports import RateReportSender
 from radishstile.entry.recorder import SchedulerRecorder
 from radishstile.entry.registrar import Registrar
 from radishstile.entry.replica import Replica
@@ -65,6 +66,7 @@
         "_replica",
         "_recorder",
         "_report_sender",
+        "_rate_sender",
         "_peer_server",
     )
 
@@ -108,6 +110,7 @@
         self._report_sender = PoisonReportSender(
             self._admission, self._leadership.peers
         )
+        self._rate_sender = RateReportSender(self._admission, self._leadership)
         handler = MessageHandler(
             self._leadership,
             slot_client,
@@ -143,6 +146,7 @@
                 self._loans.run(),
                 self._recorder.run(),
                 self._report_sender.run(),
+                self._rate_sender.run(),
                 self._admission.run(),
                 self._apply_changes(),
                 self._run_maintenance(reload),
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -5,6 +5,7 @@
 event loop's time in seconds and returns the decisions to deliver.
 """
 
+import math
 from collections import Counter
 
 from radishstile.catalog.catalog import Service
@@ -33,6 +34,10 @@
 # then its share is too small for the loans that it continues.
 ADOPTION_S = 2.0
 
+# Smallest part of an upstream's slots that counts as usable when they are
+# lent, so that a loan takes no more than ten times the slots.
+MIN_USABLE_SHARE = 0.1
+
 # The expected hold time is multiplied by this factor before it is compared
 # with a deadline or an objective, because hold times vary by 15%.
 HOLD_TIME_FACTOR = 1.25
@@ -158,7 +163,8 @@
                 continue
             name = upstream.registration.service
             load = loads.setdefault(name, RegionLoad(None, 0.0, weight))
-            load.capacity += upstream.capacity + sum(upstream.lent.values())
+            slots = upstream.capacity + sum(upstream.lent.values())
+            load.capacity += slots * upstream.usable_share
         return loads
 
     def count_slots(self, now: float) -> dict[str, dict[str, list[int]]]:
@@ -166,12 +172,14 @@
         return count_slots(self._upstreams.values(), now)
 
     def lend(
-        self, service: str, region: str, wanted: int, now: float
+        self, service: str, region: str, wanted: float, now: float
     ) -> dict[str, int]:
         """Lend slots to another region and return their number by upstream.
 
-        Replaces the region's previous loan. Upstreams are used in the same
-        order each time, so that the region keeps finding cached objects.
+        Replaces the region's previous loan. `wanted` are slots that can be
+        kept busy; of upstreams with a rate limit more are lent. Upstreams are
+        used in the same order each time, so that the region keeps finding
+        cached objects.
         """
         is_adopted = now < self._adopted_until.get(region, float("-inf"))
         lent: dict[str, int] = {}
@@ -179,12 +187,13 @@
             held = upstream.lent.pop(region, 0)
             upstream.resize()
             free = max(upstream.capacity, held if is_adopted else 0)
-            slots = min(wanted, free)
+            usable_share = max(MIN_USABLE_SHARE, upstream.usable_share)
+            slots = min(math.ceil(wanted / usable_share), free)
             if slots > 0 and not upstream.is_cold(now):
                 upstream.lent[region] = slots
                 upstream.resize()
                 lent[upstream.upstream_id] = slots
-                wanted -= slots
+                wanted -= slots * usable_share
         return lent
 
     def adopt_loan(
@@ -202,12 +211,37 @@
                 upstream.lent[region] = min(slots, upstream.registration.slots)
                 upstream.resize()
 
-    def list_lent(self, service: str, region: str) -> dict[str, int]:
-        """Return the slots lent to a region, by upstream."""
-        return {
-            u.upstream_id: u.lent[region]
+    def count_lent(self, service: str, region: str) -> float:
+        """Return the usable slots of a service that a region has borrowed."""
+        return sum(
+            u.lent[region] * u.usable_share
             for u in self._upstreams.values()
             if u.registration.service == service and region in u.lent
+        )
+
+    def record_rate(
+        self, upstream_id: str, per_s: float, sent_at: float, now: float
+    ) -> bool:
+        """Apply the rate limit named in the answer to a request.
+
+        Returns whether it changed the limit of a known upstream.
+        """
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None:
+            return False
+        return upstream.rate.record(per_s, sent_at, now)
+
+    def list_rates(self, since: float, region: str = "") -> dict[str, float]:
+        """Return the rate limits heard of since a time, by upstream.
+
+        Those of upstreams that have named one before and name none now are
+        infinite. With a region, only borrowed upstreams there are listed.
+        """
+        return {
+            u.upstream_id: u.rate.per_s
+            for u in self._upstreams.values()
+            if u.rate.was_named(since)
+            and (not region or u.borrowed and u.registration.region == region)
         }
 
     def list_borrowed(self, region: str) -> dict[str, int]:
@@ -219,10 +253,12 @@
         }
 
     def count_borrowed(self, region: str) -> Counter[str]:
-        """Return the slots borrowed from a region, by service."""
+        """Return the usable slots borrowed from a region, by service."""
         slots: Counter[str] = Counter()
         for upstream_id, count in self.list_borrowed(region).items():
-            slots[self._upstreams[upstream_id].registration.service] += count
+            upstream = self._upstreams[upstream_id]
+            service = upstream.registration.service
+            slots[service] += count * upstream.usable_share
         return slots
 
     def end_loan(self, region: str, now: float) -> list[Decision]:
@@ -414,7 +450,7 @@
             for u in state.ranking.upstreams
             if u.accepts(claim) and u.capacity
         ]
-        slots = sum(u.capacity for u in usable)
+        slots = sum(u.capacity * u.usable_share for u in usable)
         if slots == 0:
             return RETRY_MAX_S
         running_s = sum(
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 from radishstile.slot.claim import Claim, Ending
+from radishstile.slot.rate_limit import RateLimit
 from radishstile.slot.settings import SlotSettings
 from radishstile.upstream.registration import Registration
 from radishstile.workspace.bucket import TokenBucket
@@ -46,7 +47,7 @@
     and `capacity` is that without those lent to other regions. `borrowed` is
     the number of slots borrowed, if the upstream is in another region.
     `is_untried` is whether it joined after the first list of upstreams and had
-    no run yet.
+    no run yet. `rate` is the limit that the upstream names in its answers.
     """
 
     __slots__ = (
@@ -58,12 +59,14 @@
         "queued_work_s",
         "runs",
         "is_untried",
+        "rate",
         "_settings",
         "_cached_objects",
         "_cold_bucket",
         "_cold_until",
         "_failure_share",
         "_duration_ratio",
+        "_mean_hold_s",
         "_suspended_until",
         "_suspend_s",
         "_probed_at",
@@ -87,6 +90,7 @@
         self.queued_work_s: dict[int, float] = {}
         self.runs: dict[str, Run] = {}
         self.is_untried = False
+        self.rate = RateLimit(now)
         self._settings = settings
         self._cached_objects: OrderedDict[str, None] = OrderedDict()
         rate = warmup_per_s * settings.cold_share
@@ -95,6 +99,8 @@
         self._cold_until = registration.cold_until
         self._failure_share = 0.0
         self._duration_ratio = 1.0
+        # Mean duration of its runs in seconds, or 0 before the first.
+        self._mean_hold_s = 0.0
         self._suspended_until = 0.0
         self._suspend_s = settings.suspend_s
         self._probed_at = 0.0
@@ -109,10 +115,19 @@
         """Return the number of occupied slots."""
         return len(self.runs)
 
+    @property
+    def usable_share(self) -> float:
+        """Return the part of its slots that its rate limit can keep busy."""
+        if not self.rate.is_limited or not self._mean_hold_s:
+            return 1.0
+        busy = self.rate.per_s * self._mean_hold_s
+        return min(1.0, busy / max(1, self.registration.slots))
+
     def resize(self) -> None:
         """Set the capacity from the slots allotted, lent and borrowed."""
         free = max(0, self.allotted - sum(self.lent.values()))
         self.capacity = free + self.borrowed
+        self.rate.resize(self.capacity / max(1, self.registration.slots))
 
     def update(self, registration: Registration) -> None:
         """Apply a changed registration of the same incarnation."""
@@ -138,6 +153,8 @@
         """Return whether a claim may start now."""
         if self.running >= self.capacity or self.is_suspended(now):
             return False
+        if not self.rate.has_token(now):
+            return False
         if not self.is_cold(now):
             return True
         self._cold_bucket.refill(now)
@@ -189,7 +206,12 @@
         running_s = sum(
             run.estimate_remaining(now) for run in self.runs.values()
         )
-        return (running_s + self.sum_queued_work(priority)) / self.capacity
+        queued_s = self.sum_queued_work(priority)
+        wait_s = (running_s + queued_s) / self.capacity
+        if not self.rate.is_limited or not self._mean_hold_s:
+            return wait_s
+        ahead = queued_s / self._mean_hold_s
+        return max(wait_s, self.rate.estimate_wait(ahead, now))
 
     def sum_queued_work(self, priority: int) -> float:
         """Return the slot-seconds of claims at least as urgent."""
@@ -203,6 +225,7 @@
         """Occupy a slot with a run."""
         self.runs[run.claim.claim_id] = run
         self.is_untried = False
+        self.rate.take(run.started_at)
         if self.is_cold(run.started_at):
             self._cold_bucket.take(1.0)
         if self.is_avoided():
@@ -235,6 +258,8 @@
         self._failure_share += smoothing * (is_bad - self._failure_share)
         if ending is Ending.SERVED:
             self._suspend_s = self._settings.suspend_s
+            mean_s = self._mean_hold_s or held_s
+            self._mean_hold_s = mean_s + smoothing * (held_s - mean_s)
         if ending in (Ending.SERVED, Ending.TIMED_OUT):
             ratio = held_s / max(run.expected_s, 0.001)
             self._duration_ratio += smoothing * (ratio - self._duration_ratio)
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -72,13 +72,26 @@
 class SlotReport(Message):
     """Releases a slot that was held for `held_s` seconds.
 
-    `ending` is a value of `Ending`.
+    `ending` is a value of `Ending`. `rate_limit` is the one that the answer
+    named, in requests a second: infinity for none, None without an answer.
     """
 
-    __slots__ = ("ending", "held_s")
+    __slots__ = ("ending", "held_s", "rate_limit")
 
     ending: str
     held_s: float
+    rate_limit: float | None
+
+
+class ReportRates(Message):
+    """Tells a host's new leader the rate limits of upstreams.
+
+    `rates` maps upstreams to requests a second; infinity stands for none.
+    """
+
+    __slots__ = ("rates",)
+
+    rates: dict
 
 
 class FollowLead(Message):
@@ -151,16 +164,18 @@
     `slots` maps services to the total of slots wanted, and `tokens` maps
     workspaces to tokens. The answer replaces earlier loans. `held` maps
     upstreams to the slots that a previous leader of the lender has lent, and
-    is empty if the receiver has lent them. `is_new` tells that the sender
+    is empty if the receiver has lent them. `rates` maps borrowed upstreams to
+    the rate limits that they have just named. `is_new` tells that the sender
     knows of no loan; one that the receiver knows of goes on.
     """
 
-    __slots__ = ("region", "slots", "tokens", "held", "is_new")
+    __slots__ = ("region", "slots", "tokens", "held", "rates", "is_new")
 
     region: str
     slots: dict
     tokens: dict
     held: dict
+    rates: dict
     is_new: bool
 
 
--- a/radishstile/wire/registry.py
+++ b/radishstile/wire/registry.py
@@ -56,4 +56,5 @@
     98: slot.LentSlots,
     99: slot.MirrorQuery,
     100: slot.MirrorReply,
+    101: slot.ReportRates,
 }
