--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -15,7 +15,7 @@
     plan_loan,
     plan_needs,
 )
-from radishstile.slot.loan_limiter import LoanRateLimiter
+from radishstile.slot.loan_limiter import OWN, LoanRateLimiter
 from radishstile.wire.messages.slot import BorrowSlots, LentSlots
 
 _LOG = logging.getLogger("radishstile.loans")
@@ -230,9 +230,17 @@
         }
         for region, slots in target.items():
             self._planned[service, region] = slots
-        own = loads[self._local_region].capacity
+        granted = dict(
+            self._admission.scheduler.grants.recent.get(service, {})
+        )
+        granted[OWN] = granted.pop(self._local_region, 0.0)
         return self._limiter.limit_change(
-            service, own, current, {**current, **target}, read_clock()
+            service,
+            loads[self._local_region].capacity,
+            current,
+            {**current, **target},
+            granted,
+            read_clock(),
         )
 
     async def _borrow(
--- a/radishstile/slot/grants.py
+++ b/radishstile/slot/grants.py
@@ -5,13 +5,21 @@
 
 from radishstile.slot.upstream import UpstreamState
 
+# Part of the recent grants that counts on after a reading: of readings twice a
+# second, those of the last two seconds weigh most.
+DECAY = 0.75
+
 
 class GrantCounts:
-    """The slots granted since the last reading, by service and region."""
+    """The slots granted since the last reading, by service and region.
+
+    `recent` also has earlier ones, which count less with each reading.
+    """
 
-    __slots__ = ("_counts",)
+    __slots__ = ("recent", "_counts")
 
     def __init__(self):
+        self.recent: dict[str, dict[str, float]] = {}
         self._counts: dict[str, Counter[str]] = {}
 
     def record(self, service: str, region: str) -> None:
@@ -21,6 +29,13 @@
     def take(self) -> dict[str, dict[str, int]]:
         """Return the counts, and start again at zero."""
         counts, self._counts = self._counts, {}
+        for service in self.recent.keys() | counts.keys():
+            before = self.recent.get(service, {})
+            new = counts.get(service, Counter())
+            self.recent[service] = {
+                region: before.get(region, 0.0) * DECAY + new[region]
+                for region in before.keys() | new.keys()
+            }
         return {service: dict(regions) for service, regions in counts.items()}
 
 
--- a/radishstile/slot/loan_limiter.py
+++ b/radishstile/slot/loan_limiter.py
@@ -4,6 +4,9 @@
 limited. It follows the region's mix: the shares of its own slots and of those
 borrowed from each other region. All loans of a service are limited together,
 since two that grow at once move the requests of both.
+
+Requests don't follow slots alone: under little load they go where their
+objects are cached. So slots are weighted by the requests that they get.
 """
 
 from collections import deque
@@ -19,23 +22,32 @@
 # Halvings of the interval in which the largest permitted step is searched.
 SEARCH_STEPS = 16
 
+# Grants of the last rounds below which slots have equal weights, and the
+# smallest and the largest weight, so that chance changes them little.
+MIN_GRANTS = 100
+MIN_WEIGHT = 0.5
+MAX_WEIGHT = 3.0
+# Name of a region's own slots among those of its lenders.
+OWN = ""
+
+# Slots or their shares, by region.
 Mix = dict[str, float]
 
 
 class LoanRateLimiter:
     """Limits loan changes; times are the event loop's, in seconds."""
 
-    __slots__ = ("_unlimited_until", "_mixes")
+    __slots__ = ("_unlimited_until", "_slots")
 
     def __init__(self):
         self._unlimited_until = float("-inf")
-        # The recent mixes of each service, with their times.
-        self._mixes: dict[str, deque[tuple[float, Mix]]] = {}
+        # The recent slots of each service by region, with their times.
+        self._slots: dict[str, deque[tuple[float, Mix]]] = {}
 
     def start(self, now: float) -> None:
         """Let loans follow the plan at once, as none are known yet."""
         self._unlimited_until = now + UNLIMITED_S
-        self._mixes.clear()
+        self._slots.clear()
 
     def resume(self) -> None:
         """Limit changes from now on, as earlier loans go on."""
@@ -51,41 +63,45 @@
         own: float,
         current: dict[str, float],
         target: dict[str, float],
+        granted: dict[str, float],
         now: float,
     ) -> dict[str, float]:
         """Return the next loans of a service, in slots by lender.
 
         `own` are the slots of the region itself, `current` and `target` the
-        loans in use and those planned. A change that comes about without the
-        loans, such as the loss of own slots, is not undone.
+        loans in use and those planned, `granted` the recent grants by region,
+        those of the region itself under an empty name. A change that comes
+        about without the loans, such as the loss of own slots, is not undone.
         """
         if self.is_unlimited(now):
             return dict(target)
-        history = self._record(service, _mix(own, current), now)
+        slots = {**current, OWN: own}
+        history = self._record(service, slots, now)
+        weights = _weigh(slots, granted)
+        mix = _mix(slots, weights)
+        past = [_mix(earlier, weights) for earlier in history]
         limits = [
-            (mix, max(MAX_SHIFT_SHARE, measure_shift(mix, history[-1][1])))
-            for _, mix in history
+            (earlier, max(MAX_SHIFT_SHARE, measure_shift(earlier, mix)))
+            for earlier in past
         ]
         low, high = 0.0, 1.0
         step = 1.0
         for _ in range(SEARCH_STEPS):
             loans = _step_towards(current, target, step)
-            if _is_within(_mix(own, loans), limits):
+            if _is_within(_mix({**loans, OWN: own}, weights), limits):
                 low = step
             else:
                 high = step
             step = (low + high) / 2
         return _step_towards(current, target, low)
 
-    def _record(
-        self, service: str, mix: Mix, now: float
-    ) -> deque[tuple[float, Mix]]:
-        """Add a mix, and return those in use within the window."""
-        history = self._mixes.setdefault(service, deque())
-        history.append((now, mix))
+    def _record(self, service: str, slots: Mix, now: float) -> list[Mix]:
+        """Add the slots, and return those in use within the window."""
+        history = self._slots.setdefault(service, deque())
+        history.append((now, slots))
         while len(history) > 1 and history[1][0] <= now - WINDOW_S:
             history.popleft()
-        return history
+        return [earlier for _, earlier in history]
 
 
 def measure_shift(before: Mix, after: Mix) -> float:
@@ -100,13 +116,32 @@
     return all(measure_shift(past, mix) <= limit for past, limit in limits)
 
 
-def _mix(own: float, loans: dict[str, float]) -> Mix:
-    """Return the share of each region; the region's own has no name."""
-    slots = {**loans, "": own}
-    total = sum(slots.values())
+def _weigh(slots: Mix, granted: dict[str, float]) -> Mix:
+    """Return how many requests a slot of each region gets, on average 1."""
+    total_slots = sum(slots.values())
+    total_granted = sum(granted.values())
+    if total_granted < MIN_GRANTS:
+        return {}
+    weights = {}
+    for region, amount in slots.items():
+        if amount <= 0:
+            continue
+        share = granted.get(region, 0.0) / total_granted
+        weight = share * total_slots / amount
+        weights[region] = min(max(weight, MIN_WEIGHT), MAX_WEIGHT)
+    return weights
+
+
+def _mix(slots: Mix, weights: Mix) -> Mix:
+    """Return the share of each region, where slots have weights."""
+    weighted = {
+        region: amount * weights.get(region, 1.0)
+        for region, amount in slots.items()
+    }
+    total = sum(weighted.values())
     if total <= 0:
         return {}
-    return {region: amount / total for region, amount in slots.items()}
+    return {region: amount / total for region, amount in weighted.items()}
 
 
 def _step_towards(
--- a/test/slot/test_loan_limiter.py
+++ b/test/slot/test_loan_limiter.py
@@ -31,12 +31,13 @@
         self.limiter = LoanRateLimiter()
         self.mixes = []
         self.now = 100.0
+        self.granted = {}
         self.loans = dict.fromkeys(LENDERS, 0.0)
 
     def run_rounds(self, rounds, own, target):
         for _ in range(rounds):
             self.loans = self.limiter.limit_change(
-                "press", own, self.loans, target, self.now
+                "press", own, self.loans, target, self.granted, self.now
             )
             self.now += ROUND_S
             self.mixes.append(mix(own, self.loans))
@@ -83,6 +84,17 @@
         self.run_rounds(8, 12.0, {"piedmont": 10.0, "delta": 10.0})
         self.assertAlmostEqual(self.loans["delta"], 10.0, delta=0.1)
 
+    def test_slots_that_get_more_requests_are_returned_more_slowly(self):
+        """Under little load requests go where their objects are cached."""
+        self.limiter.start(self.now - UNLIMITED_S)
+        self.loans = {"piedmont": 30.0, "delta": 30.0}
+        self.granted = {"": 96.0, "piedmont": 40.0, "delta": 80.0}
+        shares = {r: n / 216 for r, n in self.granted.items()}
+        self.run_rounds(4, 108.0, {"piedmont": 30.0, "delta": 0.0})
+        returned = 1 - self.loans["delta"] / 30.0
+        self.assertGreater(returned, 0.05)
+        self.assertLess(shares["delta"] * returned, MAX_SHIFT_SHARE)
+
     def test_no_schedule_of_plans_moves_many_requests(self):
         for seed in range(100):
             choose = random.Random(seed)
