Let loans grow faster than they are returned

Slots that are not needed can be returned late. So loans may grow by 0.12 in 2 s, but not while the requests of lost own slots move as well, and are returned by 0.07.

--- a/radishstile/slot/loan_limiter.py
+++ b/radishstile/slot/loan_limiter.py
@@ -14,8 +14,13 @@
 # Window over which the limit holds, in seconds.
 WINDOW_S = 2.0
 # Fraction of a service's slots that may change their region within a window.
-# The bound for requests is 0.15; the rest is for chance in where they run.
-MAX_SHIFT_SHARE = 0.08
+# Loans may grow faster than they are returned, since a region that lacks slots
+# refuses callers; but not while the requests of lost slots move as well. The
+# bound for requests is 0.15; the rest is for chance in where they run.
+MAX_GROWTH_SHIFT = 0.12
+MAX_RETURN_SHIFT = 0.07
+# Part of a region's own slots whose loss within the window counts.
+LOST_SHARE = 0.05
 # Time after a leader's start during which loans follow the plan at once, in
 # seconds: the longest time that hosts may take to reconnect.
 UNLIMITED_S = 4.0
@@ -80,8 +85,14 @@
         weights = _weigh(slots, granted)
         mix = _mix(slots, weights)
         past = [_mix(earlier, weights) for earlier in history]
+        limit = MAX_RETURN_SHIFT
+        has_lost_slots = any(
+            own < earlier[OWN] * (1 - LOST_SHARE) for earlier in history
+        )
+        if sum(target.values()) > sum(current.values()) and not has_lost_slots:
+            limit = MAX_GROWTH_SHIFT
         limits = [
-            (earlier, max(MAX_SHIFT_SHARE, measure_shift(earlier, mix)))
+            (earlier, max(limit, measure_shift(earlier, mix)))
             for earlier in past
         ]
         low, high = 0.0, 1.0
