Follow the list of upstreams around an entry that can't be decoded

Another operator's machines stopped following their list when one odd entry stood in it. It can happen here: the store's answer was decoded as a whole, so a value nested more than 1,024 deep, or a number above 1e308, in one entry hid all others, and new upstreams stayed unknown. A port out of range was accepted, and connecting to it raised an error that is none of the expected ones.

--- a/radishstile/platform/objects.py
+++ b/radishstile/platform/objects.py
@@ -17,6 +17,7 @@
 )
 from radishstile.platform.calls import CallKind, StoreCallCounters
 from radishstile.platform.host_file import Endpoint
+from radishstile.platform.json_codec import decode_json, is_too_deep
 
 # For calls other than watches; the store answers in milliseconds, and in a
 # quarter of a second while it is slow.
@@ -246,7 +247,7 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 _check_status(response.status, path)
-                record = orjson.loads(await _read_body(response) or b"{}")
+                record = decode_json(await _read_body(response))
         except aiohttp.ClientConnectorError as error:
             self.calls.record_failure()
             raise StoreUnavailableError(f"{path}: can't connect") from error
@@ -314,6 +315,11 @@
         metadata["name"],
         metadata["revision"],
         bool(metadata.get("deleting")),
-        record.get("spec"),
-        record.get("status"),
+        _drop_deep(record.get("spec")),
+        _drop_deep(record.get("status")),
     )
+
+
+def _drop_deep(value: Any) -> Any:
+    """Return the value, or None if it is nested too deeply to be used."""
+    return None if is_too_deep(value) else value
--- a/radishstile/platform/registrations.py
+++ b/radishstile/platform/registrations.py
@@ -19,6 +19,8 @@
 EVACUATION_KIND = "evacuations"
 HOST_KIND = "entry-hosts"
 
+MAX_PORT = 65_535
+
 
 class MalformedEntryError(PlatformError):
     """A stored registration can't be decoded."""
@@ -54,7 +56,7 @@
             require_type(int, record.get("born", 0)),
             now,
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         detail = f"{type(error).__name__}: {error}"
         raise MalformedEntryError(f"{stored.name}: {detail}") from error
 
@@ -92,4 +94,7 @@
     address, _, port = text.rpartition(":")
     if not address:
         raise ValueError(f"{text!r} is not ADDRESS:PORT")
-    return address, int(port)
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f"{text!r} has no valid port")
+    return address, number
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import orjson
+
 from standin.object_store import FailureMode
 from test.entry._common import (
     CONFIGURATION,
@@ -225,6 +227,27 @@
             await asyncio.sleep(0.05)
             self.assertEqual((await self.ask()).status, 200)
 
+    # One odd entry made hosts stop following the list of upstreams.
+    async def test_undecodable_registration_does_not_hide_others(self):
+        record = self.store.get_spec("servers", self.upstreams[0].name)
+        for number, text in enumerate(
+            (
+                b"[" * 3000 + b"]" * 3000,
+                b'{"a":' * 600 + b"1" + b"}" * 600,
+                b'{"slots":1e400}',
+                b'{"address":"127.0.0.1:99999"}',
+            )
+        ):
+            with self.subTest(text[:20]):
+                self.store.put("servers", "i-odd", orjson.Fragment(text))
+                name = f"i-later-{number}"
+                status = {"state": "ready", "sequence": 1}
+                self.store.put("servers", name, record, status)
+                await asyncio.sleep(0.3)
+                registry = self.host.entry.node.registry
+                self.assertIsNotNone(registry.find_usable(name))
+                self.assertIsNone(registry.find_usable("i-odd"))
+
     async def test_requests_survive_an_unreachable_upstream(self):
         await self.upstreams[0].stop()
         for _ in range(6):
