Refuse requests that come late in a planned stop on busy connections

Another operator's machines took requests late in the grace period, passed them on and cut them off at its end, those that must not be repeated too. It can happen here: past half of the grace period new connections are refused and idle ones closed, but a pipelining caller's connection is never idle, so its late requests were passed on, and cut with no answer when the drain ended.

They are answered 503 (stopping, not run) now, as soon as they are read. test_stopping_host_refuses_late_requests_on_busy_connections failed before: the connection ended without an answer to an order that an upstream was running.

--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -40,6 +40,8 @@
 # Read timeout of a request's body in seconds: the longest timeout of the
 # configured routes.
 BODY_TIMEOUT_S = 10.0
+# Retry-After of a host that stops, in seconds: others serve at once.
+STOPPING_RETRY_S = 0.05
 # Listen backlog; bursts open some hundred connections at once.
 BACKLOG = 1024
 
@@ -87,6 +89,15 @@
         """Stop listening, so that callers try another host."""
         self._server.close()
 
+    def refuse_requests(self) -> None:
+        """Refuse further requests on open connections.
+
+        A pipelining caller keeps its connection busy, so that it is never
+        idle, and what came late would be cut off at the end of the drain.
+        """
+        for connection in self._connections:
+            connection.refuses_requests = True
+
     def close_idle(self) -> None:
         """Close the connections without requests in flight."""
         for connection in list(self._connections):
@@ -127,6 +138,7 @@
     """A caller's connection: reads requests, writes answers in order."""
 
     __slots__ = (
+        "refuses_requests",
         "_node",
         "_forwarder",
         "_stream",
@@ -139,6 +151,7 @@
     def __init__(
         self, node: EntryNode, forwarder: RequestForwarder, stream: ByteStream
     ):
+        self.refuses_requests = False
         self._node = node
         self._forwarder = forwarder
         self._stream = stream
@@ -264,6 +277,7 @@
         try:
             caller_request = decode_caller_request(request)
             request_id = caller_request.request_id
+            self._check_accepting()
             answer = await self._forwarder.serve(caller_request)
         except RefusalError as refusal:
             await _wait_for(previous)
@@ -275,6 +289,15 @@
         finally:
             await answer.close()
 
+    def _check_accepting(self) -> None:
+        if self.refuses_requests:
+            raise RefusalError(
+                Reason.STOPPING,
+                Outcome.NOT_RUN,
+                STOPPING_RETRY_S,
+                "the host stops before the request could complete",
+            )
+
     def _write_refusal(
         self, request: Request, request_id: str, refusal: RefusalError
     ) -> None:
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -216,6 +216,7 @@
         while read_clock() - stopped_at < grace_s * DRAIN_GRACE_SHARE:
             if read_clock() - stopped_at > grace_s * ACCEPT_GRACE_SHARE:
                 self._caller_server.stop_listening()
+                self._caller_server.refuse_requests()
                 self._caller_server.close_idle()
                 if not self._caller_server.count_open():
                     return
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -318,6 +318,25 @@
             answer = await caller.receive()
         self.assertEqual(answer.status, 200)
 
+    # A late request on a busy connection was passed on and then cut off.
+    async def test_stopping_host_refuses_late_requests_on_busy_connections(
+        self,
+    ):
+        self.host.entry.node.file.bounds.grace_s = 3.0
+        for upstream in self.upstreams:
+            upstream.delay_s = 1.0
+        async with Caller(self.host) as caller:
+            await asyncio.sleep(0.1)
+            self.host.stopping.set()
+            await asyncio.sleep(1.2)
+            caller.send("/order/1", method="POST", body=b"x")
+            await asyncio.sleep(0.7)
+            caller.send("/order/2", method="POST", body=b"x")
+            answers = [await caller.receive() for _ in range(2)]
+        self.assertEqual([a.status for a in answers], [200, 503])
+        self.assertIn("retry-after", answers[1].headers)
+        self.assertEqual(len(self.list_runs()), 1)
+
     async def test_stop_ends_within_its_grace_period_if_the_store_client_hangs(
         self,
     ):
