Test answers that stop within their head

Another operator's clients got a 200 with an empty or short body, framed as whole, when a backend closed in the middle of its answer's head. It does not happen here: the parser takes an answer without a complete head as broken.

--- a/test/entry/_common.py
+++ b/test/entry/_common.py
@@ -106,7 +106,7 @@
                 answer = self.answers.pop(0) if self.answers else answer_ok
                 writer.write(answer(head))
                 await writer.drain()
-                if answer is truncate:
+                if answer in (truncate, stop_within_head):
                     return
         except ConnectionError:
             pass
@@ -206,6 +206,10 @@
     return answer_ok(head)[:-2]
 
 
+def stop_within_head(head):
+    return answer_ok(head).partition(b"Content-Length")[0]
+
+
 class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
     """A test case with a store, two upstreams and one entry host."""
 
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -19,6 +19,7 @@
     repeat_refusal,
     repeat_refusal_without_id,
     send_head_without_end,
+    stop_within_head,
     truncate,
 )
 
@@ -101,6 +102,17 @@
                     self.assertEqual(len(self.list_runs()), runs)
                     self.assertNotIn(answer.status, (200, 429, 503))
 
+    # A head that breaks off must not reach the caller as a whole answer.
+    async def test_answer_that_stops_within_its_head_is_no_success(self):
+        for upstream in self.upstreams:
+            upstream.answers = [stop_within_head] * 4
+        order = await self.ask("/order/1", method="POST", body=b"x")
+        self.assertEqual((order.status, len(self.list_runs())), (502, 1))
+        self.assertEqual((await self.ask("/read/1")).status, 502)
+        self.upstreams[0].answers = [stop_within_head]
+        self.upstreams[1].answers = []
+        self.assertEqual((await self.ask("/read/2")).body, b"done")
+
     async def test_unsolicited_answer_is_discarded(self):
         for upstream in self.upstreams:
             upstream.answers = [answer_twice, answer_other_request]
