Count the usable slots of a loan in one place

Cause: lender and borrower each counted the slots that the rate limits of the lent upstreams can keep busy. The lender knew no durations of runs there and counted all; the borrower counted fewer than it had asked for, took those as the loan in use, asked for little more, and got fewer usable ones again.

The lender's count is part of its answer, and both use it. Upstreams that had no run have an assumed duration.

--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -155,6 +155,7 @@
         for upstream_id, per_s in message.rates.items():
             self._admission.record_rate(upstream_id, per_s, now)
         slots: dict[str, int] = {}
+        usable: dict[str, float] = {}
         for service, wanted in message.slots.items():
             loads = self._collect_loads(service)
             if region not in loads:
@@ -164,11 +165,17 @@
                 plan = plan_loan(loads, self._local_region, region)
                 held = min(wanted, max(math.ceil(plan), held))
             slots |= scheduler.lend(service, region, held, now)
+            usable[service] = scheduler.count_lent(service, region)
         tokens = {
             name: self._admission.quotas.lend(name, amount, now)
             for name, amount in message.tokens.items()
         }
-        return LentSlots(slots=slots, tokens=tokens, is_continued=is_continued)
+        return LentSlots(
+            slots=slots,
+            usable=usable,
+            tokens=tokens,
+            is_continued=is_continued,
+        )
 
     def _end_expired(self) -> None:
         now = read_clock()
@@ -290,10 +297,9 @@
         self._admission.borrow(region, answer.slots)
         if answer.is_continued:
             self._limiter.resume()
-        lent = self._admission.scheduler.count_borrowed(region)
         for service in loan.wanted:
             loan.planned[service] = self._planned.get((service, region), 0.0)
-            loan.record(service, lent[service])
+            loan.record(service, answer.usable.get(service, 0.0))
         for name, amount in answer.tokens.items():
             self._admission.quotas.add_borrowed(name, amount)
 
--- a/radishstile/slot/rate_limit.py
+++ b/radishstile/slot/rate_limit.py
@@ -4,9 +4,11 @@
 
 from radishstile.workspace.bucket import TokenBucket
 
-# Requests that may be sent at once after a pause. Schedulers that share an
-# upstream may each use one at the same time.
-BURST = 1.0
+# Time in which unused tokens accrue, in seconds, and the least of them that a
+# scheduler can save. In four seconds an upstream gets at most what its limit
+# allows in 4.5, and one request for each scheduler.
+BURST_S = 0.5
+MIN_BURST = 1.0
 
 
 class RateLimit:
@@ -25,7 +27,7 @@
         self._named_at = float("-inf")
         self._heard_at = float("-inf")
         self._share = 0.0
-        self._bucket = TokenBucket(0.0, BURST, now)
+        self._bucket = TokenBucket(0.0, MIN_BURST, now)
 
     @property
     def is_limited(self) -> bool:
@@ -87,4 +89,6 @@
     def _resize(self) -> None:
         """Set the rate; tokens accrue with it from the last refill on."""
         if self.is_limited:
-            self._bucket.rate_per_s = self.per_s * self._share
+            rate = self.per_s * self._share
+            self._bucket.rate_per_s = rate
+            self._bucket.burst = max(MIN_BURST, rate * BURST_S)
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections import Counter
 
 from radishstile.catalog.catalog import Service
 from radishstile.outcome import Reason
@@ -252,15 +251,6 @@
             if u.registration.region == region and u.borrowed
         }
 
-    def count_borrowed(self, region: str) -> Counter[str]:
-        """Return the usable slots borrowed from a region, by service."""
-        slots: Counter[str] = Counter()
-        for upstream_id, count in self.list_borrowed(region).items():
-            upstream = self._upstreams[upstream_id]
-            service = upstream.registration.service
-            slots[service] += count * upstream.usable_share
-        return slots
-
     def end_loan(self, region: str, now: float) -> list[Decision]:
         """End the loan of all slots that a region has borrowed."""
         for upstream in self._upstreams.values():
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -14,6 +14,9 @@
 # Assumed remaining time of a run that exceeds its expected time, in seconds.
 # It is short, because the mean remaining time of late runs is not known.
 MIN_REMAINING_S = 0.05
+# Assumed mean duration of an upstream's runs before the first, in seconds: a
+# lender may know of a rate limit without a run of its own.
+ASSUMED_HOLD_S = 0.4
 # Endings that count for the upstream's health.
 _HEALTH_ENDINGS = _FAILURE_ENDINGS | {Ending.SERVED}
 
@@ -99,8 +102,7 @@
         self._cold_until = registration.cold_until
         self._failure_share = 0.0
         self._duration_ratio = 1.0
-        # Mean duration of its runs in seconds, or 0 before the first.
-        self._mean_hold_s = 0.0
+        self._mean_hold_s = ASSUMED_HOLD_S
         self._suspended_until = 0.0
         self._suspend_s = settings.suspend_s
         self._probed_at = 0.0
@@ -118,7 +120,7 @@
     @property
     def usable_share(self) -> float:
         """Return the part of its slots that its rate limit can keep busy."""
-        if not self.rate.is_limited or not self._mean_hold_s:
+        if not self.rate.is_limited:
             return 1.0
         busy = self.rate.per_s * self._mean_hold_s
         return min(1.0, busy / max(1, self.registration.slots))
@@ -208,7 +210,7 @@
         )
         queued_s = self.sum_queued_work(priority)
         wait_s = (running_s + queued_s) / self.capacity
-        if not self.rate.is_limited or not self._mean_hold_s:
+        if not self.rate.is_limited:
             return wait_s
         ahead = queued_s / self._mean_hold_s
         return max(wait_s, self.rate.estimate_wait(ahead, now))
@@ -258,8 +260,7 @@
         self._failure_share += smoothing * (is_bad - self._failure_share)
         if ending is Ending.SERVED:
             self._suspend_s = self._settings.suspend_s
-            mean_s = self._mean_hold_s or held_s
-            self._mean_hold_s = mean_s + smoothing * (held_s - mean_s)
+            self._mean_hold_s += smoothing * (held_s - self._mean_hold_s)
         if ending in (Ending.SERVED, Ending.TIMED_OUT):
             ratio = held_s / max(run.expected_s, 0.001)
             self._duration_ratio += smoothing * (ratio - self._duration_ratio)
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -182,12 +182,15 @@
 class LentSlots(Message):
     """Answers `BorrowSlots`: slots per upstream and tokens per workspace.
 
-    `is_continued` tells that the slots are those of an earlier loan.
+    `usable` maps services to the slots that the rate limits of the lent
+    upstreams can keep busy. `is_continued` tells that the slots are those of
+    an earlier loan.
     """
 
-    __slots__ = ("slots", "tokens", "is_continued")
+    __slots__ = ("slots", "usable", "tokens", "is_continued")
 
     slots: dict
+    usable: dict
     tokens: dict
     is_continued: bool
 
--- a/test/entry/_regions.py
+++ b/test/entry/_regions.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections import Counter, OrderedDict
 from types import SimpleNamespace
@@ -45,6 +46,8 @@
     def __init__(self, registration):
         self.registration = registration
         self.slowness = 1.0
+        # The limit that it names, in requests a second.
+        self.rate_limit = math.inf
         self._cached = OrderedDict()
 
     async def run(self, object_key, work_s):
@@ -224,6 +227,10 @@
             at += STEP_S
         return worst, worst_at
 
+    def count_runs(self, region, since):
+        """Return how many requests of a region ran since a time."""
+        return self._count(region, since, float("inf")).total()
+
     def _count(self, region, since, until):
         return Counter(
             run_region
@@ -283,6 +290,7 @@
         began_at = loop.time()
         self.runs.append((began_at, region, upstream.registration.region))
         ending = await upstream.run(key, work_s)
+        admission.record_rate(grant.upstream_id, upstream.rate_limit, began_at)
         admission.release(claim, grant, ending, loop.time() - began_at)
 
 
--- a/test/entry/test_region_shares.py
+++ b/test/entry/test_region_shares.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from test._common import PausedTestCase
-from test.entry._regions import RegionFleet
+from test.entry._regions import CALLERS_PER_S, RegionFleet
 
 # Largest share of a region's requests that may change the region where they
 # run from one window of two seconds to the next.
@@ -61,7 +61,7 @@
 
     def count_borrowed(self):
         scheduler = self.fleet.leaders["gulf"].admission.scheduler
-        return scheduler.count_borrowed("delta").total()
+        return sum(scheduler.list_borrowed("delta").values())
 
     # SHIFT: the new leader of a lender lent nothing for a moment.
     async def test_new_leader_of_a_lender_continues_the_loan(self):
@@ -81,3 +81,25 @@
         await self.fleet.replace_leader("gulf")
         await asyncio.sleep(0.2)
         self.assertAlmostEqual(self.count_borrowed(), before, delta=4)
+
+
+class NamedLimitTest(PausedTestCase):
+    """Load: all upstreams name a limit that suffices for all callers.
+
+    Lender and borrower counted the slots that the limits keep busy each for
+    itself. The borrower found less than was lent, asked for that little more
+    slowly each time, and was left with nearly nothing.
+    """
+
+    async def test_region_keeps_its_loans_when_upstreams_name_limits(self):
+        fleet = RegionFleet()
+        self.addCleanup(fleet.stop)
+        fleet.start()
+        await asyncio.sleep(SETTLED_S)
+        for upstream in fleet.upstreams.values():
+            upstream.rate_limit = 6.0
+        await asyncio.sleep(10.0)
+        since = self.now
+        await asyncio.sleep(4.0)
+        asked = CALLERS_PER_S["gulf"] * 4.0
+        self.assertGreater(fleet.count_runs("gulf", since), 0.6 * asked)
