Replace the slots of failed upstreams at once

Since the loss of slots no longer lifts the limit of loans, a region refused callers for seconds after a part of its upstreams had crashed.

What was wrong about the exemption was that planned changes had it too.

--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -30,6 +30,9 @@
 # borrower. The borrower's is shorter, so that no slot is used twice.
 LENT_TIMEOUT_S = 3.0
 BORROWED_TIMEOUT_S = 2.0
+# Part of a region's slots of a service whose loss by failures lifts the limit
+# of loans, so that the region's callers are not refused meanwhile.
+FAILED_SHARE = 0.1
 # Timeout of a remote leader's answer, in seconds.
 ANSWER_TIMEOUT_S = 1.0
 
@@ -199,10 +202,7 @@
             for service, loads in services.items()
         }
         now = read_clock()
-        led_since = self._leadership.followed_at
-        if led_since != self._led_since:
-            self._led_since = led_since
-            self._limiter.start(led_since)
+        self._lift_limit(services, now)
         self._admission.scheduler.sample_demand(needs, now)
         tokens = self._admission.quotas.list_shortfalls(now)
         wanted = {
@@ -222,6 +222,21 @@
         )
         self._report()
 
+    def _lift_limit(
+        self, services: dict[str, dict[str, RegionLoad]], now: float
+    ) -> None:
+        """Let loans follow the plan after a start or failed upstreams."""
+        led_since = self._leadership.followed_at
+        if led_since != self._led_since:
+            self._led_since = led_since
+            self._limiter.start(led_since)
+        failed = self._admission.scheduler.take_failed_slots()
+        for service, loads in services.items():
+            slots = failed.get(service, 0)
+            capacity = loads[self._local_region].capacity + slots
+            if slots > FAILED_SHARE * capacity:
+                self._limiter.start(now)
+
     def _limit_loans(
         self, service: str, loads: dict[str, RegionLoad]
     ) -> dict[str, float]:
--- a/radishstile/slot/loan_limiter.py
+++ b/radishstile/slot/loan_limiter.py
@@ -21,8 +21,8 @@
 MAX_RETURN_SHIFT = 0.07
 # Part of a region's own slots whose loss within the window counts.
 LOST_SHARE = 0.05
-# Time after a leader's start during which loans follow the plan at once, in
-# seconds: the longest time that hosts may take to reconnect.
+# Time after a leader's start, or a failure, during which loans follow the plan
+# at once, in seconds: the longest time that hosts may take to reconnect.
 UNLIMITED_S = 4.0
 # Halvings of the interval in which the largest permitted step is searched.
 SEARCH_STEPS = 16
@@ -50,7 +50,7 @@
         self._slots: dict[str, deque[tuple[float, Mix]]] = {}
 
     def start(self, now: float) -> None:
-        """Let loans follow the plan at once, as none are known yet."""
+        """Let loans follow the plan at once for some seconds."""
         self._unlimited_until = now + UNLIMITED_S
         self._slots.clear()
 
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -63,6 +63,7 @@
         "_restored",
         "_sampled_at",
         "_adopted_until",
+        "_failed_slots",
     )
 
     def __init__(self, region: str, host: str, settings: SlotSettings):
@@ -80,6 +81,8 @@
         self._restored: dict[tuple[str, int], CacheRecord] = {}
         # The time until which each region keeps an adopted loan.
         self._adopted_until: dict[str, float] = {}
+        # Slots of the region's upstreams that failed, by service.
+        self._failed_slots: dict[str, int] = {}
 
     def replace_upstreams(
         self,
@@ -104,10 +107,32 @@
             else:
                 upstream.update(registration)
             kept[registration.upstream_id] = upstream
+        self._count_failed(kept)
         self._upstreams = kept
         self._apply_restored()
         return self.set_share(self.share, now)
 
+    def _count_failed(self, kept: dict[str, UpstreamState]) -> None:
+        """Count the local slots that are lost as their upstreams failed."""
+        for upstream in self._upstreams.values():
+            is_lost = kept.get(upstream.upstream_id) is not upstream
+            if (
+                is_lost
+                and upstream.is_unreachable
+                and self._is_local(upstream)
+            ):
+                service = upstream.registration.service
+                slots = self._failed_slots.get(service, 0)
+                self._failed_slots[service] = slots + upstream.allotted
+
+    def take_failed_slots(self) -> dict[str, int]:
+        """Return the local slots lost by failures since the last call.
+
+        Upstreams that leave as planned are reachable to their end.
+        """
+        failed, self._failed_slots = self._failed_slots, {}
+        return failed
+
     def set_share(self, share: float, now: float) -> list[Decision]:
         """Change the share of the region's slots to grant."""
         self.share = share
--- a/radishstile/slot/upstream.py
+++ b/radishstile/slot/upstream.py
@@ -147,6 +147,11 @@
             or self._duration_ratio > self._settings.slow_ratio
         )
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Return whether it could not be reached since its last good run."""
+        return self._suspend_s > self._settings.suspend_s
+
     def is_suspended(self, now: float) -> bool:
         """Return whether the upstream could not be reached just before."""
         return now < self._suspended_until
--- a/test/entry/_regions.py
+++ b/test/entry/_regions.py
@@ -46,12 +46,15 @@
     def __init__(self, registration):
         self.registration = registration
         self.slowness = 1.0
+        self.has_crashed = False
         # The limit that it names, in requests a second.
         self.rate_limit = math.inf
         self._cached = OrderedDict()
 
     async def run(self, object_key, work_s):
         """Run a request and return how it ended."""
+        if self.has_crashed:
+            return Ending.UNREACHABLE
         if object_key in self._cached:
             work_s *= WARM_SHARE
         self._cached[object_key] = None
@@ -173,6 +176,12 @@
             del self.upstreams[name]
         self.apply_upstreams()
 
+    def crash_upstreams(self, region, share):
+        """Make a share of a region's upstreams unreachable for good."""
+        names = [n for n in self.upstreams if n.startswith(region)]
+        for name in names[: round(len(names) * share)]:
+            self.upstreams[name].has_crashed = True
+
     def list_usable(self):
         """Return the registrations of all upstreams."""
         return [u.registration for u in self.upstreams.values()]
--- a/test/entry/test_region_shares.py
+++ b/test/entry/test_region_shares.py
@@ -50,6 +50,23 @@
         await self.check_shift()
 
 
+class FailureTest(PausedTestCase):
+    # Callers were refused for seconds while loans replaced failed upstreams.
+    async def test_loans_replace_failed_upstreams_at_once(self):
+        fleet = RegionFleet()
+        self.addCleanup(fleet.stop)
+        fleet.start()
+        await asyncio.sleep(SETTLED_S)
+        scheduler = fleet.leaders["gulf"].admission.scheduler
+        before = sum(scheduler.list_borrowed("delta").values())
+        fleet.crash_upstreams("gulf", 0.5)
+        await asyncio.sleep(2.0)
+        fleet.remove_upstreams("gulf", 0.5)
+        await asyncio.sleep(1.2)
+        after = sum(scheduler.list_borrowed("delta").values())
+        self.assertGreater(after, before + 4)
+
+
 class LeaderChangeTest(PausedTestCase):
     """Loans go on when a leader of either side is replaced."""
 
