--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -118,29 +118,6 @@
             return START_RENEWAL_INTERVAL_S
         return RENEWAL_INTERVAL_S
 
-    def _report(self) -> None:
-        """Log the loans, and where slots were granted since the last round."""
-        now = read_clock()
-        scheduler = self._admission.scheduler
-        granted = scheduler.grants.take()
-        for service, regions in granted.items():
-            for region, count in regions.items():
-                self._node.metrics.grants.add(
-                    {"service": service, "region": region}, count
-                )
-        _LOG.info(
-            "loans: Slots by region.",
-            extra=log_fields(
-                granted=granted,
-                slots=scheduler.count_slots(now),
-                loans={
-                    region: loan.describe()
-                    for region, loan in self._borrowed.items()
-                },
-                is_unlimited=self._limiter.is_unlimited(now),
-            ),
-        )
-
     def lend(self, message: BorrowSlots) -> LentSlots:
         """Return the slots and tokens lent to another region.
 
@@ -295,7 +272,7 @@
             )
             return
         loan = self._borrowed.setdefault(region, Loan())
-        loan.lender = identify(leader)
+        loan.lender = _identify(leader)
         loan.wanted = slots
         self._apply(region, loan, answer)
 
@@ -303,7 +280,7 @@
         self, region: str, loan: Loan | None, leader: Peer
     ) -> dict[str, int]:
         """Return the slots that a region's previous leader has lent."""
-        if loan is None or loan.lender == identify(leader):
+        if loan is None or loan.lender == _identify(leader):
             return {}
         return self._admission.scheduler.list_borrowed(region)
 
@@ -318,6 +295,29 @@
         for name, amount in answer.tokens.items():
             self._admission.quotas.add_borrowed(name, amount)
 
+    def _report(self) -> None:
+        """Log the loans, and where slots were granted since the last round."""
+        now = read_clock()
+        scheduler = self._admission.scheduler
+        granted = scheduler.grants.take()
+        for service, regions in granted.items():
+            for region, count in regions.items():
+                self._node.metrics.grants.add(
+                    {"service": service, "region": region}, count
+                )
+        _LOG.info(
+            "loans: Slots by region.",
+            extra=log_fields(
+                granted=granted,
+                slots=scheduler.count_slots(now),
+                loans={
+                    region: loan.describe()
+                    for region, loan in self._borrowed.items()
+                },
+                is_unlimited=self._limiter.is_unlimited(now),
+            ),
+        )
+
     @property
     def _local_region(self) -> str:
         return self._node.local_member.region
@@ -348,6 +348,6 @@
         return loads
 
 
-def identify(leader: Peer) -> tuple[str, int]:
+def _identify(leader: Peer) -> tuple[str, int]:
     """Return a leader's host and incarnation."""
     return leader.member.host, leader.member.incarnation
--- a/radishstile/slot/loan_limiter.py
+++ b/radishstile/slot/loan_limiter.py
@@ -84,17 +84,14 @@
         history = self._record(service, slots, now)
         weights = _weigh(slots, granted)
         mix = _mix(slots, weights)
+        is_growing = sum(target.values()) > sum(current.values())
+        limit = _choose_limit(is_growing, own, history)
         past = [_mix(earlier, weights) for earlier in history]
-        limit = MAX_RETURN_SHIFT
-        has_lost_slots = any(
-            own < earlier[OWN] * (1 - LOST_SHARE) for earlier in history
-        )
-        if sum(target.values()) > sum(current.values()) and not has_lost_slots:
-            limit = MAX_GROWTH_SHIFT
         limits = [
             (earlier, max(limit, measure_shift(earlier, mix)))
             for earlier in past
         ]
+        # Bisects the part of the way that all limits permit.
         low, high = 0.0, 1.0
         step = 1.0
         for _ in range(SEARCH_STEPS):
@@ -123,6 +120,16 @@
     )
 
 
+def _choose_limit(is_growing: bool, own: float, history: list[Mix]) -> float:
+    """Return the share that loans may move, given the recent own slots."""
+    has_lost_slots = any(
+        own < earlier[OWN] * (1 - LOST_SHARE) for earlier in history
+    )
+    if is_growing and not has_lost_slots:
+        return MAX_GROWTH_SHIFT
+    return MAX_RETURN_SHIFT
+
+
 def _is_within(mix: Mix, limits: list[tuple[Mix, float]]) -> bool:
     return all(measure_shift(past, mix) <= limit for past, limit in limits)
 
