Keep the plan of a loan once, and one rule for infinity in log lines

The plan of each loan was kept beside the loan and copied into it for the log line alone; the line reads it where it is kept now. That infinity is written as null in a log line stood in admission and in forwarding; both call one function. No behaviour changes.

--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import logging
-import math
 from functools import singledispatchmethod
 
-from radishstile.entry.logs import log_fields
+from radishstile.entry.logs import drop_infinity, log_fields
 from radishstile.entry.node import STARTUP_WAIT_S, EntryNode, read_clock
 from radishstile.errors import RefusalError
 from radishstile.outcome import Outcome, Reason
@@ -183,7 +182,7 @@
                 "admission: Rate limit of an upstream changed.",
                 extra=log_fields(
                     upstream=upstream_id,
-                    rate_limit=None if per_s == math.inf else per_s,
+                    rate_limit=drop_infinity(per_s),
                 ),
             )
 
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 
 from radishstile.catalog.catalog import (
     Catalog,
@@ -25,7 +24,7 @@
     UpstreamConnection,
     read_buffered,
 )
-from radishstile.entry.logs import log_fields
+from radishstile.entry.logs import drop_infinity, log_fields
 from radishstile.entry.node import EntryNode, read_boottime_clock, read_clock
 from radishstile.entry.plan import (
     NOT_RUN_ENDINGS,
@@ -400,7 +399,7 @@
                 expected_s=round(slot.grant.expected_s, 3),
                 held_s=round(result.held_s, 3),
                 ending=result.ending.value,
-                rate_limit=_name_limit(result.rate_limit),
+                rate_limit=drop_infinity(result.rate_limit),
                 why=result.detail,
                 age_s=round(
                     read_clock() - plan.request.http_request.received_at, 3
@@ -409,11 +408,6 @@
         )
 
 
-def _name_limit(rate_limit: float | None) -> float | None:
-    """Return a limit for a log line, where infinity can't be written."""
-    return None if rate_limit == math.inf else rate_limit
-
-
 async def _discard(answer: Answer | None) -> None:
     """Free what an answer occupies that is not passed on."""
     if answer is not None:
--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -40,16 +40,15 @@
 class Loan:
     """What this region has borrowed from another.
 
-    `lender` identifies the process that lent it. By service, `planned` are
-    the slots of the last plan, `wanted` those asked for and `slots` those in
-    use: as asked for where the lender had them, else as lent.
+    `lender` identifies the process that lent it. By service, `wanted` are the
+    slots asked for and `slots` those in use: as asked for where the lender had
+    them, else as lent.
     """
 
-    __slots__ = ("lender", "planned", "wanted", "slots", "renewed_at")
+    __slots__ = ("lender", "wanted", "slots", "renewed_at")
 
     def __init__(self):
         self.lender: tuple[str, int] = ("", 0)
-        self.planned: dict[str, float] = {}
         self.wanted: dict[str, float] = {}
         self.slots: dict[str, float] = {}
         self.renewed_at = float("-inf")
@@ -60,17 +59,6 @@
         is_whole = abs(wanted - lent) < 1
         self.slots[service] = wanted if is_whole else lent
 
-    def describe(self) -> dict[str, list[float]]:
-        """Return the slots planned, wanted and in use by service."""
-        return {
-            service: [
-                round(self.planned.get(service, 0.0), 1),
-                round(self.wanted.get(service, 0.0), 1),
-                round(slots, 1),
-            ]
-            for service, slots in self.slots.items()
-        }
-
 
 class Loans:
     """Borrows from other regions and lends to them, while this host leads."""
@@ -290,7 +278,6 @@
         if answer.is_continued:
             self._limiter.resume()
         for service in loan.wanted:
-            loan.planned[service] = self._planned.get((service, region), 0.0)
             loan.record(service, answer.usable.get(service, 0.0))
         for name, amount in answer.tokens.items():
             self._admission.quotas.add_borrowed(name, amount)
@@ -311,7 +298,7 @@
                 granted=granted,
                 slots=scheduler.count_slots(now),
                 loans={
-                    region: loan.describe()
+                    region: self._describe(region, loan)
                     for region, loan in self._borrowed.items()
                 },
                 is_unlimited=self._limiter.is_unlimited(now),
@@ -326,6 +313,17 @@
         regions = set(self._node.file.zones.values())
         return sorted(regions - {self._local_region})
 
+    def _describe(self, region: str, loan: Loan) -> dict[str, list[float]]:
+        """Return a loan's slots planned, wanted and in use by service."""
+        return {
+            service: [
+                round(self._planned.get((service, region), 0.0), 1),
+                round(loan.wanted.get(service, 0.0), 1),
+                round(slots, 1),
+            ]
+            for service, slots in loan.slots.items()
+        }
+
     def _list_services(self) -> list[str]:
         catalog = self._node.catalog
         return sorted(catalog.services) if catalog else []
--- a/radishstile/entry/logs.py
+++ b/radishstile/entry/logs.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import os
 import sys
 import time
@@ -99,6 +100,11 @@
     return handler
 
 
+def drop_infinity(value: float | None) -> float | None:
+    """Return a number for a log line; JSON has no infinity."""
+    return None if value == math.inf else value
+
+
 def log_fields(**fields) -> dict:
     """Return the `extra` argument for structured fields of a log line."""
     return {FIELDS: fields}
