Share the set-up of the region tests, and drop what none of them uses

The simulated regions had cut links, unknown leaders, slow upstreams and a count of refusals from trials that no test plays; four test classes started the fleet in the same way, and two tests counted arrivals in a window in the same way. All bounds and assertions are as before.

--- a/test/_common.py
+++ b/test/_common.py
@@ -73,6 +73,14 @@
         return asyncio.get_running_loop().time()
 
 
+def count_most(arrivals, since, window_s):
+    """Return the most arrivals within a window, of those since a time."""
+    counted = [at for at in arrivals if at >= since]
+    return max(
+        sum(at <= other < at + window_s for other in counted) for at in counted
+    )
+
+
 class MemoryObject:
     """A stored object of `MemoryStore`."""
 
--- a/test/entry/_regions.py
+++ b/test/entry/_regions.py
@@ -17,7 +17,7 @@
 from radishstile.entry.admission import AdmissionController, ClaimTerms
 from radishstile.entry.loans import Loans
 from radishstile.entry.metrics import EntryMetrics
-from radishstile.errors import RefusalError, WireError
+from radishstile.errors import RefusalError
 from radishstile.slot.claim import Ending
 from test.slot._common import SERVICE, make_claim, make_registration
 
@@ -45,7 +45,6 @@
 
     def __init__(self, registration):
         self.registration = registration
-        self.slowness = 1.0
         self.has_crashed = False
         # The limit that it names, in requests a second.
         self.rate_limit = math.inf
@@ -61,7 +60,7 @@
         self._cached.move_to_end(object_key)
         if len(self._cached) > CACHED_OBJECTS:
             self._cached.popitem(last=False)
-        await asyncio.sleep(work_s * self.slowness)
+        await asyncio.sleep(work_s)
         return Ending.SERVED
 
 
@@ -104,10 +103,8 @@
         )
 
     def find_leader_of(self, region):
-        """Return the reachable leader of another region, or None."""
-        if (self.region, region) in self.fleet.unknown_leaders:
-            return None
-        return SimulatedPeer(self.fleet, self.region, region)
+        """Return the leader of another region."""
+        return SimulatedPeer(self.fleet, region)
 
 
 async def _return_at_once():
@@ -117,9 +114,8 @@
 class SimulatedPeer:
     """A leader as another region's leader sees it."""
 
-    def __init__(self, fleet, origin, region):
+    def __init__(self, fleet, region):
         self._fleet = fleet
-        self._origin = origin
         self._region = region
         self.client = self
         self.member = fleet.leaders[region].node.local_member
@@ -128,11 +124,8 @@
         )
 
     async def call(self, message, timeout_s):
-        """Send a message over the link, unless the link is cut."""
+        """Send a message over the link, and return the answer."""
         await asyncio.sleep(DELAY_S)
-        if (self._origin, self._region) in self._fleet.cut_links:
-            await asyncio.sleep(timeout_s)
-            raise WireError("link is cut")
         answer = self._fleet.leaders[self._region].loans.lend(message)
         await asyncio.sleep(DELAY_S)
         return answer
@@ -144,12 +137,9 @@
     def __init__(self, seed=1):
         self.random = random.Random(seed)
         self.upstreams = {}
-        self.cut_links = set()
-        self.unknown_leaders = set()
         self.load = dict.fromkeys(REGIONS, 1.0)
         # Time, region of the caller and region of the run.
         self.runs = []
-        self.refused = Counter()
         self.leaders = {}
         self._ids = itertools.count()
         self._tasks = []
@@ -171,17 +161,19 @@
 
     def remove_upstreams(self, region, share):
         """Remove a share of a region's upstreams."""
-        names = [n for n in self.upstreams if n.startswith(region)]
-        for name in names[: round(len(names) * share)]:
+        for name in self._choose_upstreams(region, share):
             del self.upstreams[name]
         self.apply_upstreams()
 
     def crash_upstreams(self, region, share):
         """Make a share of a region's upstreams unreachable for good."""
-        names = [n for n in self.upstreams if n.startswith(region)]
-        for name in names[: round(len(names) * share)]:
+        for name in self._choose_upstreams(region, share):
             self.upstreams[name].has_crashed = True
 
+    def _choose_upstreams(self, region, share):
+        names = [n for n in self.upstreams if n.startswith(region)]
+        return names[: round(len(names) * share)]
+
     def list_usable(self):
         """Return the registrations of all upstreams."""
         return [u.registration for u in self.upstreams.values()]
@@ -292,7 +284,6 @@
         try:
             grant = await admission.acquire(claim, terms)
         except RefusalError:
-            self.refused[region] += 1
             return
         upstream = self.upstreams.get(grant.upstream_id)
         if upstream is None:
--- a/test/entry/test_rate_limits.py
+++ b/test/entry/test_rate_limits.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from test._common import count_most
 from test.entry._common import Caller, PlatformTestCase, make_answer
 
 RATE_PER_S = 2.5
@@ -45,11 +46,7 @@
     def count_most(self):
         """Return the most arrivals in a window once the limit must hold."""
         since = self.arrivals[0] + CONTACT_S
-        counted = [at for at in self.arrivals if at >= since]
-        return max(
-            sum(at <= other < at + WINDOW_S for other in counted)
-            for at in counted
-        )
+        return count_most(self.arrivals, since, WINDOW_S)
 
     # LIMIT: 4 slots of some milliseconds each were the only bound.
     async def test_limited_upstream_gets_what_it_takes_and_not_more(self):
--- a/test/entry/test_region_shares.py
+++ b/test/entry/test_region_shares.py
@@ -18,13 +18,17 @@
 OBSERVED_S = 8.0
 
 
-class RegionShareTest(PausedTestCase):
+class RegionFleetTestCase(PausedTestCase):
+    """A test case with a fleet whose loans have settled."""
+
     async def asyncSetUp(self):
         self.fleet = RegionFleet()
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
         await asyncio.sleep(SETTLED_S)
 
+
+class RegionShareTest(RegionFleetTestCase):
     async def check_shift(self):
         await asyncio.sleep(OBSERVED_S)
         shift, at = self.fleet.measure_shift("gulf", SETTLED_S - 4.0)
@@ -50,13 +54,10 @@
         await self.check_shift()
 
 
-class FailureTest(PausedTestCase):
+class FailureTest(RegionFleetTestCase):
     # Callers were refused for seconds while loans replaced failed upstreams.
     async def test_loans_replace_failed_upstreams_at_once(self):
-        fleet = RegionFleet()
-        self.addCleanup(fleet.stop)
-        fleet.start()
-        await asyncio.sleep(SETTLED_S)
+        fleet = self.fleet
         scheduler = fleet.leaders["gulf"].admission.scheduler
         before = sum(scheduler.list_borrowed("delta").values())
         fleet.crash_upstreams("gulf", 0.5)
@@ -67,15 +68,9 @@
         self.assertGreater(after, before + 4)
 
 
-class LeaderChangeTest(PausedTestCase):
+class LeaderChangeTest(RegionFleetTestCase):
     """Loans go on when a leader of either side is replaced."""
 
-    async def asyncSetUp(self):
-        self.fleet = RegionFleet()
-        self.addCleanup(self.fleet.stop)
-        self.fleet.start()
-        await asyncio.sleep(SETTLED_S)
-
     def count_borrowed(self):
         scheduler = self.fleet.leaders["gulf"].admission.scheduler
         return sum(scheduler.list_borrowed("delta").values())
@@ -106,7 +101,7 @@
         self.assertAlmostEqual(self.count_borrowed(), before, delta=4)
 
 
-class NamedLimitTest(PausedTestCase):
+class NamedLimitTest(RegionFleetTestCase):
     """Load: all upstreams name a limit that suffices for all callers.
 
     Lender and borrower counted the slots that the limits keep busy each for
@@ -115,10 +110,7 @@
     """
 
     async def test_region_keeps_its_loans_when_upstreams_name_limits(self):
-        fleet = RegionFleet()
-        self.addCleanup(fleet.stop)
-        fleet.start()
-        await asyncio.sleep(SETTLED_S)
+        fleet = self.fleet
         for upstream in fleet.upstreams.values():
             upstream.rate_limit = 6.0
         await asyncio.sleep(8.0)
--- a/test/slot/test_rate_limit.py
+++ b/test/slot/test_rate_limit.py
@@ -10,6 +10,7 @@
 
 from radishstile.slot.claim import Denial, Ending, Grant
 from radishstile.slot.rate_limit import RateLimit
+from test._common import count_most
 from test.slot._common import (
     NOW,
     make_claim,
@@ -212,12 +213,9 @@
                 upstream = SharedUpstream(seed)
                 upstream.run(20.0)
                 since = upstream.arrivals[0] + CONTACT_S
-                counted = [at for at in upstream.arrivals if at >= since]
-                most = max(
-                    sum(at <= other < at + WINDOW_S for other in counted)
-                    for at in counted
-                )
+                most = count_most(upstream.arrivals, since, WINDOW_S)
                 allowed = OVERUSE * upstream.rate * WINDOW_S + SLACK
                 self.assertLessEqual(most, allowed)
-                used = len(counted) / (20.0 - since)
+                late = [at for at in upstream.arrivals if at >= since]
+                used = len(late) / (20.0 - since)
                 self.assertGreater(used, upstream.rate * 0.5)
