Show that a long entry keeps restarted hosts from serving

Cause: a starting host lists the upstreams through a peer, in one frame; an entry within value_bytes can exceed the frame, and the store is never asked.

--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -123,7 +123,6 @@
         )
         self.proxy: Proxy | None = None
         self.process: asyncio.subprocess.Process | None = None
-        self.started_at = 0.0
 
 
 class Deployment:
@@ -185,8 +184,17 @@
         host = Host(name, address, ports)
         host.proxy = Proxy(self._store_port)
         proxy_port = await host.proxy.start()
-        path = Path(self._work.name) / f"{name}.yaml"
-        log = _prepare_files(path, _make_settings(host, proxy_port))
+        _write_settings(self._get_path(host), _make_settings(host, proxy_port))
+        await self.start_process(host)
+        self.hosts.append(host)
+        return host
+
+    async def start_process(self, host: Host) -> None:
+        """Start the process of a host, again if it has ended."""
+        if host.process is not None:
+            await host.process.wait()
+        path = self._get_path(host)
+        log = _open_log(path.with_suffix(".log"))
         environment = {
             **os.environ,
             **ENVIRONMENT,
@@ -200,10 +208,10 @@
             )
         finally:
             os.close(log)
-        host.started_at = time.monotonic()
-        self.hosts.append(host)
-        self.note(f"host {name} started")
-        return host
+        self.note(f"host {host.name} started")
+
+    def _get_path(self, host: Host) -> Path:
+        return Path(self._work.name) / f"{host.name}.yaml"
 
     async def wait_ready(self, host: Host, limit_s: float = 20.0) -> bool:
         """Return whether the host says in time that it is ready."""
@@ -339,11 +347,12 @@
         writer.close()
 
 
-def _prepare_files(path: Path, settings: dict) -> int:
-    """Write a host's settings; return the descriptor of its log."""
+def _write_settings(path: Path, settings: dict) -> None:
     path.write_text(json.dumps(settings))
-    flags = os.O_CREAT | os.O_APPEND | os.O_WRONLY
-    return os.open(path.with_suffix(".log"), flags)
+
+
+def _open_log(path: Path) -> int:
+    return os.open(path, os.O_CREAT | os.O_APPEND | os.O_WRONLY)
 
 
 def _find_address(number: int) -> tuple[str, list[int]]:
