Let the case of silent connections lose all hosts but the leader

Change: the case asks the hosts which of them counts the slots, has 6 hosts, and each host is in a session of its own.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
     run_case,
 )
 
-HOSTS = 10
+HOSTS = 6
 ORDERS_PER_S = 26
 READS_PER_S = 30
 WORK_S = 0.8
@@ -22,7 +22,7 @@
 # Time until the lost machines are replaced, in seconds.
 REPLACED_AFTER_S = 3.0
 SETTLE_S = 12.0
-MEASURED_S = 40.0
+MEASURED_S = 30.0
 
 
 def make_two_services() -> dict:
@@ -75,6 +75,16 @@
     return sum(r.status == 200 for r in results) / max(1, len(results))
 
 
+async def find_leader(deployment: Deployment) -> Host:
+    """Return the host that counts the slots of all."""
+    held = {}
+    for host in deployment.hosts:
+        value = await deployment.read_metric(host, "slots_held")
+        held[host] = float(value)
+    deployment.note(f"occupied slots: {[*held.values()]}")
+    return max(held, key=held.get)
+
+
 async def play(deployment: Deployment, has_trouble: bool):
     """Take the power of machines under load and replace them."""
     await deployment.start(
@@ -94,14 +104,15 @@
     await asyncio.sleep(CALM_S)
     hosts = list(deployment.hosts)
     if has_trouble:
-        lost = hosts[1:]
+        leader = await find_leader(deployment)
+        lost = [host for host in hosts if host is not leader]
         for host in lost:
             # To others a stopped process is a machine without power: its
             # connections stay open and nothing comes from them any more.
             host.process.send_signal(signal.SIGSTOP)
         deployment.note(f"{len(lost)} machines have lost power for good")
         await asyncio.sleep(REPLACED_AFTER_S)
-        hosts = hosts[:1]
+        hosts = [leader]
         for number in range(len(lost)):
             hosts.append(await deployment.add_host(f"front-n-{number}"))
         for host in hosts:
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -205,8 +205,15 @@
             "RADISHSTILE_SETTINGS": str(path),
         }
         try:
+            # In a session of its own, so that no end of a shell makes the
+            # kernel continue a stopped process.
             host.process = await asyncio.create_subprocess_exec(
-                *COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log
+                *COMMAND,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
             )
         finally:
             os.close(log)
