--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -450,9 +450,8 @@
     }
 
 
-def run_case(case, folder: Path) -> int:
+def run_case(case, folder: Path, has_trouble: bool = True) -> int:
     """Run a case: 1 if the rule was broken, 0 if it held, else 2."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
         loop = asyncio.get_running_loop()
