Detect silent connections on both sides

Cause, first half: the listening side of a connection between hosts waited for frames without a limit. Only the dialling side noticed silence, by its heartbeats, and dropped its own end, of which the other side never heard.

Change: a connection without other frames carries a keep-alive, and each side aborts one that nothing has come from for silence_timeout_s. Silence is counted in intervals of the host's own loop, so a host that was busy or suspended reads first what has arrived. New counter: silent_connections.

test.wire.test_peer...test_silent_connection_ends_on_both_sides failed before (the handler of the listener never ended).

--- a/radishstile/wire/client.py
+++ b/radishstile/wire/client.py
@@ -22,13 +22,15 @@
 
     `peer_member` is the member that last authenticated at the peer's address.
     `last_refused_at` is the loop time at which the peer's kernel last refused
-    a connection; None after a successful connect.
+    a connection; None after a successful connect. `connection_count` is the
+    number of connections that were authenticated so far.
     """
 
     __slots__ = (
         "peer",
         "peer_member",
         "last_refused_at",
+        "connection_count",
         "_local_member",
         "_settings",
         "_counters",
@@ -49,6 +51,7 @@
         self.peer = peer
         self.peer_member: Member | None = None
         self.last_refused_at: float | None = None
+        self.connection_count = 0
         self._local_member = local_member
         self._settings = settings
         self._counters = counters
@@ -148,11 +151,15 @@
 
     async def _run_connection(self) -> None:
         connection = await self._connect()
+        watch = None
         try:
             await run_dialler_handshake(connection, self.peer.host)
             self._mark_connected(connection)
+            watch = asyncio.create_task(connection.watch())
             await self._read_frames(connection)
         finally:
+            if watch is not None:
+                watch.cancel()
             self._connection = None
             self._connected.clear()
             connection.abort()
@@ -163,6 +170,7 @@
         self._last_logged_error = ""
         self._backoff.reset()
         self._connection = connection
+        self.connection_count += 1
         self._connected.set()
         logger.info("wire: connected to %s", connection.peer)
 
--- a/radishstile/wire/connection.py
+++ b/radishstile/wire/connection.py
@@ -15,13 +15,16 @@
     write_frame,
 )
 from radishstile.wire.messages.base import Message, Part
+from radishstile.wire.messages.control import KeepAlive
 from radishstile.wire.settings import WireSettings
 
 
 class Connection:
     """A connection to one peer and the exchanges that are open on it.
 
-    `peer` and `peer_credit_parts` are set by the handshake.
+    `peer` and `peer_credit_parts` are set by the handshake. `is_silent` is
+    whether the connection was aborted since nothing came from the peer, which
+    may be alive; after another end its process is gone unless it reconnects.
     """
 
     __slots__ = (
@@ -32,8 +35,11 @@
         "counters",
         "exchanges",
         "last_exchange_number",
+        "is_silent",
         "_reader",
         "_writer",
+        "_reads",
+        "_writes",
     )
 
     def __init__(
@@ -51,8 +57,11 @@
         self.counters = counters
         self.exchanges: dict[int, Exchange] = {}
         self.last_exchange_number = 0
+        self.is_silent = False
         self._reader = reader
         self._writer = writer
+        self._reads = 0
+        self._writes = 0
 
     @property
     def address(self) -> str:
@@ -67,10 +76,13 @@
         of the stream.
         """
         try:
-            content = await read_frame(self._reader, limit_bytes)
+            content = await read_frame(
+                self._reader, limit_bytes, self._record_read
+            )
         except (OSError, asyncio.IncompleteReadError) as error:
+            reason = "was silent" if self.is_silent else "ended"
             raise PeerLostError(
-                f"connection with {self.address} ended"
+                f"connection with {self.address} {reason}"
             ) from error
         self.counters.frames_in += 1
         self.counters.bytes_in += len(content) + PREFIX_BYTES
@@ -109,6 +121,7 @@
             raise PeerLostError(f"connection with {self.address} ended")
         self.counters.bytes_out += write_frame(self._writer, content)
         self.counters.frames_out += 1
+        self._writes += 1
 
     def try_write(self, number: int, message: Message) -> None:
         """Write a message unless the stream is closed."""
@@ -127,6 +140,27 @@
         """Remove an exchange; later messages for it are dropped."""
         self.exchanges.pop(exchange.number, None)
 
+    async def watch(self) -> None:
+        """Send a frame where none is due, and abort a silent connection.
+
+        Silence is counted in intervals of this host's loop, so that one that
+        was busy or suspended itself first reads what has arrived meanwhile.
+        """
+        interval_s = self.settings.keepalive_s
+        silent_s = 0.0
+        while silent_s < self.settings.silence_timeout_s:
+            reads, writes = self._reads, self._writes
+            await asyncio.sleep(interval_s)
+            silent_s = silent_s + interval_s if self._reads == reads else 0.0
+            if self._writes == writes:
+                self.try_write(0, KeepAlive())
+        self.is_silent = True
+        self.counters.silent_connections += 1
+        self.abort()
+
+    def _record_read(self) -> None:
+        self._reads += 1
+
     def abort(self) -> None:
         """Abort the connection and fail its exchanges at once."""
         self._writer.transport.abort()
--- a/radishstile/wire/counters.py
+++ b/radishstile/wire/counters.py
@@ -14,6 +14,7 @@
         "dropped_parts",
         "dropped_tells",
         "reconnects",
+        "silent_connections",
     )
 
     def __init__(self):
--- a/radishstile/wire/exchange.py
+++ b/radishstile/wire/exchange.py
@@ -49,6 +49,16 @@
         """Return the member at the remote end."""
         return self._connection.peer
 
+    @property
+    def connection(self):
+        """Return the connection that carries the exchange."""
+        return self._connection
+
+    @property
+    def is_disconnected(self) -> bool:
+        """Return whether the connection ended before the exchange."""
+        return self._is_disconnected
+
     @property
     def is_closed(self) -> bool:
         """Return whether either side closed the exchange."""
--- a/radishstile/wire/messages/control.py
+++ b/radishstile/wire/messages/control.py
@@ -40,6 +40,12 @@
     __slots__ = ()
 
 
+class KeepAlive(Message):
+    """Shows that the sender can be heard, and needs no reply."""
+
+    __slots__ = ()
+
+
 class Acknowledged(Message):
     """Answers a message that needs no other reply."""
 
--- a/radishstile/wire/registry.py
+++ b/radishstile/wire/registry.py
@@ -10,6 +10,7 @@
     5: control.Acknowledged,
     6: control.Failed,
     7: control.Refused,
+    8: control.KeepAlive,
     20: fleet.Heartbeat,
     21: fleet.HeartbeatReply,
     22: fleet.ClaimRight,
--- a/radishstile/wire/session.py
+++ b/radishstile/wire/session.py
@@ -12,7 +12,7 @@
 from radishstile.wire.connection import Connection, drop_late_message
 from radishstile.wire.exchange import Exchange, deliver
 from radishstile.wire.messages.base import Message
-from radishstile.wire.messages.control import CloseExchange
+from radishstile.wire.messages.control import CloseExchange, KeepAlive
 from radishstile.wire.refusals import make_error_message
 
 logger = logging.getLogger(__name__)
@@ -57,6 +57,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._handle_notifications())
+                group.create_task(self._connection.watch())
                 await self._read_frames(group)
         except BaseExceptionGroup as errors:
             raise errors.exceptions[0] from None
@@ -90,13 +91,14 @@
 
     def _dispatch(self, envelope: Envelope, group: asyncio.TaskGroup) -> None:
         if envelope.exchange == 0:
-            self._queue_notification(envelope.message)
+            accept_notification(envelope.message, self)
         elif envelope.exchange > self._connection.last_exchange_number:
             self._open_exchange(envelope, group)
         else:
             self._deliver(envelope)
 
-    def _queue_notification(self, message: Message) -> None:
+    def queue_notification(self, message: Message) -> None:
+        """Queue a notification for its handler, or drop it."""
         # Delivery is best-effort: a slow handler causes drops.
         if self._is_draining or self._notifications.full():
             self._connection.counters.dropped_tells += 1
@@ -179,6 +181,17 @@
                 self._remove_pending()
 
 
+@singledispatch
+def accept_notification(message: Message, session: PeerSession) -> None:
+    """Accept a message that belongs to no exchange."""
+    session.queue_notification(message)
+
+
+@accept_notification.register
+def _(message: KeepAlive, session: PeerSession) -> None:
+    """Ignore it: its arrival was all it tells."""
+
+
 @singledispatch
 def cancel_on_close(
     message: Message, number: int, session: PeerSession
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -31,6 +31,7 @@
         "_server",
         "_writers",
         "_unblocked",
+        "_severed",
     )
 
     def __init__(self, target_port: int):
@@ -40,6 +41,8 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._unblocked = asyncio.Event()
+        # Set for the connections that were open when `sever` was called.
+        self._severed = asyncio.Event()
 
     async def start(self) -> "Proxy":
         """Listen on a free port."""
@@ -66,6 +69,11 @@
             self._unblocked.set()
             self._unblocked = asyncio.Event()
 
+    def sever(self) -> None:
+        """Make open connections silent for good; new ones work."""
+        self._severed.set()
+        self._severed = asyncio.Event()
+
     def _reset_all(self) -> None:
         for writer in self._writers:
             writer.transport.abort()
@@ -84,25 +92,36 @@
             writer.transport.abort()
             return
         self._writers.add(target_writer)
+        severed = self._severed
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._copy(reader, target_writer, False))
-                group.create_task(self._copy(target_reader, writer, True))
+                group.create_task(
+                    self._copy(reader, target_writer, False, severed)
+                )
+                group.create_task(
+                    self._copy(target_reader, writer, True, severed)
+                )
         finally:
             for each in (writer, target_writer):
                 self._writers.discard(each)
                 each.transport.abort()
 
-    async def _copy(self, reader, writer, is_answer: bool) -> None:
+    async def _copy(
+        self, reader, writer, is_answer: bool, severed: asyncio.Event
+    ) -> None:
         """Copy to the end of the stream; a fault may delay or hold bytes."""
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await self._delay_or_block(is_answer)
+                if severed.is_set():
+                    continue
                 writer.write(data)
                 await writer.drain()
-            writer.write_eof()
+            if not severed.is_set():
+                writer.write_eof()
         except OSError:
-            writer.transport.abort()
+            if not severed.is_set():
+                writer.transport.abort()
 
     async def _delay_or_block(self, is_answer: bool) -> None:
         if self._fault is ConnectionFault.DELAYED:
--- a/test/wire/_common.py
+++ b/test/wire/_common.py
@@ -57,11 +57,13 @@
         self.addAsyncCleanup(server.stop)
         return server
 
-    def start_client(self, port: int, secret=SECRET, host="b") -> PeerClient:
+    def start_client(
+        self, port: int, secret=SECRET, host="b", **values
+    ) -> PeerClient:
         client = PeerClient(
             make_member("a"),
             make_member(host, port),
-            make_settings(secret),
+            make_settings(secret, **values),
             WireCounters(),
             random.Random(1),
         )
--- a/test/wire/test_peer.py
+++ b/test/wire/test_peer.py
@@ -19,6 +19,7 @@
 )
 from radishstile.wire.parts import PartAssembler, PartSplitter
 from radishstile.wire.refusals import raise_for_error
+from soak.proxy import Proxy
 from test.wire._common import PeerTestCase, make_request
 
 BLOCK = bytes(1000)
@@ -316,6 +317,35 @@
                 BodyPart(request_id="r", number=number, data=b"x")
             )
 
+    async def test_silent_connection_ends_on_both_sides(self):
+        # Guards against a listener that waits for a silent peer for ever.
+        ended = []
+
+        async def record_end(message, exchange):
+            try:
+                await exchange.receive()
+            except PeerLostError:
+                ended.append(self.now)
+                raise
+
+        times = {"keepalive_s": 0.5, "silence_timeout_s": 1.5}
+        server = await self.start_server(record_end, **times)
+        proxy = await Proxy(server.port).start()
+        self.addAsyncCleanup(proxy.stop)
+        client = self.start_client(proxy.port, **times)
+        await client.wait_connected(5)
+        exchange = await client.open(make_claim(1))
+        await asyncio.sleep(20)
+        self.assertEqual(ended, [])
+        start = self.now
+        proxy.sever()
+        with self.assertRaises(PeerLostError):
+            await exchange.receive(30)
+        await self.wait_until(lambda: ended)
+        self.assertLess(ended[0] - start, 2.5)
+        self.assertEqual(server._counters.silent_connections, 1)
+        await client.wait_connected(5)
+
     async def test_reconnects_after_a_disconnect(self):
         client, _ = await self.connect(echo)
         client.disconnect()
