Take back the slots of hosts that can't be heard

Cause: a leader held a granted slot as long as the exchange of its claim was open. Reports were written into silent connections and lost, and a claim whose answer was not heard was claimed again with the same id, so that one of the two grants could not be released.

Change: a slot outlives the connection of its claim. The leader keeps it until the host reports its end on a later connection, leaves it out of the list that it sends as it connects, starts a new process, does not connect again after a close, or until the claim's deadline, when no host lets a request go on. So a slot is not granted again while its request may run. Each claim to a peer has an id of its own. A suspected leader on whose connection nothing was heard is dialled again at once.

--- a/radishstile/entry/claims.py
+++ b/radishstile/entry/claims.py
@@ -1,5 +1,6 @@
 """Claims slots locally or from the leader that schedules them."""
 
+import itertools
 import logging
 
 from radishstile.entry.admission import AdmissionController, ClaimTerms
@@ -55,15 +56,20 @@
 
 
 class RemoteSlot:
-    """A slot granted by a leader; it is held while the exchange is open."""
+    """A slot granted by a peer; it is held until it is reported there."""
 
-    __slots__ = ("grant", "_exchange", "_admission")
+    __slots__ = ("grant", "_exchange", "_leader", "_admission")
 
     def __init__(
-        self, grant: Grant, exchange: Exchange, admission: AdmissionController
+        self,
+        grant: Grant,
+        exchange: Exchange,
+        leader: Peer,
+        admission: AdmissionController,
     ):
         self.grant = grant
         self._exchange = exchange
+        self._leader = leader
         self._admission = admission
 
     async def release(
@@ -76,20 +82,29 @@
         self._admission.record_rate(
             self.grant.upstream_id, rate_limit, read_clock() - held_s
         )
+        report = SlotReport(
+            claim_id=self.grant.claim_id,
+            ending=ending.value,
+            held_s=held_s,
+            rate_limit=rate_limit,
+        )
+        self._leader.held.discard(report.claim_id)
         try:
-            await self._exchange.send(
-                SlotReport(
-                    ending=ending.value, held_s=held_s, rate_limit=rate_limit
-                )
-            )
-            # Flushes the report before the exchange is closed.
-            self._exchange.mark_closed()
+            await self._send(report)
         except WireError as error:
-            # The leader releases the slot when the connection ends.
+            # The next connection tells the leader that it is not held.
             _LOG.info("claims: Slot report not sent: %s", error)
         finally:
             self._exchange.close()
 
+    async def _send(self, report: SlotReport) -> None:
+        if self._exchange.is_disconnected:
+            await self._leader.client.notify(report)
+            return
+        await self._exchange.send(report)
+        # Flushes the report before the exchange is closed.
+        self._exchange.mark_closed()
+
 
 Slot = LocalSlot | RemoteSlot
 
@@ -97,7 +112,7 @@
 class SlotClient:
     """Claims slots for requests, at this host or at a leader."""
 
-    __slots__ = ("_leadership", "_admission", "_region")
+    __slots__ = ("_leadership", "_admission", "_region", "_numbers")
 
     def __init__(
         self,
@@ -108,6 +123,7 @@
         self._leadership = leadership
         self._admission = admission
         self._region = region
+        self._numbers = itertools.count()
 
     async def claim(self, claim: Claim, terms: ClaimTerms) -> Slot:
         """Return a slot granted by the region's leader.
@@ -176,24 +192,33 @@
 
         Raises `RefusalError`, `WireError` and `TimeoutError`.
         """
-        exchange = await leader.client.open(encode_claim(claim, terms))
+        # An earlier claim for the same request may have been granted without
+        # this host having heard of it.
+        claim_id = f"{claim.claim_id}.{next(self._numbers)}"
+        leader.held.add(claim_id)
+        exchange = None
         try:
+            exchange = await leader.client.open(
+                encode_claim(claim_id, claim, terms)
+            )
             message = await exchange.receive(FIRST_ANSWER_TIMEOUT_S)
             if type(message) is SlotQueued:
                 left_s = max(0.0, claim.deadline_at - read_clock())
                 message = await exchange.receive(left_s)
-            grant = _decode_answer(message, claim)
+            grant = _decode_answer(message, claim_id)
         except BaseException:
-            exchange.close()
+            leader.held.discard(claim_id)
+            if exchange is not None:
+                exchange.close()
             raise
-        return RemoteSlot(grant, exchange, self._admission)
+        return RemoteSlot(grant, exchange, leader, self._admission)
 
 
-def encode_claim(claim: Claim, terms: ClaimTerms) -> ClaimSlot:
+def encode_claim(claim_id: str, claim: Claim, terms: ClaimTerms) -> ClaimSlot:
     """Return the message for a claim, with times relative to now."""
     now = read_clock()
     return ClaimSlot(
-        claim_id=claim.claim_id,
+        claim_id=claim_id,
         service=claim.service,
         route=claim.route,
         object_key=claim.object_key,
@@ -231,10 +256,10 @@
     return claim, terms
 
 
-def _decode_answer(message: Message, claim: Claim) -> Grant:
+def _decode_answer(message: Message, claim_id: str) -> Grant:
     if type(message) is SlotGranted:
         return Grant(
-            claim.claim_id,
+            claim_id,
             message.upstream_id,
             message.is_warm,
             message.expected_s,
--- a/radishstile/entry/directory.py
+++ b/radishstile/entry/directory.py
@@ -7,6 +7,7 @@
 from radishstile.entry.admission import AdmissionController
 from radishstile.entry.leadership import Leadership
 from radishstile.entry.node import EntryNode, read_boottime_clock
+from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.member import Member
 
 _LOG = logging.getLogger("radishstile.directory")
@@ -30,6 +31,7 @@
         "_node",
         "_leadership",
         "_admission",
+        "_grants",
         "_metrics_port",
         "_runners",
     )
@@ -39,12 +41,14 @@
         node: EntryNode,
         leadership: Leadership,
         admission: AdmissionController,
+        grants: RemoteGrants,
         metrics_port: int,
     ):
         self._metrics_port = metrics_port
         self._node = node
         self._leadership = leadership
         self._admission = admission
+        self._grants = grants
         self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
@@ -117,6 +121,7 @@
             "hosts": len(node.hosts),
             "slot_share": self._admission.scheduler.share,
             "slots_held": self._admission.scheduler.count_running(),
+            "slots_unheard": self._grants.count_lost(),
             "claims_waiting": self._admission.scheduler.count_waiting(),
         }
         for name, value in values.items():
--- a/radishstile/entry/handlers.py
+++ b/radishstile/entry/handlers.py
@@ -1,18 +1,15 @@
 """Handles the messages of other hosts."""
 
-import asyncio
-import logging
 from functools import singledispatchmethod
 
-from radishstile.entry.admission import AdmissionController, ClaimTerms
-from radishstile.entry.claims import Slot, SlotClient, decode_claim
+from radishstile.entry.admission import AdmissionController
 from radishstile.entry.leadership import Leadership
 from radishstile.entry.loans import Loans
 from radishstile.entry.node import read_clock
+from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.entry.replica import Replica
 from radishstile.entry.sources import encode_changes, encode_listing
-from radishstile.errors import HistoryLostError, RefusalError, WireError
-from radishstile.slot.claim import Claim, Ending
+from radishstile.errors import HistoryLostError, WireError
 from radishstile.wire.exchange import Exchange
 from radishstile.wire.messages.base import Message
 from radishstile.wire.messages.fleet import ReportCrash, ReportSuccess
@@ -20,28 +17,21 @@
     BorrowSlots,
     ClaimSlot,
     FollowLead,
+    HeldSlots,
     MirrorQuery,
     MirrorReply,
     ReportRates,
-    SlotDenied,
-    SlotGranted,
-    SlotQueued,
+    SlotReport,
 )
 from radishstile.wire.reports import decode_report
 
-_LOG = logging.getLogger("radishstile.handlers")
-
-# Delay after which a waiting claim's host is told that it is queued, in
-# seconds, and thereby that the leader is live.
-QUEUED_NOTICE_DELAY_S = 0.1
-
 
 class MessageHandler:
     """Handles each message that opens an exchange with a peer."""
 
     __slots__ = (
         "_leadership",
-        "_slot_client",
+        "_grants",
         "_loans",
         "_replica",
         "_admission",
@@ -50,14 +40,14 @@
     def __init__(
         self,
         leadership: Leadership,
-        slot_client: SlotClient,
+        grants: RemoteGrants,
         loans: Loans,
         replica: Replica,
         admission: AdmissionController,
     ):
         self._admission = admission
         self._leadership = leadership
-        self._slot_client = slot_client
+        self._grants = grants
         self._loans = loans
         self._replica = replica
 
@@ -105,56 +95,12 @@
 
     @_handle.register
     async def _(self, message: ClaimSlot, exchange: Exchange) -> None:
-        claim, terms = decode_claim(message)
-        try:
-            slot = await self._acquire(claim, terms, exchange)
-        except RefusalError as refusal:
-            await exchange.send(
-                SlotDenied(
-                    reason=refusal.reason.value,
-                    retry_after=refusal.retry_after,
-                )
-            )
-            return
-        ending, held_s, rate_limit = Ending.ABANDONED, 0.0, None
-        try:
-            await exchange.send(
-                SlotGranted(
-                    upstream_id=slot.grant.upstream_id,
-                    is_warm=slot.grant.is_warm,
-                    expected_s=slot.grant.expected_s,
-                )
-            )
-            report = await exchange.receive()
-            ending, held_s = Ending(report.ending), report.held_s
-            rate_limit = report.rate_limit
-        finally:
-            # Also if the connection is lost or the caller disconnects.
-            await slot.release(ending, held_s, rate_limit)
-
-    async def _acquire(
-        self, claim: Claim, terms: ClaimTerms, exchange: Exchange
-    ) -> Slot:
-        """Wait for a slot, and tell the host if the claim is queued."""
-        task = asyncio.ensure_future(
-            self._slot_client.claim_as_leader(claim, terms)
-        )
-        try:
-            await asyncio.wait({task}, timeout=QUEUED_NOTICE_DELAY_S)
-            if not task.done():
-                left_s = claim.deadline_at - read_clock()
-                await exchange.send(SlotQueued(wait_s=left_s))
-            return await task
-        except BaseException:
-            await _cancel_claim(task)
-            raise
-
-
-async def _cancel_claim(task: asyncio.Task) -> None:
-    """Cancel a claim; a slot that was granted meanwhile is released."""
-    task.cancel()
-    try:
-        slot = await task
-    except (asyncio.CancelledError, RefusalError):
-        return
-    await slot.release(Ending.ABANDONED, 0.0)
+        await self._grants.serve(message, exchange)
+
+    @_handle.register
+    async def _(self, message: SlotReport, exchange: Exchange) -> None:
+        await self._grants.apply_report(exchange.peer.host, message)
+
+    @_handle.register
+    async def _(self, message: HeldSlots, exchange: Exchange) -> None:
+        await self._grants.resume(exchange.peer, exchange.connection, message)
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -13,7 +13,7 @@
 from radishstile.member import Member
 from radishstile.wire.client import PeerClient
 from radishstile.wire.counters import WireCounters
-from radishstile.wire.messages.slot import FollowLead, LeadState
+from radishstile.wire.messages.slot import FollowLead, HeldSlots, LeadState
 from radishstile.wire.settings import WireSettings
 
 _LOG = logging.getLogger("radishstile.peers")
@@ -21,6 +21,9 @@
 # Heartbeat interval of a host that is not initialized yet, in seconds: it
 # needs a peer that is.
 STARTUP_HEARTBEAT_INTERVAL_S = 0.05
+# Time without any answer of a suspected peer after which the connection is
+# taken for silent, in seconds. A claim waits that long for its first answer.
+SILENCE_S = 0.35
 
 
 class Peer:
@@ -28,7 +31,8 @@
 
     `dialled_at` and `answered_at` are the loop's times, in seconds, when this
     host began to connect to it and of its last answer; `is_followed` tells
-    whether this host follows it.
+    whether this host follows it. `held` are the claims at the peer that this
+    host waits for or whose slots it holds.
     """
 
     __slots__ = (
@@ -37,7 +41,9 @@
         "answered_at",
         "state",
         "is_followed",
+        "held",
         "changed",
+        "_informed_connection",
     )
 
     def __init__(self, client: PeerClient, now: float):
@@ -46,7 +52,10 @@
         self.answered_at = float("-inf")
         self.state: LeadState | None = None
         self.is_followed = False
+        self.held: set[str] = set()
         self.changed = asyncio.Event()
+        # Number of the connection on which the peer was told of `held`.
+        self._informed_connection = 0
 
     @property
     def member(self) -> Member:
@@ -82,8 +91,24 @@
         self.state = state
         self.answered_at = now
 
+    async def report_held(self) -> None:
+        """Tell the peer, once on each connection, which slots are held.
+
+        Raises `WireError`.
+        """
+        number = self.client.connection_count
+        if number == self._informed_connection:
+            return
+        await self.client.notify(HeldSlots(claim_ids=sorted(self.held)))
+        self._informed_connection = number
+
     def suspect(self) -> None:
-        """Make the peer unusable until it answers a heartbeat."""
+        """Make the peer unusable until it answers a heartbeat.
+
+        A connection on which other answers are missing too has gone silent; a
+        new one shows at once whether the peer is lost.
+        """
+        self.client.disconnect_silent(SILENCE_S)
         self.answered_at = float("-inf")
         self.changed.set()
 
@@ -141,6 +166,8 @@
         """Connect to the wanted hosts, and disconnect from others."""
         by_host = {member.host: member for member in wanted}
         for host, peer in list(self._peers.items()):
+            if peer.held and host not in by_host:
+                continue
             # A restarted host keeps its peer while its address is the same.
             if not _is_same_address(by_host.get(host), peer.member):
                 self._tasks.pop(host).cancel()
@@ -178,6 +205,7 @@
     async def _send_heartbeat(self, peer: Peer) -> None:
         try:
             await peer.client.wait_connected(FOLLOW_INTERVAL_S)
+            await peer.report_held()
             asked_at = read_boottime_clock()
             state = await peer.client.call(
                 self._make_heartbeat(peer), LEADER_TIMEOUT_S
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -20,6 +20,7 @@
 from radishstile.entry.rate_reports import RateReportSender
 from radishstile.entry.recorder import SchedulerRecorder
 from radishstile.entry.registrar import Registrar
+from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.entry.replica import Replica
 from radishstile.errors import SettingsError
 from radishstile.http.parser import AnswerLimits
@@ -67,6 +68,7 @@
         "_recorder",
         "_report_sender",
         "_rate_sender",
+        "_grants",
         "_peer_server",
     )
 
@@ -99,8 +101,13 @@
             node, slot_client, self._connections, budget, AnswerLimits()
         )
         self._caller_server = CallerServer(node, forwarder)
+        self._grants = RemoteGrants(slot_client)
         self._directory = Directory(
-            node, self._leadership, self._admission, metrics_port
+            node,
+            self._leadership,
+            self._admission,
+            self._grants,
+            metrics_port,
         )
         self._registrar = Registrar(node, self._leadership)
         self._replica = Replica(node, self._leadership)
@@ -113,7 +120,7 @@
         self._rate_sender = RateReportSender(self._admission, self._leadership)
         handler = MessageHandler(
             self._leadership,
-            slot_client,
+            self._grants,
             self._loans,
             self._replica,
             self._admission,
@@ -148,6 +155,7 @@
                 self._report_sender.run(),
                 self._rate_sender.run(),
                 self._admission.run(),
+                self._grants.run(),
                 self._apply_changes(),
                 self._run_maintenance(reload),
             ]
@@ -251,6 +259,8 @@
         backoff_min_s=0.05,
         backoff_max_s=0.5,
         stop_timeout_s=0.2,
+        keepalive_s=0.5,
+        silence_timeout_s=1.5,
     )
 
 
--- a/radishstile/wire/client.py
+++ b/radishstile/wire/client.py
@@ -131,6 +131,12 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def disconnect_silent(self, timeout_s: float) -> None:
+        """Abort the connection if nothing came from the peer for a time."""
+        connection = self._connection
+        if connection is not None and connection.measure_silence() > timeout_s:
+            connection.abort()
+
     def _get_connection(self) -> Connection:
         if self._connection is None:
             raise PeerLostError(f"{self.peer} is not connected")
--- a/radishstile/wire/connection.py
+++ b/radishstile/wire/connection.py
@@ -39,6 +39,7 @@
         "_reader",
         "_writer",
         "_reads",
+        "_read_at",
         "_writes",
     )
 
@@ -61,6 +62,7 @@
         self._reader = reader
         self._writer = writer
         self._reads = 0
+        self._read_at = asyncio.get_running_loop().time()
         self._writes = 0
 
     @property
@@ -158,8 +160,13 @@
         self.counters.silent_connections += 1
         self.abort()
 
+    def measure_silence(self) -> float:
+        """Return the seconds since something came from the peer."""
+        return asyncio.get_running_loop().time() - self._read_at
+
     def _record_read(self) -> None:
         self._reads += 1
+        self._read_at = asyncio.get_running_loop().time()
 
     def abort(self) -> None:
         """Abort the connection and fail its exchanges at once."""
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -72,17 +72,31 @@
 class SlotReport(Message):
     """Releases a slot that was held for `held_s` seconds.
 
-    `ending` is a value of `Ending`. `rate_limit` is the one that the answer
-    named, in requests a second: infinity for none, None without an answer.
+    It is sent in the exchange of the claim, or outside of it if the connection
+    of the claim has ended. `ending` is a value of `Ending`. `rate_limit` is
+    the one that the answer named, in requests a second: infinity for none,
+    None without an answer.
     """
 
-    __slots__ = ("ending", "held_s", "rate_limit")
+    __slots__ = ("claim_id", "ending", "held_s", "rate_limit")
 
+    claim_id: str
     ending: str
     held_s: float
     rate_limit: float | None
 
 
+class HeldSlots(Message):
+    """Tells a leader, on a new connection, which slots the host holds.
+
+    `claim_ids` are the claims that it waits for or whose requests still run.
+    """
+
+    __slots__ = ("claim_ids",)
+
+    claim_ids: list[str]
+
+
 class ReportRates(Message):
     """Tells a host's new leader the rate limits of upstreams.
 
--- a/radishstile/wire/registry.py
+++ b/radishstile/wire/registry.py
@@ -58,4 +58,5 @@
     99: slot.MirrorQuery,
     100: slot.MirrorReply,
     101: slot.ReportRates,
+    102: slot.HeldSlots,
 }
