Lend each host's part of the limits to one leader at a time

Cause: a leader's share was its live followers over the registrations that it saw, and three things made the shares exceed one in sum. A stopping host removed its registration at once and went on as a follower, or as a leader of its own. A host that changed leaders was counted by both for up to 1.5 s. A process that had not read the list of hosts yet took itself for the only one (share 1.0).

Change: each registered host owns one part and lends it by its heartbeats. A loan lasts for 1.3 s of the leader's clock from the value that the host returns; the part goes to another leader only once the former gave it up, its process is gone or the loan has run out. A stopping host keeps its registration, marked, so that the divisor stays; a removed one counts for as long as a host may go on without news, and a new host lends its part of the rates after that time. A clock value of an earlier process is not returned any more, as a loan or a confirmation could be taken for newer than it is. A claim waits for the first part of a new leader. A leaving host leads only itself, and only if it reaches no other.

--- a/radishstile/catalog/freshness.py
+++ b/radishstile/catalog/freshness.py
@@ -23,6 +23,11 @@
         self._limit_s = revocation_s * ACCEPTED_SHARE
         self._confirmed_at = float("-inf")
 
+    @property
+    def limit_s(self) -> float:
+        """Return how old a confirmation may be, in seconds."""
+        return self._limit_s
+
     def confirm(self, called_at: float) -> None:
         """Record that the configuration in use was the newest.
 
--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -31,6 +31,9 @@
 CRASH_WINDOW_S = 1.5
 # Shortest wait for a token, in seconds: above the clock's resolution.
 RATE_WAIT_MIN_S = 0.005
+# How long a claim waits at a leader that has no share yet, in seconds: until a
+# loan to an earlier leader has run out.
+SHARE_WAIT_S = 0.6
 
 
 class ClaimTerms:
@@ -135,6 +138,7 @@
         upstreams there are; their claims wait for that.
         """
         await self._node.wait_initialized()
+        await self._wait_for_share()
         self._check_poison(terms, read_clock())
         await self._charge(claim, terms)
         decision = self.scheduler.submit(
@@ -217,6 +221,15 @@
         self._log_denial(claim, refusal)
         raise refusal
 
+    async def _wait_for_share(self) -> None:
+        """Wait for the first part that is lent to a new leader.
+
+        Parts that a lost leader may still hold are free soon.
+        """
+        until = read_clock() + SHARE_WAIT_S
+        while self.scheduler.share == 0 and read_clock() < until:
+            await self._wait_for_rates(until - read_clock())
+
     async def _wait_for_rates(self, timeout_s: float) -> None:
         """Wait until this host's share of the rates changes."""
         self._rates_changed.clear()
--- a/radishstile/entry/handlers.py
+++ b/radishstile/entry/handlers.py
@@ -61,8 +61,8 @@
 
     @_handle.register
     async def _(self, message: FollowLead, exchange: Exchange) -> None:
-        host = exchange.peer.host
-        await exchange.send(self._leadership.answer_heartbeat(message, host))
+        state = self._leadership.answer_heartbeat(message, exchange.peer)
+        await exchange.send(state)
 
     @_handle.register
     async def _(
--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -18,6 +18,7 @@
     choose_source,
     digest_hosts,
 )
+from radishstile.fleet.parts import LOAN_S, HeldParts, measure_share
 from radishstile.member import Member
 from radishstile.wire.messages.slot import FollowLead, LeadState
 
@@ -32,6 +33,7 @@
 
     __slots__ = (
         "followers",
+        "parts",
         "peers",
         "_node",
         "_admission",
@@ -47,6 +49,7 @@
         self, node: EntryNode, admission: AdmissionController, peers: Peers
     ):
         self.followers = Followers()
+        self.parts = HeldParts()
         self.peers = peers
         self._node = node
         self._admission = admission
@@ -78,11 +81,16 @@
                 self.update_shares()
                 self._hosts_changed.clear()
                 try:
-                    async with asyncio.timeout(FOLLOW_INTERVAL_S / 2):
+                    async with asyncio.timeout(self._choose_pause()):
                         await self._hosts_changed.wait()
                 except TimeoutError:
                     continue
 
+    def _choose_pause(self) -> float:
+        """Return the seconds until the next update is due at the latest."""
+        left_s = self.parts.find_next_end() - read_boottime_clock()
+        return max(0.0, min(FOLLOW_INTERVAL_S / 2, left_s))
+
     def notify_hosts_changed(self) -> None:
         """Request an update after the registered hosts changed."""
         self._hosts_changed.set()
@@ -150,14 +158,24 @@
                 return peer
         return None
 
-    def answer_heartbeat(self, message: FollowLead, host: str) -> LeadState:
+    def answer_heartbeat(
+        self, message: FollowLead, member: Member
+    ) -> LeadState:
         """Return this host's state, and count the sender if it follows."""
         now = read_clock()
+        host = member.host
         node = self._node
         if message.follows:
             self.followers.record_heartbeat(host, message.is_leaving, now)
         else:
             self.followers.drop(host)
+        clock = read_boottime_clock()
+        order = (member.incarnation, message.number)
+        if message.lends:
+            until = min(message.echo, clock) + LOAN_S
+            self.parts.record(host, order, until, message.is_settled)
+        else:
+            self.parts.give_up(host, order)
         self._fresh_hosts.record(host, message.news_age_s, now)
         # The sender measured that age after it received the echoed clock,
         # so the time is never too recent.
@@ -182,7 +200,7 @@
                 for name, load in loads.items()
             },
             weight=weight,
-            clock=read_boottime_clock(),
+            clock=clock,
         )
 
     def update_shares(self) -> None:
@@ -193,11 +211,14 @@
             self.followers.record_heartbeat(
                 node.local_member.host, node.is_leaving, now
             )
-        region = self.followers.measure_share(
-            len(node.list_region_hosts()), now
-        )
-        count = len(node.hosts)
-        fleet = self.followers.measure_share(count, now)
+        self._lend_to_self()
+        clock = read_boottime_clock()
+        held = self.parts.list_held(clock)
+        settled = self.parts.list_settled(clock)
+        owners = node.hosts.list_owners(node.settling_s, now)
+        local = {member.host for member in node.list_region_hosts()}
+        region = measure_share(held, local) if node.hosts.is_loaded else 0.0
+        fleet = measure_share(settled, owners) if settled else 0.0
         if (region, fleet) == self._shares:
             return
         self._shares = (region, fleet)
@@ -206,17 +227,34 @@
             "leadership: Shares of slots and rates changed.",
             extra=log_fields(
                 followers=self.followers.list_live(now),
+                parts=sorted(held),
+                rate_parts=len(settled),
                 share=round(region, 3),
-                registered=count,
+                rate_share=round(fleet, 3),
+                owners=len(owners),
             ),
         )
 
+    def _lend_to_self(self) -> None:
+        """Hold this host's own part while it leads and the part is free."""
+        host = self._node.local_member.host
+        clock = read_boottime_clock()
+        self.peers.release_ended()
+        part = self.peers.part
+        if self.is_leading and part.try_lend(host, clock, clock):
+            order = (self._node.local_member.incarnation, 0)
+            self.parts.record(
+                host, order, clock + LOAN_S, self._node.is_settled()
+            )
+
     def _list_candidates(self) -> list[Candidate]:
         now = read_clock()
-        return [
-            self._make_candidate(member, now)
-            for member in self._node.list_region_hosts()
-        ]
+        members = self._node.list_region_hosts()
+        if self._node.is_leaving:
+            # It leads only itself, if no other host can be reached.
+            local = self._node.local_member
+            members = [m for m in members if m != local] + [local]
+        return [self._make_candidate(member, now) for member in members]
 
     def _list_remote_leaders(self) -> list[Candidate]:
         """Return the reachable leaders of remote regions."""
@@ -260,7 +298,10 @@
         self._changed.set()
         self.peers.follow(name)
         if not self.is_leading:
-            self.followers.drop(self._node.local_member.host)
+            local_host = self._node.local_member.host
+            self.followers.drop(local_host)
+            self.parts.drop(local_host)
+            self.peers.part.release(local_host)
         self.update_shares()
 
     def _list_wanted_peers(self) -> list[Member]:
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -8,6 +8,7 @@
 from radishstile.catalog.freshness import Freshness
 from radishstile.entry.metrics import EntryMetrics
 from radishstile.fleet.hosts import HostTable, RegisteredHost
+from radishstile.fleet.leadership import FRESH_MAX_AGE_S
 from radishstile.member import Member
 from radishstile.platform.host_file import HostFile
 from radishstile.platform.objects import ObjectClient
@@ -142,6 +143,22 @@
             # The store is unavailable: the request is refused later on.
             return
 
+    def is_settled(self) -> bool:
+        """Return whether all hosts that admit requests know of this one."""
+        local = self.hosts.find(self.local_member.host)
+        if local is None:
+            return False
+        return time.time() - local.registered_at >= self.settling_s
+
+    @property
+    def settling_s(self) -> float:
+        """Return the seconds in which hosts learn of each other.
+
+        A host that has learned nothing for longer accepts no keys, and limits
+        count requests with keys only.
+        """
+        return FRESH_MAX_AGE_S + self.freshness.limit_s
+
     def list_region_hosts(self) -> list[Member]:
         """Return the hosts of the local region, the preferred leader first."""
         return self.hosts.list_leader_order(self.local_member.region)
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -1,6 +1,7 @@
 """Connections to other hosts, a task for each, and heartbeats on them."""
 
 import asyncio
+import itertools
 import logging
 
 from radishstile.entry.node import EntryNode, read_boottime_clock, read_clock
@@ -10,6 +11,7 @@
     LEADER_TIMEOUT_S,
     Contact,
 )
+from radishstile.fleet.parts import OwnPart
 from radishstile.member import Member
 from radishstile.wire.client import PeerClient
 from radishstile.wire.counters import WireCounters
@@ -39,6 +41,8 @@
         "client",
         "dialled_at",
         "answered_at",
+        "heard_at",
+        "heard_incarnation",
         "state",
         "is_followed",
         "held",
@@ -50,6 +54,9 @@
         self.client = client
         self.dialled_at = now
         self.answered_at = float("-inf")
+        # Boot-time clock at the last answer, and the process that sent it.
+        self.heard_at = float("-inf")
+        self.heard_incarnation: int | None = None
         self.state: LeadState | None = None
         self.is_followed = False
         self.held: set[str] = set()
@@ -90,6 +97,13 @@
             state.hosts = known.hosts
         self.state = state
         self.answered_at = now
+        self.heard_at = read_boottime_clock()
+        self.heard_incarnation = self.client.peer_incarnation
+
+    @property
+    def has_heard_process(self) -> bool:
+        """Return whether the last answer is that of the connected process."""
+        return self.heard_incarnation == self.client.peer_incarnation
 
     async def report_held(self) -> None:
         """Tell the peer, once on each connection, which slots are held.
@@ -114,11 +128,24 @@
 
 
 class Peers:
-    """Maintains connections to the hosts that this one needs."""
+    """Maintains connections to the hosts that this one needs.
+
+    `part` is this host's part of the fleet's limits, lent by heartbeats.
+    """
 
-    __slots__ = ("_node", "_settings", "_counters", "_peers", "_tasks")
+    __slots__ = (
+        "part",
+        "_node",
+        "_settings",
+        "_counters",
+        "_peers",
+        "_tasks",
+        "_heartbeats",
+    )
 
     def __init__(self, node: EntryNode, settings: WireSettings):
+        self.part = OwnPart(read_boottime_clock())
+        self._heartbeats = itertools.count(1)
         self._node = node
         self._settings = settings
         self._counters = WireCounters()
@@ -190,26 +217,32 @@
             while True:
                 peer.changed.clear()
                 await self._send_heartbeat(peer)
-                is_initialized = self._node.initialized.is_set()
-                pause_s = (
-                    FOLLOW_INTERVAL_S
-                    if is_initialized
-                    else STARTUP_HEARTBEAT_INTERVAL_S
-                )
                 try:
-                    async with asyncio.timeout(pause_s):
+                    async with asyncio.timeout(self._choose_pause(peer)):
                         await peer.changed.wait()
                 except TimeoutError:
                     continue
 
+    def _choose_pause(self, peer: Peer) -> float:
+        """Return the seconds until the next heartbeat.
+
+        One is due as soon as this host's part can be lent to its leader.
+        """
+        if not self._node.initialized.is_set():
+            return STARTUP_HEARTBEAT_INTERVAL_S
+        now = read_boottime_clock()
+        end = self.part.find_end(peer.member.host, now)
+        if not peer.is_followed or end is None:
+            return FOLLOW_INTERVAL_S
+        return min(FOLLOW_INTERVAL_S, end - now)
+
     async def _send_heartbeat(self, peer: Peer) -> None:
         try:
             await peer.client.wait_connected(FOLLOW_INTERVAL_S)
             await peer.report_held()
             asked_at = read_boottime_clock()
-            state = await peer.client.call(
-                self._make_heartbeat(peer), LEADER_TIMEOUT_S
-            )
+            question = self._make_heartbeat(peer)
+            state = await peer.client.call(question, LEADER_TIMEOUT_S)
         except TimeoutError:
             if peer.client.is_connected:
                 _LOG.warning("peers: Heartbeat to %s timed out.", peer.member)
@@ -219,14 +252,41 @@
             _LOG.info("peers: Heartbeat to %s failed: %s", peer.member, error)
             return
         peer.record_answer(state, read_clock())
+        if not question.lends:
+            self._release_part(peer.member.host)
         self._node.accept_confirmation(state.version, asked_at - state.age_s)
 
+    def release_ended(self) -> None:
+        """Take this host's part back from leaders whose process is gone."""
+        for host, peer in self._peers.items():
+            if peer.client.last_refused_at is not None:
+                self._release_part(host)
+
+    def _release_part(self, host: str) -> None:
+        if not self.part.release(host):
+            return
+        for peer in self._peers.values():
+            if peer.is_followed:
+                peer.changed.set()
+
     def _make_heartbeat(self, peer: Peer) -> FollowLead:
         node = self._node
+        echo = 0.0
+        lends = False
+        if peer.state and peer.has_heard_process:
+            # Another process' clock, perhaps of before a loss of power, would
+            # make an old confirmation or loan look new.
+            echo = peer.state.clock
+            lends = peer.is_followed and self.part.try_lend(
+                peer.member.host, peer.heard_at, read_boottime_clock()
+            )
         return FollowLead(
+            number=next(self._heartbeats),
             is_leaving=node.is_leaving,
             follows=peer.is_followed,
-            echo=peer.state.clock if peer.state else 0.0,
+            lends=lends,
+            is_settled=node.is_settled(),
+            echo=echo,
             hosts_digest=peer.state.hosts_digest if peer.state else 0,
             version=node.catalog.version if node.catalog else 0,
             age_s=node.measure_confirmation_age(),
--- a/radishstile/entry/registrar.py
+++ b/radishstile/entry/registrar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 
 from radishstile.entry.leadership import Leadership
 from radishstile.entry.logs import log_fields
@@ -11,6 +12,7 @@
     ObjectMissingError,
     PlatformError,
 )
+from radishstile.fleet.hosts import RegisteredHost
 from radishstile.platform.registrations import HOST_KIND, encode_host
 
 _LOG = logging.getLogger("radishstile.registrar")
@@ -20,6 +22,10 @@
 # How long a host must be absent from its region's leader before its
 # registration is stale, in seconds: longer than a restart, which takes 1 to 3.
 STALE_AFTER_S = 5.0
+# Time after its start in which a host waits for the list of hosts before it
+# registers, in seconds: the list tells since when its name is registered.
+LIST_WAIT_S = 0.5
+LIST_CHECK_INTERVAL_S = 0.02
 
 
 class Registrar:
@@ -35,6 +41,7 @@
 
     async def run(self) -> None:
         """Register, and check the registrations until cancelled."""
+        await self._wait_for_list()
         while True:
             try:
                 await self._register()
@@ -45,18 +52,40 @@
                 )
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    async def unregister(self) -> None:
-        """Remove this host's registration."""
+    async def _wait_for_list(self) -> None:
+        """Wait a little until the registered hosts are known."""
+        node = self._node
+        while node.measure_uptime() < LIST_WAIT_S:
+            if node.hosts.is_loaded:
+                return
+            await asyncio.sleep(LIST_CHECK_INTERVAL_S)
+
+    async def mark_stopped(self) -> None:
+        """Mark this host's registration as that of a stopped host.
+
+        It is kept, as the host owns its part of the fleet's limits to its end
+        and is usually started again. The leader removes it otherwise.
+        """
+        local = self._node.hosts.local_host
+        stopped = RegisteredHost(
+            local.member, local.cores, local.registered_at, is_stopped=True
+        )
         try:
-            await self._remove(self._node.local_member.host)
+            await self._node.store.put(
+                HOST_KIND, local.name, encode_host(stopped)
+            )
         except PlatformError as error:
-            _LOG.warning("registrar: Own registration not removed: %s", error)
+            _LOG.warning("registrar: Own registration not marked: %s", error)
 
     async def _register(self) -> None:
         node = self._node
         name = node.local_member.host
-        if node.is_leaving or node.hosts.find(name) == node.hosts.local_host:
+        known = node.hosts.find(name)
+        if node.is_leaving or known == node.hosts.local_host:
             return
+        node.hosts.local_host.registered_at = (
+            known.registered_at if known else time.time()
+        )
         await self._write(name, encode_host(node.hosts.local_host))
         node.hosts.put(node.hosts.local_host)
         node.changed.set()
@@ -91,7 +120,7 @@
         node = self._node
         now = read_clock()
         live = self._leadership.followers.list_live(now)
-        names = [host.host for host in node.list_region_hosts()]
+        names = node.hosts.list_names(node.local_member.region)
         if 2 * len(live) <= len(names):
             self._absent_since.clear()
             return
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -220,7 +220,7 @@
             "service: Draining.",
             extra=log_fields(connections=self._caller_server.count_open()),
         )
-        await self._registrar.unregister()
+        await self._registrar.mark_stopped()
         while read_clock() - stopped_at < grace_s * DRAIN_GRACE_SHARE:
             if read_clock() - stopped_at > grace_s * ACCEPT_GRACE_SHARE:
                 self._caller_server.stop_listening()
--- a/radishstile/entry/subscribers.py
+++ b/radishstile/entry/subscribers.py
@@ -208,14 +208,16 @@
     def replace(self, listing: Listing) -> None:
         """Apply all registered hosts."""
         decoded = [self._decode(stored) for stored in listing.objects]
-        self._node.hosts.replace_all([host for host in decoded if host])
+        self._node.hosts.replace_all(
+            [host for host in decoded if host], read_clock()
+        )
         self._node.changed.set()
 
     def apply(self, change: Change) -> None:
         """Apply a change of a host."""
         host = None if change.is_removed else self._decode(change.object)
         if host is None:
-            self._node.hosts.remove(change.object.name)
+            self._node.hosts.remove(change.object.name, read_clock())
         else:
             self._node.hosts.put(host)
         self._node.changed.set()
--- a/radishstile/fleet/leadership.py
+++ b/radishstile/fleet/leadership.py
@@ -1,10 +1,9 @@
-"""Chooses the host that counts slots and rates for a region, and its share.
+"""Chooses the host that counts slots and rates for a region.
 
 There is no election. Each host follows the first reachable host of its
 region, in an order that all hosts share. A host with followers is a leader;
-its share is their part of the region's registered hosts. As a host follows
-one leader at a time, the shares never exceed one in sum whatever the network
-partition, and an isolated host goes on with its own share.
+its share of the slots and rates is that of the parts that they lend it (see
+`radishstile.fleet.parts`). An isolated host goes on with its own part.
 """
 
 import xxhash
@@ -14,8 +13,7 @@
 FOLLOWER_TIMEOUT_S = 1.5
 # Time between a follower's heartbeats, in seconds.
 FOLLOW_INTERVAL_S = 0.4
-# How long a follower keeps a leader that does not answer, in seconds. Below
-# `FOLLOWER_TIMEOUT_S`, so that most followers are counted once.
+# How long a follower keeps a leader that does not answer, in seconds.
 LEADER_TIMEOUT_S = 1.0
 # Age of a host's store data, in seconds, up to which others watch the store
 # through it. A leader that reaches the store has an answer every 0.8 s, or
@@ -220,11 +218,6 @@
         """Return the live followers that are not leaving."""
         return [h for h in self.list_live(now) if h not in self._leaving]
 
-    def measure_share(self, registered: int, now: float) -> float:
-        """Return this host's part of `registered` hosts of its region."""
-        count = len(self.list_live(now))
-        return count / max(count, registered, 1)
-
     def _expire(self, now: float) -> None:
         expired = [
             host
--- /dev/null
+++ b/radishstile/fleet/parts.py
@@ -0,0 +1,149 @@
+"""Parts of the fleet's limits: who holds them, and until when.
+
+Slots, rates and the other limits of a fleet are divided into as many parts as
+hosts are registered. Each host owns one part and lends it to the leader that
+it follows. Three rules keep the parts in use from summing to more than the
+whole:
+
+- A part is lent to one leader at a time: to another one only once the former
+  has confirmed that it gave the part up, its process is gone, or the loan has
+  run out. A loan lasts for `LOAN_S` of the leader's clock, from the value that
+  the host returns to it, so neither delays nor clocks extend it.
+- A host lends its part of the rates only once its registration is so old that
+  every host that still admits requests has seen it.
+- A registration that was removed counts in the divisor for as long. A host
+  that stops keeps its registration.
+"""
+
+# Duration of a loan, in seconds of the leader's clock: three heartbeats, less
+# the time for which the returned clock value is old already.
+LOAN_S = 1.3
+# Shortest time from the end of a process to the start of its host's next one,
+# in seconds, which knows nothing of earlier loans.
+RESTART_S = 1.0
+# By how much the owner's view of a loan is longer, in seconds, as a leader
+# applies the end of a loan a little late.
+LOAN_MARGIN_S = 0.1
+
+
+class OwnPart:
+    """To whom a host has lent its part.
+
+    Times are in seconds of a clock that counts suspended time.
+    """
+
+    __slots__ = ("_lent_until",)
+
+    def __init__(self, started_at: float):
+        # By leader, the end of the loan on this host's clock. The first is to
+        # the unknown leader of an earlier process.
+        self._lent_until: dict[str, float] = {
+            "": started_at + LOAN_S + LOAN_MARGIN_S - RESTART_S
+        }
+
+    def try_lend(self, leader: str, heard_at: float, now: float) -> bool:
+        """Lend the part to a leader, or renew the loan, if it is free.
+
+        `heard_at` is when this host received the leader's clock value that it
+        returns now. Returns whether the part is lent to the leader.
+        """
+        if heard_at + LOAN_S <= now or self.find_end(leader, now) is not None:
+            return False
+        self._lent_until[leader] = max(
+            heard_at + LOAN_S + LOAN_MARGIN_S,
+            self._lent_until.get(leader, float("-inf")),
+        )
+        return True
+
+    def release(self, leader: str) -> bool:
+        """Record that a leader gave the part up; return whether it had it."""
+        return self._lent_until.pop(leader, None) is not None
+
+    def find_end(self, leader: str, now: float) -> float | None:
+        """Return when the loans to leaders other than this one have ended.
+
+        Returns None if there is no such loan.
+        """
+        self._lent_until = {
+            name: until
+            for name, until in self._lent_until.items()
+            if until > now
+        }
+        ends = [u for name, u in self._lent_until.items() if name != leader]
+        return max(ends, default=None)
+
+
+class HeldParts:
+    """The parts that a leader holds, by their owners.
+
+    Times are in seconds of the leader's clock, which counts suspended time.
+    Heartbeats carry an order, the incarnation and the number of the sender's,
+    as one may arrive late by a connection that was replaced.
+    """
+
+    __slots__ = ("_until", "_settled", "_orders")
+
+    def __init__(self):
+        self._until: dict[str, float] = {}
+        self._settled: set[str] = set()
+        self._orders: dict[str, tuple[int, int]] = {}
+
+    def record(
+        self,
+        owner: str,
+        order: tuple[int, int],
+        until: float,
+        is_settled: bool,
+    ) -> None:
+        """Record a loan; `is_settled` is whether it is one of rates too."""
+        if self._is_late(owner, order):
+            return
+        self._until[owner] = until
+        if is_settled:
+            self._settled.add(owner)
+        else:
+            self._settled.discard(owner)
+
+    def give_up(self, owner: str, order: tuple[int, int]) -> None:
+        """Give a part up, as its owner asks for."""
+        if not self._is_late(owner, order):
+            self.drop(owner)
+
+    def drop(self, owner: str) -> None:
+        """Stop using a part."""
+        self._until.pop(owner, None)
+        self._settled.discard(owner)
+
+    def _is_late(self, owner: str, order: tuple[int, int]) -> bool:
+        """Return whether a later heartbeat of the owner came before."""
+        if order < self._orders.get(owner, (0, 0)):
+            return True
+        self._orders[owner] = order
+        return False
+
+    def list_held(self, now: float) -> set[str]:
+        """Return the owners of all parts held."""
+        self._expire(now)
+        return set(self._until)
+
+    def list_settled(self, now: float) -> set[str]:
+        """Return the owners of the parts held that are parts of rates."""
+        self._expire(now)
+        return set(self._settled)
+
+    def find_next_end(self) -> float:
+        """Return when the first loan ends, infinite if there is none."""
+        return min(self._until.values(), default=float("inf"))
+
+    def _expire(self, now: float) -> None:
+        expired = [host for host, until in self._until.items() if until <= now]
+        for host in expired:
+            self.drop(host)
+
+
+def measure_share(held: set[str], registered: set[str]) -> float:
+    """Return what the parts held are of the whole.
+
+    `registered` are the hosts that the whole is divided among.
+    """
+    return len(held) / max(1, len(held | registered))
--- a/radishstile/platform/registrations.py
+++ b/radishstile/platform/registrations.py
@@ -63,7 +63,12 @@
 
 def encode_host(host: RegisteredHost) -> dict:
     """Return the spec of an entry host's registration."""
-    return {**host.member.to_record(), "cores": host.cores}
+    return {
+        **host.member.to_record(),
+        "cores": host.cores,
+        "registered_at": host.registered_at,
+        "is_stopped": host.is_stopped,
+    }
 
 
 def decode_host(stored: PlatformObject) -> RegisteredHost:
@@ -72,8 +77,13 @@
     Raises `MalformedEntryError`.
     """
     try:
-        cores = require_number(stored.spec["cores"])
-        return RegisteredHost(Member.from_record(stored.spec), cores)
+        spec = stored.spec
+        return RegisteredHost(
+            Member.from_record(spec),
+            require_number(spec["cores"]),
+            require_number(spec.get("registered_at", 0.0)),
+            spec.get("is_stopped", False) is True,
+        )
     except (KeyError, TypeError) as error:
         raise MalformedEntryError(
             f"{stored.name}: missing or malformed field: {error}"
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -111,7 +111,10 @@
 class FollowLead(Message):
     """A host's heartbeat to a leader.
 
-    `follows` tells whether the host follows the receiver or only queries it.
+    `number` counts the heartbeats that the host has sent to any leader.
+    `follows` tells whether the host follows the receiver or only queries it,
+    `lends` whether the receiver holds the host's part of the fleet's limits,
+    counted from `echo`, and `is_settled` whether that is one of rates too.
     `echo` is the `clock` of the receiver's last answer, and `hosts_digest`
     that of the hosts in it; both are 0 if there was none. `version` is the
     host's configuration, and `age_s` the time since its confirmation.
@@ -119,8 +122,11 @@
     """
 
     __slots__ = (
+        "number",
         "is_leaving",
         "follows",
+        "lends",
+        "is_settled",
         "echo",
         "hosts_digest",
         "version",
@@ -128,8 +134,11 @@
         "news_age_s",
     )
 
+    number: int
     is_leaving: bool
     follows: bool
+    lends: bool
+    is_settled: bool
     echo: float
     hosts_digest: int
     version: int
