Keep a region's loans through silent connections and new hosts

Cause: a loan is known by the borrowing region. A host that led itself for a moment, as it started or after it had suspected its leader, asked for its own needs and replaced the region's loan; it then grows only in limited steps. And a leader noticed a silent connection to a lender after 1.4 s, so that the loan ran out before the next renewal.

Change: only a leader that holds most parts of its region borrows for it. Of several leaders of a region, the one with most followers is asked. A heartbeat's answer is awaited no longer than its peer is usable.

--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -152,11 +152,16 @@
         return None
 
     def find_leader_of(self, region: str) -> Peer | None:
-        """Return the usable peer that leads a region, if any."""
-        for peer in self.peers.list_usable(region):
-            if peer.state.lead == peer.member.host:
-                return peer
-        return None
+        """Return the usable peer that leads a region, if any.
+
+        Of several, it is the one with most followers.
+        """
+        leaders = [
+            peer
+            for peer in self.peers.list_usable(region)
+            if peer.state.lead == peer.member.host
+        ]
+        return max(leaders, key=lambda p: p.state.weight, default=None)
 
     def answer_heartbeat(
         self, message: FollowLead, member: Member
--- a/radishstile/entry/loans.py
+++ b/radishstile/entry/loans.py
@@ -33,6 +33,8 @@
 # Part of a region's slots of a service whose loss by failures lifts the limit
 # of loans, so that the region's callers are not refused meanwhile.
 FAILED_SHARE = 0.1
+# Share of a region's slots above which a leader borrows for it.
+MAJORITY_SHARE = 0.5
 # Timeout of a remote leader's answer, in seconds.
 ANSWER_TIMEOUT_S = 1.0
 
@@ -97,9 +99,18 @@
         while True:
             await asyncio.sleep(self._choose_interval())
             self._end_expired()
-            if self._leadership.is_leading:
+            if self._leads_region():
                 await self._renew()
 
+    def _leads_region(self) -> bool:
+        """Return whether this host borrows for its region.
+
+        Only one leader holds most parts of a region. Requests of others, such
+        as a host that leads itself as it starts, would replace its loans.
+        """
+        share = self._admission.scheduler.share
+        return self._leadership.is_leading and share > MAJORITY_SHARE
+
     def _choose_interval(self) -> float:
         led_s = read_clock() - self._leadership.followed_at
         if led_s < START_PERIOD_S and self._leadership.is_leading:
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -23,6 +23,9 @@
 # Heartbeat interval of a host that is not initialized yet, in seconds: it
 # needs a peer that is.
 STARTUP_HEARTBEAT_INTERVAL_S = 0.05
+# Shortest timeout of an answer to a heartbeat, in seconds: several round trips
+# between the farthest regions.
+ANSWER_MIN_S = 0.5
 # Time without any answer of a suspected peer after which the connection is
 # taken for silent, in seconds. A claim waits that long for its first answer.
 SILENCE_S = 0.35
@@ -83,6 +86,15 @@
             return False
         return now - self.dialled_at >= LEADER_TIMEOUT_S
 
+    def measure_answer_time(self, now: float) -> float:
+        """Return the seconds in which the next answer must come.
+
+        The connection is replaced by the time that the peer is not usable.
+        """
+        unanswered_s = now - max(self.answered_at, self.dialled_at)
+        left_s = LEADER_TIMEOUT_S - unanswered_s
+        return left_s if left_s >= ANSWER_MIN_S else LEADER_TIMEOUT_S
+
     def measure_store_data_age(self, now: float) -> float:
         """Return the age of the peer's store data, in seconds."""
         return self.state.news_age_s + now - self.answered_at
@@ -242,7 +254,9 @@
             await peer.report_held()
             asked_at = read_boottime_clock()
             question = self._make_heartbeat(peer)
-            state = await peer.client.call(question, LEADER_TIMEOUT_S)
+            state = await peer.client.call(
+                question, peer.measure_answer_time(read_clock())
+            )
         except TimeoutError:
             if peer.client.is_connected:
                 _LOG.warning("peers: Heartbeat to %s timed out.", peer.member)
--- a/test/entry/test_loans.py
+++ b/test/entry/test_loans.py
@@ -30,7 +30,9 @@
         patch = mock.patch.object(Loans, "_renew", renew)
         patch.start()
         self.addCleanup(patch.stop)
-        loans = Loans(None, self.leadership, None)
+        self.scheduler = SimpleNamespace(share=1.0)
+        admission = SimpleNamespace(scheduler=self.scheduler)
+        loans = Loans(None, self.leadership, admission)
         task = asyncio.create_task(loans.run())
         self.addCleanup(task.cancel)
 
@@ -47,3 +49,10 @@
         self.leadership.is_leading = False
         await asyncio.sleep(2.0)
         self.assertEqual(self.renewed_at, [])
+
+    async def test_a_leader_of_few_hosts_does_not_ask(self):
+        # Guards against loans of a region that are replaced by those of a
+        # host that leads itself while it starts.
+        self.scheduler.share = 0.5
+        await asyncio.sleep(2.0)
+        self.assertEqual(self.renewed_at, [])
