Bound what a host keeps for callers and upstreams

Report of other operators: a faulty backend sent bytes that were no answer, without end; the machine kept them all and ran out of memory.

Found here: heads, trailers, chunk extensions and interim answers without end were bounded already (test.http.test_parser.EndlessAnswerTest).

Change: bytes on an idle connection end it. Bodies are kept in one buffer. The next answer of a connection waits until the caller has read. A long body is sent in parts instead of being copied whole. A refusal of a request that was not read whole reaches its caller, as the rest is read and dropped for a second.

--- a/radishstile/entry/body.py
+++ b/radishstile/entry/body.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+from radishstile.entry.buffers import BufferLease
 from radishstile.entry.claims import Slot
 from radishstile.entry.connection_pool import (
     ConnectionPool,
@@ -34,6 +35,7 @@
         "_parts",
         "_deadline_at",
         "_pool",
+        "_lease",
         "_started_at",
         "_complete_ending",
         "_ending",
@@ -50,6 +52,7 @@
         ending: Ending,
         deadline_at: float,
         pool: ConnectionPool,
+        lease: BufferLease,
     ):
         self._slot = slot
         self._upstream = upstream
@@ -58,6 +61,7 @@
         self._parts = parts
         self._deadline_at = deadline_at
         self._pool = pool
+        self._lease = lease
         self._started_at = read_clock()
         self._complete_ending = ending
         self._ending = Ending.ABANDONED
@@ -69,12 +73,14 @@
         Raises `RefusalError` if the body can't be completed.
         """
         try:
-            for part in self._parts:
-                yield part
+            while self._parts:
+                yield self._parts.pop(0)
+            self._lease.close()
             while not self._parser.is_complete:
                 async with asyncio.timeout_at(self._deadline_at):
                     await read_more(self._connection, self._parser)
-                for part in self._parser.take_body():
+                part = self._parser.take_body()
+                if part:
                     yield part
             self._ending = self._complete_ending
         except (ConnectionError, HttpError, TimeoutError) as error:
@@ -88,11 +94,13 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._parts.clear()
+        self._lease.close()
         is_kept = self._parser.is_complete and self._pool.keep(
             self._upstream, self._connection, self._parser
         )
         if not is_kept:
-            self._connection.stream.abort()
+            self._connection.abort()
         held_s = read_clock() - self._started_at
         rate_limit = read_rate_limit(self._parser.head)
         await asyncio.shield(
--- a/radishstile/entry/caller_request.py
+++ b/radishstile/entry/caller_request.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
+from radishstile.entry.buffers import BufferLease
 from radishstile.http.message import AnswerHead, Request
 
 
@@ -51,16 +52,23 @@
 
 
 class BufferedAnswer:
-    """An upstream's answer that is complete."""
+    """An upstream's answer that is complete.
 
-    __slots__ = ("head", "parts")
+    It must be closed, whether or not it was passed on.
+    """
+
+    __slots__ = ("head", "parts", "_lease")
 
-    def __init__(self, head: AnswerHead, parts: list[bytes]):
+    def __init__(
+        self, head: AnswerHead, parts: list[bytes], lease: BufferLease
+    ):
         self.head = head
         self.parts = parts
+        self._lease = lease
 
     async def close(self) -> None:
-        """Do nothing: a complete answer occupies nothing."""
+        """Free the buffer."""
+        self._lease.close()
 
 
 class StreamedAnswer:
--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -7,10 +7,11 @@
 
 import asyncio
 import logging
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from functools import singledispatchmethod
 
 from radishstile.catalog.catalog import CallerLimits
+from radishstile.entry.buffers import BufferBudget
 from radishstile.entry.caller_request import (
     Answer,
     BufferedAnswer,
@@ -42,6 +43,11 @@
 BODY_TIMEOUT_S = 10.0
 # Retry-After of a host that stops, in seconds: others serve at once.
 STOPPING_RETRY_S = 0.05
+# Retry-After of a request that the buffers have no space for, in seconds:
+# about the time that a long upload takes.
+BUFFER_RETRY_S = 1.0
+# How long bytes that follow a refused request are read, in seconds.
+LINGER_S = 1.0
 # Listen backlog; bursts open some hundred connections at once.
 BACKLOG = 1024
 
@@ -57,9 +63,22 @@
 class CallerServer:
     """Accepts connections of callers and tracks them."""
 
-    __slots__ = ("_node", "_forwarder", "_server", "_tasks", "_connections")
+    __slots__ = (
+        "_node",
+        "_forwarder",
+        "_buffers",
+        "_server",
+        "_tasks",
+        "_connections",
+    )
 
-    def __init__(self, node: EntryNode, forwarder: RequestForwarder):
+    def __init__(
+        self,
+        node: EntryNode,
+        forwarder: RequestForwarder,
+        buffers: BufferBudget,
+    ):
+        self._buffers = buffers
         self._node = node
         self._forwarder = forwarder
         self._server: asyncio.Server | None = None
@@ -78,7 +97,9 @@
 
     def accept(self, stream: ByteStream) -> None:
         """Serve a new connection in a task of its own."""
-        connection = CallerConnection(self._node, self._forwarder, stream)
+        connection = CallerConnection(
+            self._node, self._forwarder, self._buffers, stream
+        )
         self._tasks.add(asyncio.ensure_future(self._run(connection)))
 
     def count_open(self) -> int:
@@ -141,6 +162,8 @@
         "refuses_requests",
         "_node",
         "_forwarder",
+        "_buffers",
+        "_unread_lease",
         "_stream",
         "_tasks",
         "_newest_task",
@@ -149,9 +172,16 @@
     )
 
     def __init__(
-        self, node: EntryNode, forwarder: RequestForwarder, stream: ByteStream
+        self,
+        node: EntryNode,
+        forwarder: RequestForwarder,
+        buffers: BufferBudget,
+        stream: ByteStream,
     ):
         self.refuses_requests = False
+        self._buffers = buffers
+        # For the bodies of requests that were not started.
+        self._unread_lease = buffers.open()
         self._node = node
         self._forwarder = forwarder
         self._stream = stream
@@ -178,9 +208,14 @@
             while await self._read_some(parser, limits):
                 while parser.requests and not self._is_closing:
                     await self._start(parser.requests.popleft())
+                    self._unread_lease.resize(parser.count_buffered())
             await self._await_last_answers()
         except HttpError as error:
             await self._refuse_malformed(error)
+        except RefusalError as refusal:
+            parser.discard_body()
+            self._unread_lease.close()
+            await self._refuse_unread(refusal)
         except ConnectionError as error:
             _LOG.debug("callers: Connection lost: %s", error)
         finally:
@@ -189,6 +224,7 @@
             for task in self._tasks:
                 task.cancel()
             self._stream.close()
+            self._unread_lease.close()
 
     def _read_limits(self) -> CallerLimits:
         catalog = self._node.catalog
@@ -215,6 +251,13 @@
         if not data:
             return False
         parser.feed(data, read_clock())
+        if not self._unread_lease.resize(parser.count_buffered()):
+            raise RefusalError(
+                Reason.OVERLOADED,
+                Outcome.NOT_RUN,
+                BUFFER_RETRY_S,
+                "the host's buffers are full",
+            )
         if parser.expects_continue:
             parser.expects_continue = False
             self._stream.write(_CONTINUE)
@@ -241,6 +284,8 @@
         self, request: Request, previous: asyncio.Task | None
     ) -> None:
         """Answer a request; an unexpected error aborts the connection."""
+        lease = self._buffers.open()
+        lease.resize(len(request.body))
         try:
             await self._answer(request, previous)
         except Exception:
@@ -249,6 +294,7 @@
             )
             self._stream.abort()
         finally:
+            lease.close()
             self._tasks.discard(asyncio.current_task())
             self._pipeline_slots.release()
 
@@ -259,15 +305,31 @@
 
     async def _refuse_malformed(self, error: HttpError) -> None:
         """Refuse a malformed request once earlier ones are answered."""
-        if self._tasks:
-            await asyncio.wait(self._tasks)
         reason = _REASON_BY_STATUS.get(error.status, Reason.BAD_REQUEST)
         refusal = RefusalError(reason, Outcome.NOT_RUN, detail=str(error))
+        await self._refuse_unread(refusal)
+
+    async def _refuse_unread(self, refusal: RefusalError) -> None:
+        """Refuse a request that was not read whole, after earlier ones."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
         self._stream.write(encode_refusal(refusal, "", True))
         _LOG.warning(
-            "callers: Malformed request.",
-            extra=log_fields(status=error.status, why=str(error)),
+            "callers: Request not read.",
+            extra=log_fields(status=find_status(refusal), why=str(refusal)),
         )
+        await self._discard_rest()
+
+    async def _discard_rest(self) -> None:
+        """Read on for a while, so that the refusal reaches the caller.
+
+        Closing a connection with unread bytes would reset it.
+        """
+        self._stream.end_writing()
+        with suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(LINGER_S):
+                while await self._stream.read():
+                    continue
 
     async def _answer(
         self, request: Request, previous: asyncio.Task | None
@@ -337,6 +399,10 @@
         self._count(caller_request.http_request, answer.head.status, "")
         if is_last:
             self.close()
+            return
+        # Further answers wait for a caller that does not read.
+        with suppress(ConnectionError):
+            await self._stream.drain()
 
     @_write.register
     async def _(
--- a/radishstile/entry/connection_pool.py
+++ b/radishstile/entry/connection_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 
+from radishstile.entry.buffers import BufferLease
 from radishstile.entry.node import read_clock
 from radishstile.errors import UpstreamUnreachableError
 from radishstile.http.parser import AnswerParser
@@ -13,6 +14,8 @@
 # Body bytes that are buffered before an answer is streamed, so that the
 # request can still be retried if the answer breaks off. Most are smaller.
 BUFFER_LIMIT_BYTES = 262_144
+# Size of the parts in which long bodies are sent, in bytes.
+SEND_PART_BYTES = 65_536
 # Connect timeout in seconds: two round trips between the farthest regions,
 # and as much again for a busy host.
 CONNECT_TIMEOUT_S = 0.5
@@ -30,11 +33,46 @@
     `idle_until` is the loop's time up to which it may be reused, in seconds.
     """
 
-    __slots__ = ("stream", "idle_until")
+    __slots__ = ("stream", "idle_until", "_sender")
 
     def __init__(self, stream: ByteStream):
         self.stream = stream
         self.idle_until = 0.0
+        self._sender: asyncio.Task | None = None
+
+    @property
+    def is_sent(self) -> bool:
+        """Return whether all of the last request was written."""
+        return self._sender is None or self._sender.done()
+
+    def send(self, head: bytes, body: bytes | bytearray) -> None:
+        """Send a request without waiting; a long body in a task of its own.
+
+        The stream would keep a copy of all that the upstream has not read.
+        """
+        self._sender = None
+        if len(body) <= SEND_PART_BYTES:
+            self.stream.write(head + body)
+            return
+        self.stream.write(head)
+        self._sender = asyncio.create_task(self._send_body(body))
+
+    async def _send_body(self, body: bytes | bytearray) -> None:
+        with memoryview(body) as content:
+            for start in range(0, len(content), SEND_PART_BYTES):
+                try:
+                    await self.stream.drain()
+                except ConnectionError:
+                    # The reader of the answer learns of it.
+                    return
+                end = start + SEND_PART_BYTES
+                self.stream.write(bytes(content[start:end]))
+
+    def abort(self) -> None:
+        """Abort the connection and what is still to be sent."""
+        if self._sender is not None:
+            self._sender.cancel()
+        self.stream.abort()
 
 
 class ConnectionPool:
@@ -57,8 +95,9 @@
                 connection.stream.is_reusable
                 and read_clock() < connection.idle_until
             ):
+                connection.stream.set_idle(False)
                 return connection
-            connection.stream.abort()
+            connection.abort()
         return await self._connect(upstream)
 
     def release(
@@ -72,8 +111,9 @@
         `idle_s` is the idle limit that the upstream announced, in seconds.
         """
         if not connection.stream.is_reusable:
-            connection.stream.abort()
+            connection.abort()
             return
+        connection.stream.set_idle(True)
         kept_s = DEFAULT_IDLE_S if idle_s is None else idle_s - IDLE_MARGIN_S
         connection.idle_until = read_clock() + kept_s
         self._idle.setdefault(upstream.incarnation, deque()).append(connection)
@@ -90,6 +130,7 @@
         """
         is_sound = (
             parser.keeps_alive
+            and connection.is_sent
             and not parser.has_extra_bytes
             and not parser.skipped_answers
         )
@@ -107,7 +148,7 @@
                 del self._idle[incarnation]
                 continue
             while connections and connections[0].idle_until <= now:
-                connections.popleft().stream.abort()
+                connections.popleft().abort()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -131,23 +172,28 @@
 
 def _abort_all(connections: deque[UpstreamConnection]) -> None:
     for connection in connections:
-        connection.stream.abort()
+        connection.abort()
 
 
 async def read_buffered(
-    connection: UpstreamConnection, parser: AnswerParser
+    connection: UpstreamConnection, parser: AnswerParser, lease: BufferLease
 ) -> list[bytes]:
     """Read an answer until it is complete or exceeds the buffer.
 
-    Returns the parts of the body; raises `ConnectionError` or `HttpError`.
+    It is buffered no further if the host's buffers are full. Returns the parts
+    of the body; raises `ConnectionError` or `HttpError`.
     """
     parts: list[bytes] = []
     size = 0
     while not parser.is_complete and size < BUFFER_LIMIT_BYTES:
         await read_more(connection, parser)
-        new = parser.take_body()
-        size += sum(map(len, new))
-        parts += new
+        part = parser.take_body()
+        if not part:
+            continue
+        parts.append(part)
+        size += len(part)
+        if not lease.resize(size):
+            break
     return parts
 
 
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -12,6 +12,7 @@
 )
 from radishstile.entry.admission import ClaimTerms
 from radishstile.entry.body import UpstreamBody
+from radishstile.entry.buffers import BufferBudget
 from radishstile.entry.caller_request import (
     Answer,
     BufferedAnswer,
@@ -43,7 +44,7 @@
 from radishstile.platform.http_codec import (
     REQUEST_ID,
     classify_answer,
-    encode_request,
+    encode_request_head,
     read_rate_limit,
 )
 from radishstile.run.budget import RetryBudget
@@ -76,6 +77,7 @@
         "_connections",
         "_retry_budget",
         "_answer_limits",
+        "_buffers",
     )
 
     def __init__(
@@ -85,12 +87,14 @@
         connections: ConnectionPool,
         retry_budget: RetryBudget,
         answer_limits: AnswerLimits,
+        buffers: BufferBudget,
     ):
         self._node = node
         self._slot_client = slot_client
         self._connections = connections
         self._retry_budget = retry_budget
         self._answer_limits = answer_limits
+        self._buffers = buffers
 
     async def serve(self, request: CallerRequest) -> Answer:
         """Return the answer to a request; raises `RefusalError`."""
@@ -298,12 +302,15 @@
         started_at = read_clock()
         name = plan.workspace.name if plan.workspace else ""
         is_kept = False
+        result = None
+        lease = self._buffers.open()
         try:
             left_s = plan.deadline_at - started_at
-            connection.stream.write(
-                encode_request(request, upstream, name, left_s)
+            connection.send(
+                encode_request_head(request, upstream, name, left_s),
+                request.http_request.body,
             )
-            parts = await read_buffered(connection, parser)
+            parts = await read_buffered(connection, parser, lease)
             ending = classify_answer(parser.head)
             result = AttemptResult(ending, upstream.upstream_id)
             result.rate_limit = read_rate_limit(parser.head)
@@ -318,11 +325,12 @@
                     ending,
                     plan.deadline_at,
                     self._connections,
+                    lease,
                 )
                 result.answer = StreamedAnswer(parser.head, body)
                 return result
             is_kept = self._connections.keep(upstream, connection, parser)
-            result.answer = BufferedAnswer(parser.head, parts)
+            result.answer = BufferedAnswer(parser.head, parts, lease)
             return result
         except (ConnectionError, HttpError) as error:
             return AttemptResult(
@@ -330,7 +338,9 @@
             )
         finally:
             if not is_kept:
-                connection.stream.abort()
+                connection.abort()
+            if result is None or result.answer is None:
+                lease.close()
 
     # Retry decisions and the final result.
 
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -5,6 +5,7 @@
 import os
 
 from radishstile.entry.admission import AdmissionController
+from radishstile.entry.buffers import BufferBudget
 from radishstile.entry.callers import CallerServer
 from radishstile.entry.claims import SlotClient
 from radishstile.entry.connection_pool import ConnectionPool
@@ -48,6 +49,7 @@
 INITIAL_RETRY_TOKENS = 4.0
 # Share of the allowed retry ratio that is used.
 RETRY_SHARE_USED = 0.75
+BYTES_PER_MB = 1_000_000
 
 
 class EntryHost:
@@ -97,10 +99,16 @@
         slot_client = SlotClient(
             self._leadership, self._admission, node.local_member.region
         )
+        buffers = BufferBudget(file.memory_mb * BYTES_PER_MB)
         forwarder = RequestForwarder(
-            node, slot_client, self._connections, budget, AnswerLimits()
+            node,
+            slot_client,
+            self._connections,
+            budget,
+            AnswerLimits(),
+            buffers,
         )
-        self._caller_server = CallerServer(node, forwarder)
+        self._caller_server = CallerServer(node, forwarder, buffers)
         self._grants = RemoteGrants(slot_client)
         self._directory = Directory(
             node,
--- a/radishstile/http/message.py
+++ b/radishstile/http/message.py
@@ -23,7 +23,7 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: bytes,
+        body: bytes | bytearray,
         keeps_alive: bool,
         received_at: float,
     ):
--- a/radishstile/http/parser.py
+++ b/radishstile/http/parser.py
@@ -55,7 +55,6 @@
         "_head_bytes",
         "_unparsed_bytes",
         "_body",
-        "_body_bytes",
         "_error",
     )
 
@@ -78,6 +77,15 @@
         """Return whether a request has arrived only partly."""
         return self._has_begun
 
+    def count_buffered(self) -> int:
+        """Return the bytes of the bodies that wait here, whole or not."""
+        waiting = sum(len(request.body) for request in self.requests)
+        return waiting + len(self._body)
+
+    def discard_body(self) -> None:
+        """Drop the body of the request that is being received."""
+        self._body = bytearray()
+
     def feed(self, data: bytes, now: float) -> None:
         """Parse received bytes; raises `HttpError` if they are rejected."""
         self._now = now
@@ -100,8 +108,9 @@
         self._target = b""
         self._headers: Headers = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer: a list of the parts takes many times the bytes of a body
+        # in chunks of one byte.
+        self._body = bytearray()
         self._started_at = self._now
 
     def _count_head(self, size: int) -> None:
@@ -145,21 +154,21 @@
     def on_body(self, part: bytes) -> None:
         """Append to the body."""
         self._unparsed_bytes = 0
-        self._body.append(part)
-        self._body_bytes += len(part)
-        if self._body_bytes > self._body_limit:
+        self._body += part
+        if len(self._body) > self._body_limit:
             self._fail(_BODY_TOO_LARGE, "the body is too large")
 
     def on_message_complete(self) -> None:
         """Add the complete request to `requests`."""
         self._has_begun = False
         self.expects_continue = False
+        body, self._body = self._body, bytearray()
         self.requests.append(
             Request(
                 self._parser.get_method(),
                 self._target,
                 self._headers,
-                b"".join(self._body),
+                body,
                 self._parser.should_keep_alive(),
                 self._started_at,
             )
@@ -203,7 +212,7 @@
         self._request_id = request_id
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._has_known_length = False
         self._is_skipping = False
         self._limits = limits
@@ -258,11 +267,11 @@
         self.is_complete = True
         self.keeps_alive = False
 
-    def take_body(self) -> list[bytes]:
-        """Return the parts of the body that arrived since the last call."""
-        parts = self._body
-        self._body = []
-        return parts
+    def take_body(self) -> bytes:
+        """Return what arrived of the body since the last call."""
+        part = bytes(self._body)
+        self._body.clear()
+        return part
 
     # Callbacks of httptools.
 
@@ -298,7 +307,7 @@
         """Append to the body."""
         self._framing_bytes = 0
         if not self._is_skipping and not self.is_complete:
-            self._body.append(part)
+            self._body += part
 
     def on_message_complete(self) -> None:
         """Mark the answer as complete, or count a skipped one."""
--- a/radishstile/http/stream.py
+++ b/radishstile/http/stream.py
@@ -32,6 +32,7 @@
         "_is_ended",
         "_is_reading_paused",
         "_is_writing_paused",
+        "_is_idle",
         "_read_waiter",
         "_drain_waiter",
     )
@@ -44,6 +45,7 @@
         self._is_ended = False
         self._is_reading_paused = False
         self._is_writing_paused = False
+        self._is_idle = False
         self._read_waiter: asyncio.Future | None = None
         self._drain_waiter: asyncio.Future | None = None
 
@@ -74,6 +76,13 @@
             raise ConnectionResetError(str(self.failure)) from self.failure
         return b""
 
+    def set_idle(self, is_idle: bool) -> None:
+        """Set whether nothing is awaited; what comes then ends the stream.
+
+        Nobody would read it, and many idle streams would keep it.
+        """
+        self._is_idle = is_idle
+
     def write(self, content: bytes) -> None:
         """Send bytes without waiting."""
         if not self.transport.is_closing():
@@ -93,6 +102,11 @@
         if self._is_ended:
             raise ConnectionResetError("the connection has ended")
 
+    def end_writing(self) -> None:
+        """Close the sending side after what was written."""
+        if not self.transport.is_closing():
+            self.transport.write_eof()
+
     def close(self) -> None:
         """Close the connection after sending what was written."""
         if self.transport is not None:
@@ -118,6 +132,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes until they are read."""
+        if self._is_idle:
+            self._mark_ended()
+            self.abort()
+            return
         self._chunks.append(data)
         self._unread_bytes += len(data)
         if (
--- a/radishstile/platform/http_codec.py
+++ b/radishstile/platform/http_codec.py
@@ -107,13 +107,13 @@
     )
 
 
-def encode_request(
+def encode_request_head(
     caller_request: CallerRequest,
     upstream: Registration,
     workspace: str,
     remaining_s: float,
 ) -> bytes:
-    """Return the request as sent to an upstream.
+    """Return a request's head as sent to an upstream, without the body.
 
     `remaining_s` is the time until the caller's deadline, in seconds.
     """
@@ -135,7 +135,7 @@
         lines.append(b"X-Tenant: " + workspace.encode())
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"Content-Length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def classify_answer(head: AnswerHead) -> Ending:
