Repeat notifications that a silent connection may have lost

Cause: reports on crashed upstreams and on rate limits are written without an answer. In a connection that has gone silent they are lost, and the other region crashes as many upstreams as this one did.

test.entry.test_remote_grants...test_report_lost_in_a_silent_connection_is_sent_again failed before. Sending a request to an upstream is split, without a change.

--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -301,9 +301,8 @@
         )
         started_at = read_clock()
         name = plan.workspace.name if plan.workspace else ""
-        is_kept = False
-        result = None
         lease = self._buffers.open()
+        result = None
         try:
             left_s = plan.deadline_at - started_at
             connection.send(
@@ -311,37 +310,50 @@
                 request.http_request.body,
             )
             parts = await read_buffered(connection, parser, lease)
-            ending = classify_answer(parser.head)
-            result = AttemptResult(ending, upstream.upstream_id)
+            result = AttemptResult(
+                classify_answer(parser.head), upstream.upstream_id
+            )
             result.rate_limit = read_rate_limit(parser.head)
-            if not parser.is_complete:
-                is_kept = True
-                body = UpstreamBody(
-                    slot,
-                    upstream,
-                    connection,
-                    parser,
-                    parts,
-                    ending,
-                    plan.deadline_at,
-                    self._connections,
-                    lease,
-                )
-                result.answer = StreamedAnswer(parser.head, body)
+            if parser.is_complete:
+                result.answer = BufferedAnswer(parser.head, parts, lease)
                 return result
-            is_kept = self._connections.keep(upstream, connection, parser)
-            result.answer = BufferedAnswer(parser.head, parts, lease)
+            body = UpstreamBody(
+                slot,
+                upstream,
+                connection,
+                parser,
+                parts,
+                result.ending,
+                plan.deadline_at,
+                self._connections,
+                lease,
+            )
+            result.answer = StreamedAnswer(parser.head, body)
             return result
         except (ConnectionError, HttpError) as error:
             return AttemptResult(
                 Ending.BROKEN, upstream.upstream_id, detail=str(error)
             )
         finally:
-            if not is_kept:
-                connection.abort()
-            if result is None or result.answer is None:
+            self._finish_send(upstream, connection, parser, result)
+            if result is None:
                 lease.close()
 
+    def _finish_send(
+        self,
+        upstream: Registration,
+        connection: UpstreamConnection,
+        parser: AnswerParser,
+        result: AttemptResult | None,
+    ) -> None:
+        """Keep the connection of a whole answer; abort that of none."""
+        if result is not None and not parser.is_complete:
+            return
+        if result is None or not self._connections.keep(
+            upstream, connection, parser
+        ):
+            connection.abort()
+
     # Retry decisions and the final result.
 
     def _may_retry(
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -5,6 +5,7 @@
 import logging
 
 from radishstile.entry.node import EntryNode, read_boottime_clock, read_clock
+from radishstile.entry.recent_messages import RecentMessages
 from radishstile.errors import WireError
 from radishstile.fleet.leadership import (
     FOLLOW_INTERVAL_S,
@@ -64,7 +65,7 @@
         self.is_followed = False
         self.held: set[str] = set()
         self.changed = asyncio.Event()
-        # Number of the connection on which the peer was told of `held`.
+        # Number of the connection on which the peer was introduced to.
         self._informed_connection = 0
 
     @property
@@ -117,8 +118,8 @@
         """Return whether the last answer is that of the connected process."""
         return self.heard_incarnation == self.client.peer_incarnation
 
-    async def report_held(self) -> None:
-        """Tell the peer, once on each connection, which slots are held.
+    async def introduce(self, recent: RecentMessages) -> None:
+        """Tell the peer, once on each connection, what it may have missed.
 
         Raises `WireError`.
         """
@@ -126,6 +127,8 @@
         if number == self._informed_connection:
             return
         await self.client.notify(HeldSlots(claim_ids=sorted(self.held)))
+        for message in recent.list_recent(read_clock()):
+            await self.client.notify(message)
         self._informed_connection = number
 
     def suspect(self) -> None:
@@ -142,11 +145,13 @@
 class Peers:
     """Maintains connections to the hosts that this one needs.
 
-    `part` is this host's part of the fleet's limits, lent by heartbeats.
+    `part` is this host's part of the fleet's limits, lent by heartbeats, and
+    `recent` are the notifications that new connections repeat.
     """
 
     __slots__ = (
         "part",
+        "recent",
         "_node",
         "_settings",
         "_counters",
@@ -157,6 +162,7 @@
 
     def __init__(self, node: EntryNode, settings: WireSettings):
         self.part = OwnPart(read_boottime_clock())
+        self.recent = RecentMessages()
         self._heartbeats = itertools.count(1)
         self._node = node
         self._settings = settings
@@ -251,7 +257,7 @@
     async def _send_heartbeat(self, peer: Peer) -> None:
         try:
             await peer.client.wait_connected(FOLLOW_INTERVAL_S)
-            await peer.report_held()
+            await peer.introduce(self.recent)
             asked_at = read_boottime_clock()
             question = self._make_heartbeat(peer)
             state = await peer.client.call(
--- a/radishstile/entry/poison_reports.py
+++ b/radishstile/entry/poison_reports.py
@@ -9,6 +9,7 @@
 
 from radishstile.entry.admission import AdmissionController
 from radishstile.entry.logs import log_fields
+from radishstile.entry.node import read_clock
 from radishstile.entry.peers import Peers
 from radishstile.errors import WireError
 from radishstile.wire.reports import encode_report
@@ -33,6 +34,7 @@
         """Send reports until cancelled."""
         while True:
             message = encode_report(await self._admission.reports.get())
+            self._peers.recent.add(message, read_clock())
             for peer in self._peers.list_connected():
                 try:
                     await peer.client.notify(message)
--- a/radishstile/entry/rate_reports.py
+++ b/radishstile/entry/rate_reports.py
@@ -50,8 +50,11 @@
             return host
         since = read_clock() - MAX_AGE_S
         rates = self._admission.scheduler.list_rates(since)
+        report = ReportRates(rates=rates)
+        if rates:
+            self._leadership.peers.recent.add(report, read_clock())
         try:
-            await leader.client.notify(ReportRates(rates=rates))
+            await leader.client.notify(report)
         except WireError as error:
             _LOG.info(
                 "rates: Rate limits not sent.",
--- a/test/entry/test_remote_grants.py
+++ b/test/entry/test_remote_grants.py
@@ -12,9 +12,12 @@
 from radishstile.entry.claims import SlotClient
 from radishstile.entry.handlers import MessageHandler
 from radishstile.entry.peers import Peer
+from radishstile.entry.recent_messages import RecentMessages
 from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.errors import RefusalError
+from radishstile.run.poison import CrashReport
 from radishstile.slot.claim import Ending, Grant
+from radishstile.wire.reports import encode_report
 from soak.proxy import ConnectionFault, Proxy
 from test.slot._common import make_claim
 from test.wire._common import PeerTestCase
@@ -52,8 +55,11 @@
 class SilentHolderTest(PeerTestCase):
     async def asyncSetUp(self):
         self.leader = StubLeader()
+        self.recent = RecentMessages()
+        self.reports = []
+        admission = SimpleNamespace(apply_report=self.reports.append)
         grants = RemoteGrants(self.leader)
-        handler = MessageHandler(None, grants, None, None, None)
+        handler = MessageHandler(None, grants, None, None, admission)
         self.server = await self.start_server(handler, **TIMES)
         self.proxy = await Proxy(self.server.port).start()
         self.addAsyncCleanup(self.proxy.stop)
@@ -74,14 +80,14 @@
     async def start_peer(self):
         client = self.start_client(self.proxy.port, **TIMES)
         peer = Peer(client, self.now)
-        self.reports = self.start_task(self.report_held(peer))
+        self.start_task(self.introduce(peer))
         await client.wait_connected(5)
         return peer
 
-    async def report_held(self, peer):
+    async def introduce(self, peer):
         while True:
             await peer.client.wait_connected(60)
-            await peer.report_held()
+            await peer.introduce(self.recent)
             await asyncio.sleep(0.1)
 
     async def claim(self):
@@ -153,3 +159,14 @@
         for slot in unheard:
             await self.wait_released(slot)
         self.assertIsNone(granted.released_at)
+
+    async def test_report_lost_in_a_silent_connection_is_sent_again(self):
+        # Guards against crashes of upstreams that other regions never hear
+        # of.
+        self.proxy.sever()
+        report = CrashReport("r", "i-1", frozenset({b"harmful"}))
+        message = encode_report(report)
+        self.recent.add(message, self.now)
+        await self.peer.client.notify(message)
+        await self.wait_until(lambda: self.reports)
+        self.assertIsInstance(self.reports[0], CrashReport)
