Apply pending changes before a claim of a starting host

Seen by callers: a request that came as a host started got 503 although the host had just learned of the configuration and the upstreams.

Change: a claim applies pending changes first. The first process of a host lends its part at once, as no earlier one can have lent it.

--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -138,6 +138,9 @@
         upstreams there are; their claims wait for that.
         """
         await self._node.wait_initialized()
+        if self._node.changed.is_set():
+            # The claim's task may run before that which applies changes.
+            self.refresh()
         await self._wait_for_share()
         self._check_poison(terms, read_clock())
         await self._charge(claim, terms)
--- a/radishstile/entry/registrar.py
+++ b/radishstile/entry/registrar.py
@@ -83,9 +83,12 @@
         known = node.hosts.find(name)
         if node.is_leaving or known == node.hosts.local_host:
             return
-        node.hosts.local_host.registered_at = (
-            known.registered_at if known else time.time()
-        )
+        if known is not None:
+            node.hosts.local_host.registered_at = known.registered_at
+        elif not node.hosts.local_host.registered_at:
+            node.hosts.local_host.registered_at = time.time()
+            if node.hosts.is_loaded:
+                self._leadership.peers.part.release_earlier()
         await self._write(name, encode_host(node.hosts.local_host))
         node.hosts.put(node.hosts.local_host)
         node.changed.set()
--- a/radishstile/fleet/parts.py
+++ b/radishstile/fleet/parts.py
@@ -24,6 +24,8 @@
 # By how much the owner's view of a loan is longer, in seconds, as a leader
 # applies the end of a loan a little late.
 LOAN_MARGIN_S = 0.1
+# Stands for the unknown leader that an earlier process may have lent to.
+_EARLIER_LEADER = ""
 
 
 class OwnPart:
@@ -35,10 +37,9 @@
     __slots__ = ("_lent_until",)
 
     def __init__(self, started_at: float):
-        # By leader, the end of the loan on this host's clock. The first is to
-        # the unknown leader of an earlier process.
+        # By leader, the end of the loan on this host's clock.
         self._lent_until: dict[str, float] = {
-            "": started_at + LOAN_S + LOAN_MARGIN_S - RESTART_S
+            _EARLIER_LEADER: started_at + LOAN_S + LOAN_MARGIN_S - RESTART_S
         }
 
     def try_lend(self, leader: str, heard_at: float, now: float) -> bool:
@@ -59,6 +60,10 @@
         """Record that a leader gave the part up; return whether it had it."""
         return self._lent_until.pop(leader, None) is not None
 
+    def release_earlier(self) -> None:
+        """Record that this host's name had no process before."""
+        self._lent_until.pop(_EARLIER_LEADER, None)
+
     def find_end(self, leader: str, now: float) -> float | None:
         """Return when the loans to leaders other than this one have ended.
 
--- a/test/entry/_regions.py
+++ b/test/entry/_regions.py
@@ -98,6 +98,7 @@
             ),
             registry=SimpleNamespace(list_usable=self.fleet.list_usable),
             metrics=EntryMetrics(),
+            changed=asyncio.Event(),
             wait_initialized=_return_at_once,
             measure_uptime=lambda: 100.0,
         )
--- a/test/entry/test_admission.py
+++ b/test/entry/test_admission.py
@@ -24,6 +24,7 @@
         workspace = Workspace("bureau", frozenset(), 1, 34.0, 34.0)
         self._clock = clock
         self.local_member = SimpleNamespace(host="front-akl-a-1", region="akl")
+        self.changed = asyncio.Event()
         self.file = SimpleNamespace(bounds=SimpleNamespace(quota_slack=20.0))
         self.catalog = SimpleNamespace(
             version=1,
--- a/test/fleet/test_parts.py
+++ b/test/fleet/test_parts.py
@@ -375,6 +375,12 @@
         free_at = LOAN_S + LOAN_MARGIN_S - RESTART_S
         self.assertTrue(part.try_lend("a", free_at, free_at + 0.01))
 
+    def test_first_process_of_a_host_lends_at_once(self):
+        # Guards against a new host whose callers wait for its part.
+        part = OwnPart(0.0)
+        part.release_earlier()
+        self.assertTrue(part.try_lend("a", 0.0, 0.1))
+
 
 if __name__ == "__main__":
     unittest.main()
