--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -12,7 +12,7 @@
 )
 from radishstile.entry.admission import ClaimTerms
 from radishstile.entry.body import UpstreamBody
-from radishstile.entry.buffers import BufferBudget
+from radishstile.entry.buffers import BufferBudget, BufferLease
 from radishstile.entry.caller_request import (
     Answer,
     BufferedAnswer,
@@ -292,7 +292,7 @@
         upstream: Registration,
         connection: UpstreamConnection,
     ) -> AttemptResult:
-        """Send the request and read the answer, whole if it is short."""
+        """Send the request and read the answer."""
         request = plan.request
         parser = AnswerParser(
             REQUEST_ID,
@@ -309,26 +309,9 @@
                 encode_request_head(request, upstream, name, left_s),
                 request.http_request.body,
             )
-            parts = await read_buffered(connection, parser, lease)
-            result = AttemptResult(
-                classify_answer(parser.head), upstream.upstream_id
+            result = await self._receive(
+                plan, slot, upstream, connection, parser, lease
             )
-            result.rate_limit = read_rate_limit(parser.head)
-            if parser.is_complete:
-                result.answer = BufferedAnswer(parser.head, parts, lease)
-                return result
-            body = UpstreamBody(
-                slot,
-                upstream,
-                connection,
-                parser,
-                parts,
-                result.ending,
-                plan.deadline_at,
-                self._connections,
-                lease,
-            )
-            result.answer = StreamedAnswer(parser.head, body)
             return result
         except (ConnectionError, HttpError) as error:
             return AttemptResult(
@@ -339,6 +322,38 @@
             if result is None:
                 lease.close()
 
+    async def _receive(
+        self,
+        plan: RequestPlan,
+        slot: Slot,
+        upstream: Registration,
+        connection: UpstreamConnection,
+        parser: AnswerParser,
+        lease: BufferLease,
+    ) -> AttemptResult:
+        """Read an answer, whole if it is short."""
+        parts = await read_buffered(connection, parser, lease)
+        result = AttemptResult(
+            classify_answer(parser.head), upstream.upstream_id
+        )
+        result.rate_limit = read_rate_limit(parser.head)
+        if parser.is_complete:
+            result.answer = BufferedAnswer(parser.head, parts, lease)
+            return result
+        body = UpstreamBody(
+            slot,
+            upstream,
+            connection,
+            parser,
+            parts,
+            result.ending,
+            plan.deadline_at,
+            self._connections,
+            lease,
+        )
+        result.answer = StreamedAnswer(parser.head, body)
+        return result
+
     def _finish_send(
         self,
         upstream: Registration,
--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -175,12 +175,7 @@
         else:
             self.followers.drop(host)
         clock = read_boottime_clock()
-        order = (member.incarnation, message.number)
-        if message.lends:
-            until = min(message.echo, clock) + LOAN_S
-            self.parts.record(host, order, until, message.is_settled)
-        else:
-            self.parts.give_up(host, order)
+        self._record_part(message, member, clock)
         self._fresh_hosts.record(host, message.news_age_s, now)
         # The sender measured that age after it received the echoed clock,
         # so the time is never too recent.
@@ -208,6 +203,17 @@
             clock=clock,
         )
 
+    def _record_part(
+        self, message: FollowLead, member: Member, clock: float
+    ) -> None:
+        """Hold the part that a heartbeat lends, or give it up."""
+        order = (member.incarnation, message.number)
+        if not message.lends:
+            self.parts.give_up(member.host, order)
+            return
+        until = min(message.echo, clock) + LOAN_S
+        self.parts.record(member.host, order, until, message.is_settled)
+
     def update_shares(self) -> None:
         """Set this host's shares of slots and rates from its followers."""
         now = read_clock()
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -6,7 +6,7 @@
 
 from radishstile.entry.admission import AdmissionController
 from radishstile.entry.buffers import BufferBudget
-from radishstile.entry.callers import CallerServer
+from radishstile.entry.caller_server import CallerServer
 from radishstile.entry.claims import SlotClient
 from radishstile.entry.connection_pool import ConnectionPool
 from radishstile.entry.directory import METRICS_PORT, Directory
