Read the store's answers around characters that no text can hold

Cause: decode_json replaces values that can't be decoded, but not texts, so the whole answer was undecodable and each host repeated its watch for ever.

--- a/radishstile/platform/json_codec.py
+++ b/radishstile/platform/json_codec.py
@@ -12,6 +12,13 @@
 
 _NULL = b"null"
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|-?[0-9][0-9.eE+-]*|[\[\]{}]', re.S)
+# Escapes in a text: a surrogate pair, half of one, any other.
+_ESCAPE = re.compile(
+    rb"(?P<pair>\\u[dD][89abAB]..\\u[dD][c-fC-F]..)"
+    rb"|(?P<half>\\u[dD][89a-fA-F]..)|\\.",
+    re.S,
+)
+_REPLACEMENT = rb"\ufffd"
 _OPENING = frozenset({b"[", b"{"})
 _CLOSING = frozenset({b"]", b"}"})
 
@@ -20,8 +27,8 @@
     """Return the decoded value; an empty body counts as an empty object.
 
     Values that are nested too deeply and numbers that are too large become
-    null: one writer's entry must not hide those of the others. Raises
-    `ValueError` if the body isn't JSON.
+    null, and characters that no text can hold U+FFFD: one writer's entry must
+    not hide those of the others. Raises `ValueError` if the body isn't JSON.
     """
     try:
         return orjson.loads(body or b"{}")
@@ -30,6 +37,7 @@
 
 
 def _replace_undecodable(body: bytes) -> bytes:
+    body = body.decode("utf-8", "replace").encode()
     parts: list[bytes] = []
     # End of what was copied to `parts`.
     copied_to = 0
@@ -44,20 +52,27 @@
             if depth == MAX_DEPTH + 1:
                 copied_to = token.end()
             depth -= 1
-        elif depth <= MAX_DEPTH and _is_too_large(text):
-            parts += [body[copied_to : token.start()], _NULL]
-            copied_to = token.end()
+        elif depth <= MAX_DEPTH:
+            readable = _make_readable(text)
+            if readable != text:
+                parts += [body[copied_to : token.start()], readable]
+                copied_to = token.end()
     parts.append(body[copied_to:])
     return b"".join(parts)
 
 
-def _is_too_large(text: bytes) -> bool:
+def _make_readable(text: bytes) -> bytes:
+    """Return a text or number, or what stands for it."""
     if text.startswith(b'"'):
-        return False
+        return _ESCAPE.sub(_replace_half, text)
     try:
-        return math.isinf(float(text))
+        return _NULL if math.isinf(float(text)) else text
     except ValueError:
-        return False
+        return text
+
+
+def _replace_half(escape: re.Match) -> bytes:
+    return _REPLACEMENT if escape["half"] else escape[0]
 
 
 def is_too_deep(value: Any) -> bool:
