Send long lists between hosts in several messages

Cause: a host answered a query of its mirror in one message, and one that does not fit a frame can't be sent. The host that had started asked again for ever; one that watched learned of no later change.

Change: an answer goes on in further messages from 256 KB on. An object of more than 1 MB as sent is left out but for its name: no usable entry is that long.

--- a/radishstile/entry/handlers.py
+++ b/radishstile/entry/handlers.py
@@ -8,7 +8,11 @@
 from radishstile.entry.node import read_clock
 from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.entry.replica import Replica
-from radishstile.entry.sources import encode_changes, encode_listing
+from radishstile.entry.sources import (
+    encode_changes,
+    encode_listing,
+    split_reply,
+)
 from radishstile.errors import HistoryLostError, WireError
 from radishstile.wire.exchange import Exchange
 from radishstile.wire.messages.base import Message
@@ -90,8 +94,11 @@
                     await mirror.watch(message.revision, message.wait_s)
                 )
         except HistoryLostError:
-            reply = MirrorReply(objects=[], revision=0, is_lost=True)
-        await exchange.send(reply)
+            reply = MirrorReply(
+                objects=[], revision=0, is_lost=True, has_more=False
+            )
+        for page in split_reply(reply):
+            await exchange.send(page)
 
     @_handle.register
     async def _(self, message: ClaimSlot, exchange: Exchange) -> None:
--- a/radishstile/entry/sources.py
+++ b/radishstile/entry/sources.py
@@ -1,7 +1,12 @@
 """Reading stored objects through a peer instead of from the store."""
 
+import asyncio
+import logging
 from functools import singledispatch
 
+import msgpack
+
+from radishstile.entry.logs import log_fields
 from radishstile.entry.peers import Peer
 from radishstile.errors import (
     HistoryLostError,
@@ -18,9 +23,16 @@
 from radishstile.wire.messages.base import Message
 from radishstile.wire.messages.slot import MirrorQuery, MirrorReply
 
+_LOG = logging.getLogger("radishstile.sources")
+
 # Timeout of a peer's answer beyond the requested wait, in seconds.
 ANSWER_TIMEOUT_S = 1.0
 _LIST_REVISION = -1
+# Size from which a reply goes on in a further message, in bytes.
+PAGE_BYTES = 262_144
+# Longest object that is passed on, in bytes. No usable entry is longer; one
+# that is would not fit a frame.
+OBJECT_LIMIT_BYTES = 1_048_576
 
 
 class PeerSource:
@@ -48,17 +60,28 @@
     ) -> MirrorReply:
         query = MirrorQuery(kind=kind, revision=revision, wait_s=wait_s)
         try:
-            reply = await self._peer.client.call(
-                query, wait_s + ANSWER_TIMEOUT_S
-            )
+            async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S):
+                reply = await self._receive(query, kind)
         except (WireError, TimeoutError) as error:
             name = type(error).__name__
             raise StoreUnavailableError(
                 f"{self._peer.member} did not answer ({name})"
             ) from error
-        _check(reply, kind)
         return reply
 
+    async def _receive(self, query: MirrorQuery, kind: str) -> MirrorReply:
+        """Return all messages of an answer as one."""
+        objects = []
+        async with await self._peer.client.open(query) as exchange:
+            while True:
+                reply = await exchange.receive()
+                _check(reply, kind)
+                objects += reply.objects
+                if not reply.has_more:
+                    exchange.mark_closed()
+                    reply.objects = objects
+                    return reply
+
 
 def encode_listing(listing: Listing) -> MirrorReply:
     """Return the message for a listing."""
@@ -72,9 +95,44 @@
         objects=[_encode_change(change) for change in changes.changes],
         revision=changes.revision,
         is_lost=False,
+        has_more=False,
     )
 
 
+def split_reply(reply: MirrorReply) -> list[MirrorReply]:
+    """Return an answer in messages that each fit a frame."""
+    pages = [[]]
+    size = 0
+    for record in reply.objects:
+        length = len(msgpack.packb(record))
+        if length > OBJECT_LIMIT_BYTES:
+            _LOG.warning(
+                "sources: Object left out.",
+                extra=log_fields(name=record[0], bytes=length),
+            )
+            record, length = _drop_content(record), 0
+        if size and size + length > PAGE_BYTES:
+            pages.append([])
+            size = 0
+        pages[-1].append(record)
+        size += length
+    return [
+        MirrorReply(
+            objects=page,
+            revision=reply.revision,
+            is_lost=reply.is_lost,
+            has_more=number < len(pages),
+        )
+        for number, page in enumerate(pages, 1)
+    ]
+
+
+def _drop_content(record: list) -> list:
+    """Return the record of an object without its spec and status."""
+    name, revision, _, _, is_removed, *_ = record
+    return [name, revision, None, None, is_removed]
+
+
 def _check(reply: Message, kind: str) -> None:
     if type(reply) is not MirrorReply:
         raise StoreUnavailableError(f"{kind}: unexpected answer from the peer")
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -233,12 +233,14 @@
 
     Each of `objects` is a list of name, revision, spec, status, and whether
     the object was removed. A sixth value is the revision of the version that
-    spec and status are merge patches of.
+    spec and status are merge patches of. `has_more` tells that another message
+    of the same answer follows.
     """
 
-    __slots__ = ("objects", "revision", "is_lost")
+    __slots__ = ("objects", "revision", "is_lost", "has_more")
     is_compressed = True
 
     objects: list | dict
     revision: int
     is_lost: bool
+    has_more: bool
