Ask an upstream whose run broke off whether it has crashed

Cause: a broken run counted as a crash only if another claim was refused a connection within 1.5 s. With little traffic none came in that time.

Change: the leader opens a connection to the upstream 0.1 s after a broken run. If it is refused the upstream has crashed; an accepted one is kept for the next request. An upstream that does not answer may be cut off and counts for nothing.

--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -77,6 +77,7 @@
         "_broken_runs",
         "_has_waiting_claims",
         "_rates_changed",
+        "broken_upstreams",
         "reports",
     )
 
@@ -93,6 +94,8 @@
         self._broken_runs: dict[str, list[_BrokenRun]] = {}
         self._has_waiting_claims = asyncio.Event()
         self._rates_changed = asyncio.Event()
+        # Upstreams with a broken run, to be asked whether they have crashed.
+        self.broken_upstreams: asyncio.Queue[str] = asyncio.Queue()
         # Reports on poison requests, to be sent to other hosts.
         self.reports: asyncio.Queue[CrashReport | SuccessReport] = (
             asyncio.Queue()
@@ -348,10 +351,13 @@
         elif ending is Ending.BROKEN:
             runs = self._broken_runs.setdefault(grant.upstream_id, [])
             runs.append(_BrokenRun(claim.claim_id, terms.fingerprint, now))
+            self.broken_upstreams.put_nowait(grant.upstream_id)
         elif ending is Ending.UNREACHABLE:
-            self._record_crash(grant.upstream_id, now)
+            self.record_crash(grant.upstream_id)
 
-    def _record_crash(self, upstream_id: str, now: float) -> None:
+    def record_crash(self, upstream_id: str) -> None:
+        """Report the runs that an upstream has just broken off with."""
+        now = read_clock()
         runs = [
             run
             for run in self._broken_runs.pop(upstream_id, [])
--- a/radishstile/entry/connection_pool.py
+++ b/radishstile/entry/connection_pool.py
@@ -5,7 +5,7 @@
 
 from radishstile.entry.buffers import BufferLease
 from radishstile.entry.node import read_clock
-from radishstile.errors import UpstreamUnreachableError
+from radishstile.errors import UpstreamRefusedError, UpstreamUnreachableError
 from radishstile.http.parser import AnswerParser
 from radishstile.http.stream import ByteStream
 from radishstile.platform.http_codec import read_keepalive_timeout
@@ -98,7 +98,7 @@
                 connection.stream.set_idle(False)
                 return connection
             connection.abort()
-        return await self._connect(upstream)
+        return await self.connect(upstream)
 
     def release(
         self,
@@ -156,7 +156,8 @@
             _abort_all(connections)
         self._idle.clear()
 
-    async def _connect(self, upstream: Registration) -> UpstreamConnection:
+    async def connect(self, upstream: Registration) -> UpstreamConnection:
+        """Return a new connection; raises `UpstreamUnreachableError`."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -165,6 +166,8 @@
                 )
         except TimeoutError as error:
             raise UpstreamUnreachableError("connect timed out") from error
+        except ConnectionRefusedError as error:
+            raise UpstreamRefusedError(str(error)) from error
         except OSError as error:
             raise UpstreamUnreachableError(str(error)) from error
         return UpstreamConnection(stream)
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -9,6 +9,7 @@
 from radishstile.entry.caller_server import CallerServer
 from radishstile.entry.claims import SlotClient
 from radishstile.entry.connection_pool import ConnectionPool
+from radishstile.entry.crash_probes import CrashProber
 from radishstile.entry.directory import METRICS_PORT, Directory
 from radishstile.entry.forwarding import RequestForwarder
 from radishstile.entry.handlers import MessageHandler
@@ -70,6 +71,7 @@
         "_recorder",
         "_report_sender",
         "_rate_sender",
+        "_crash_prober",
         "_grants",
         "_peer_server",
     )
@@ -125,6 +127,9 @@
         self._report_sender = PoisonReportSender(
             self._admission, self._leadership.peers
         )
+        self._crash_prober = CrashProber(
+            node, self._admission, self._connections
+        )
         self._rate_sender = RateReportSender(self._admission, self._leadership)
         handler = MessageHandler(
             self._leadership,
@@ -162,6 +167,7 @@
                 self._recorder.run(),
                 self._report_sender.run(),
                 self._rate_sender.run(),
+                self._crash_prober.run(),
                 self._admission.run(),
                 self._grants.run(),
                 self._apply_changes(),
--- a/radishstile/errors.py
+++ b/radishstile/errors.py
@@ -92,6 +92,10 @@
     """No connection to an upstream could be opened; nothing was sent."""
 
 
+class UpstreamRefusedError(UpstreamUnreachableError):
+    """No process listens at an upstream's address."""
+
+
 class OperatorError(RadishstileError):
     """An operator's request can't be carried out."""
 
