--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -249,7 +249,7 @@
         if not self._node.initialized.is_set():
             return STARTUP_HEARTBEAT_INTERVAL_S
         now = read_boottime_clock()
-        end = self.part.find_end(peer.member.host, now)
+        end = self.part.find_other_end(peer.member.host, now)
         if not peer.is_followed or end is None:
             return FOLLOW_INTERVAL_S
         return min(FOLLOW_INTERVAL_S, end - now)
--- a/radishstile/fleet/parts.py
+++ b/radishstile/fleet/parts.py
@@ -48,7 +48,10 @@
         `heard_at` is when this host received the leader's clock value that it
         returns now. Returns whether the part is lent to the leader.
         """
-        if heard_at + LOAN_S <= now or self.find_end(leader, now) is not None:
+        if (
+            heard_at + LOAN_S <= now
+            or self.find_other_end(leader, now) is not None
+        ):
             return False
         self._lent_until[leader] = max(
             heard_at + LOAN_S + LOAN_MARGIN_S,
@@ -64,7 +67,7 @@
         """Record that this host's name had no process before."""
         self._lent_until.pop(_EARLIER_LEADER, None)
 
-    def find_end(self, leader: str, now: float) -> float | None:
+    def find_other_end(self, leader: str, now: float) -> float | None:
         """Return when the loans to leaders other than this one have ended.
 
         Returns None if there is no such loan.
@@ -120,8 +123,12 @@
         self._settled.discard(owner)
 
     def _is_late(self, owner: str, order: tuple[int, int]) -> bool:
-        """Return whether a later heartbeat of the owner came before."""
-        if order < self._orders.get(owner, (0, 0)):
+        """Return whether a later heartbeat of the same process came before.
+
+        Incarnations are not compared: a clock may have been set back.
+        """
+        incarnation, number = self._orders.get(owner, order)
+        if incarnation == order[0] and number > order[1]:
             return True
         self._orders[owner] = order
         return False
--- a/radishstile/wire/connection.py
+++ b/radishstile/wire/connection.py
@@ -164,10 +164,6 @@
         """Return the seconds since something came from the peer."""
         return asyncio.get_running_loop().time() - self._read_at
 
-    def _record_read(self) -> None:
-        self._reads += 1
-        self._read_at = asyncio.get_running_loop().time()
-
     def abort(self) -> None:
         """Abort the connection and fail its exchanges at once."""
         self._writer.transport.abort()
@@ -179,6 +175,10 @@
         """Close the connection after sending what was written."""
         self._writer.close()
 
+    def _record_read(self) -> None:
+        self._reads += 1
+        self._read_at = asyncio.get_running_loop().time()
+
 
 @singledispatch
 def drop_late_message(message: Message, counters: WireCounters) -> None:
--- a/test/fleet/test_parts.py
+++ b/test/fleet/test_parts.py
@@ -281,19 +281,21 @@
 
 
 class RandomScheduleTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleets = [Fleet(seed) for seed in range(40)]
+        for fleet in cls.fleets:
+            fleet.run()
+
     def test_parts_never_sum_to_more_than_the_whole(self):
         # Guards against shares of leaders that exceed one in sum (1.22).
-        for seed in range(40):
-            fleet = Fleet(seed)
-            fleet.run()
+        for seed, fleet in enumerate(self.fleets):
             self.assertLessEqual(fleet.most, 1.0 + 1e-9, seed)
 
     def test_requests_of_any_window_keep_the_limit(self):
         # Guards against bursts that each change of leader adds.
         limit = (RATE * WINDOW_S + BURST) * 1.1 + SLACK
-        for seed in range(40):
-            fleet = Fleet(seed)
-            fleet.run()
+        for seed, fleet in enumerate(self.fleets):
             start = 0
             for end, at in enumerate(fleet.sent):
                 while fleet.sent[start] <= at - WINDOW_S:
@@ -302,9 +304,7 @@
 
     def test_parts_are_used_most_of_the_time(self):
         # Guards against limits that are kept by leaving them unused.
-        for seed in range(10):
-            fleet = Fleet(seed)
-            fleet.run()
+        for seed, fleet in enumerate(self.fleets[:10]):
             calm = fleet.shares[int(6.0 / STEP_S) : int(8.0 / STEP_S)]
             self.assertGreater(sum(calm) / len(calm), 0.95, seed)
 
@@ -348,6 +348,13 @@
         hold(parts, "a", LOAN_S)
         self.assertEqual(parts.list_held(0.0), set())
 
+    def test_process_after_a_clock_was_set_back_lends(self):
+        # Guards against a host whose part is never used again.
+        parts = HeldParts()
+        parts.record("a", (9, 9), LOAN_S, True)
+        hold(parts, "a", LOAN_S + 1.0)
+        self.assertEqual(parts.list_held(LOAN_S), {"a"})
+
 
 class OwnPartTest(unittest.TestCase):
     def setUp(self):
@@ -357,7 +364,7 @@
         self.assertTrue(self.part.try_lend("a", 0.0, 0.1))
         self.assertFalse(self.part.try_lend("b", 1.0, 1.1))
         end = LOAN_S + LOAN_MARGIN_S
-        self.assertEqual(self.part.find_end("b", 1.1), end)
+        self.assertEqual(self.part.find_other_end("b", 1.1), end)
         self.assertTrue(self.part.try_lend("b", end, end + 0.01))
 
     def test_part_that_was_given_up_is_free_at_once(self):
--- a/test/wire/test_codec.py
+++ b/test/wire/test_codec.py
@@ -51,7 +51,9 @@
         [f"i-{n}", 100 + n, {"zone": "akl-a", "service": "press"}, None, False]
         for n in range(50)
     ]
-    return MirrorReply(objects=objects, revision=150, is_lost=False)
+    return MirrorReply(
+        objects=objects, revision=150, is_lost=False, has_more=False
+    )
 
 
 class CodecTest(unittest.TestCase):
