--- a/test/entry/test_buffers.py
+++ b/test/entry/test_buffers.py
@@ -91,6 +91,8 @@
                 await writer.drain()
         except ConnectionError:
             self.closed_connections += 1
+        finally:
+            writer.close()
 
 
 class EarlyUpstream(Upstream):
@@ -100,6 +102,7 @@
         writer.write(answer_ok(await read_head(reader)))
         await asyncio.sleep(0.5)
         writer.transport.abort()
+        writer.close()
 
 
 class FloodTest(PlatformTestCase):
--- a/test/entry/test_crash_probes.py
+++ b/test/entry/test_crash_probes.py
@@ -24,6 +24,7 @@
         self.runs.append(head)
         self._server.close()
         writer.transport.abort()
+        writer.close()
 
 
 class SilentUpstream(Upstream):
@@ -32,6 +33,7 @@
     async def _serve(self, reader, writer):
         self.runs.append(await reader.readuntil(b"\r\n\r\n"))
         writer.transport.abort()
+        writer.close()
 
 
 class QuietTrafficTest(PlatformTestCase):
