--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -32,7 +32,7 @@
 # Shortest wait for a token, in seconds: above the clock's resolution.
 RATE_WAIT_MIN_S = 0.005
 # How long a claim waits at a leader that has no share yet, in seconds: until a
-# loan to an earlier leader has run out.
+# lease of an earlier leader has run out.
 SHARE_WAIT_S = 0.6
 
 
--- a/radishstile/entry/body.py
+++ b/radishstile/entry/body.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from radishstile.entry.buffers import BufferLease
+from radishstile.entry.buffers import BufferReservation
 from radishstile.entry.claims import Slot
 from radishstile.entry.connection_pool import (
     ConnectionPool,
@@ -35,7 +35,7 @@
         "_parts",
         "_deadline_at",
         "_pool",
-        "_lease",
+        "_reservation",
         "_started_at",
         "_complete_ending",
         "_ending",
@@ -52,7 +52,7 @@
         ending: Ending,
         deadline_at: float,
         pool: ConnectionPool,
-        lease: BufferLease,
+        reservation: BufferReservation,
     ):
         self._slot = slot
         self._upstream = upstream
@@ -61,7 +61,7 @@
         self._parts = parts
         self._deadline_at = deadline_at
         self._pool = pool
-        self._lease = lease
+        self._reservation = reservation
         self._started_at = read_clock()
         self._complete_ending = ending
         self._ending = Ending.ABANDONED
@@ -75,7 +75,7 @@
         try:
             while self._parts:
                 yield self._parts.pop(0)
-            self._lease.close()
+            self._reservation.close()
             while not self._parser.is_complete:
                 async with asyncio.timeout_at(self._deadline_at):
                     await read_more(self._connection, self._parser)
@@ -95,7 +95,7 @@
             return
         self._is_closed = True
         self._parts.clear()
-        self._lease.close()
+        self._reservation.close()
         is_kept = self._parser.is_complete and self._pool.keep(
             self._upstream, self._connection, self._parser
         )
--- a/radishstile/entry/buffers.py
+++ b/radishstile/entry/buffers.py
@@ -21,12 +21,12 @@
         self.limit_bytes = int(memory_bytes * MEMORY_SHARE)
         self.used_bytes = 0
 
-    def open(self) -> "BufferLease":
-        """Return a lease of no bytes."""
-        return BufferLease(self)
+    def open(self) -> "BufferReservation":
+        """Return a reservation of no bytes."""
+        return BufferReservation(self)
 
 
-class BufferLease:
+class BufferReservation:
     """The part of the budget that one body uses, until it is closed."""
 
     __slots__ = ("_budget", "_bytes")
--- a/radishstile/entry/caller_request.py
+++ b/radishstile/entry/caller_request.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
-from radishstile.entry.buffers import BufferLease
+from radishstile.entry.buffers import BufferReservation
 from radishstile.http.message import AnswerHead, Request
 
 
@@ -57,18 +57,21 @@
     It must be closed, whether or not it was passed on.
     """
 
-    __slots__ = ("head", "parts", "_lease")
+    __slots__ = ("head", "parts", "_reservation")
 
     def __init__(
-        self, head: AnswerHead, parts: list[bytes], lease: BufferLease
+        self,
+        head: AnswerHead,
+        parts: list[bytes],
+        reservation: BufferReservation,
     ):
         self.head = head
         self.parts = parts
-        self._lease = lease
+        self._reservation = reservation
 
     async def close(self) -> None:
         """Free the buffer."""
-        self._lease.close()
+        self._reservation.close()
 
 
 class StreamedAnswer:
--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -65,7 +65,7 @@
         "_node",
         "_forwarder",
         "_buffers",
-        "_unread_lease",
+        "_unread_reservation",
         "_stream",
         "_tasks",
         "_newest_task",
@@ -83,7 +83,7 @@
         self.refuses_requests = False
         self._buffers = buffers
         # For the bodies of requests that were not started.
-        self._unread_lease = buffers.open()
+        self._unread_reservation = buffers.open()
         self._node = node
         self._forwarder = forwarder
         self._stream = stream
@@ -110,13 +110,13 @@
             while await self._read_some(parser, limits):
                 while parser.requests and not self._is_closing:
                     await self._start(parser.requests.popleft())
-                    self._unread_lease.resize(parser.count_buffered())
+                    self._unread_reservation.resize(parser.count_buffered())
             await self._await_last_answers()
         except HttpError as error:
             await self._refuse_malformed(error)
         except RefusalError as refusal:
             parser.discard_body()
-            self._unread_lease.close()
+            self._unread_reservation.close()
             await self._refuse_unread(refusal)
         except ConnectionError as error:
             _LOG.debug("callers: Connection lost: %s", error)
@@ -126,7 +126,7 @@
             for task in self._tasks:
                 task.cancel()
             self._stream.close()
-            self._unread_lease.close()
+            self._unread_reservation.close()
 
     def _read_limits(self) -> CallerLimits:
         catalog = self._node.catalog
@@ -153,7 +153,7 @@
         if not data:
             return False
         parser.feed(data, read_clock())
-        if not self._unread_lease.resize(parser.count_buffered()):
+        if not self._unread_reservation.resize(parser.count_buffered()):
             raise RefusalError(
                 Reason.OVERLOADED,
                 Outcome.NOT_RUN,
@@ -186,8 +186,8 @@
         self, request: Request, previous: asyncio.Task | None
     ) -> None:
         """Answer a request; an unexpected error aborts the connection."""
-        lease = self._buffers.open()
-        lease.resize(len(request.body))
+        reservation = self._buffers.open()
+        reservation.resize(len(request.body))
         try:
             await self._answer(request, previous)
         except Exception:
@@ -196,7 +196,7 @@
             )
             self._stream.abort()
         finally:
-            lease.close()
+            reservation.close()
             self._tasks.discard(asyncio.current_task())
             self._pipeline_slots.release()
 
--- a/radishstile/entry/connection_pool.py
+++ b/radishstile/entry/connection_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 
-from radishstile.entry.buffers import BufferLease
+from radishstile.entry.buffers import BufferReservation
 from radishstile.entry.node import read_clock
 from radishstile.errors import UpstreamRefusedError, UpstreamUnreachableError
 from radishstile.http.parser import AnswerParser
@@ -179,7 +179,9 @@
 
 
 async def read_buffered(
-    connection: UpstreamConnection, parser: AnswerParser, lease: BufferLease
+    connection: UpstreamConnection,
+    parser: AnswerParser,
+    reservation: BufferReservation,
 ) -> list[bytes]:
     """Read an answer until it is complete or exceeds the buffer.
 
@@ -195,7 +197,7 @@
             continue
         parts.append(part)
         size += len(part)
-        if not lease.resize(size):
+        if not reservation.resize(size):
             break
     return parts
 
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -12,7 +12,7 @@
 )
 from radishstile.entry.admission import ClaimTerms
 from radishstile.entry.body import UpstreamBody
-from radishstile.entry.buffers import BufferBudget, BufferLease
+from radishstile.entry.buffers import BufferBudget, BufferReservation
 from radishstile.entry.caller_request import (
     Answer,
     BufferedAnswer,
@@ -301,7 +301,7 @@
         )
         started_at = read_clock()
         name = plan.workspace.name if plan.workspace else ""
-        lease = self._buffers.open()
+        reservation = self._buffers.open()
         result = None
         try:
             left_s = plan.deadline_at - started_at
@@ -310,7 +310,7 @@
                 request.http_request.body,
             )
             result = await self._receive(
-                plan, slot, upstream, connection, parser, lease
+                plan, slot, upstream, connection, parser, reservation
             )
             return result
         except (ConnectionError, HttpError) as error:
@@ -320,7 +320,7 @@
         finally:
             self._finish_send(upstream, connection, parser, result)
             if result is None:
-                lease.close()
+                reservation.close()
 
     async def _receive(
         self,
@@ -329,16 +329,16 @@
         upstream: Registration,
         connection: UpstreamConnection,
         parser: AnswerParser,
-        lease: BufferLease,
+        reservation: BufferReservation,
     ) -> AttemptResult:
         """Read an answer, whole if it is short."""
-        parts = await read_buffered(connection, parser, lease)
+        parts = await read_buffered(connection, parser, reservation)
         result = AttemptResult(
             classify_answer(parser.head), upstream.upstream_id
         )
         result.rate_limit = read_rate_limit(parser.head)
         if parser.is_complete:
-            result.answer = BufferedAnswer(parser.head, parts, lease)
+            result.answer = BufferedAnswer(parser.head, parts, reservation)
             return result
         body = UpstreamBody(
             slot,
@@ -349,7 +349,7 @@
             result.ending,
             plan.deadline_at,
             self._connections,
-            lease,
+            reservation,
         )
         result.answer = StreamedAnswer(parser.head, body)
         return result
--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -18,7 +18,7 @@
     choose_source,
     digest_hosts,
 )
-from radishstile.fleet.parts import LOAN_S, HeldParts, measure_share
+from radishstile.fleet.parts import LEASE_S, HeldParts, measure_share
 from radishstile.member import Member
 from radishstile.wire.messages.slot import FollowLead, LeadState
 
@@ -211,7 +211,7 @@
         if not message.lends:
             self.parts.give_up(member.host, order)
             return
-        until = min(message.echo, clock) + LOAN_S
+        until = min(message.echo, clock) + LEASE_S
         self.parts.record(member.host, order, until, message.is_settled)
 
     def update_shares(self) -> None:
@@ -255,7 +255,7 @@
         if self.is_leading and part.try_lend(host, clock, clock):
             order = (self._node.local_member.incarnation, 0)
             self.parts.record(
-                host, order, clock + LOAN_S, self._node.is_settled()
+                host, order, clock + LEASE_S, self._node.is_settled()
             )
 
     def _list_candidates(self) -> list[Candidate]:
--- a/radishstile/entry/peers.py
+++ b/radishstile/entry/peers.py
@@ -295,7 +295,7 @@
         lends = False
         if peer.state and peer.has_heard_process:
             # Another process' clock, perhaps of before a loss of power, would
-            # make an old confirmation or loan look new.
+            # make an old confirmation or lease look new.
             echo = peer.state.clock
             lends = peer.is_followed and self.part.try_lend(
                 peer.member.host, peer.heard_at, read_boottime_clock()
--- a/radishstile/fleet/parts.py
+++ b/radishstile/fleet/parts.py
@@ -6,24 +6,24 @@
 whole:
 
 - A part is lent to one leader at a time: to another one only once the former
-  has confirmed that it gave the part up, its process is gone, or the loan has
-  run out. A loan lasts for `LOAN_S` of the leader's clock, from the value that
-  the host returns to it, so neither delays nor clocks extend it.
+  has confirmed that it gave the part up, its process is gone, or the lease has
+  run out. A lease lasts for `LEASE_S` of the leader's clock, from the value
+  that the host returns to it, so neither delays nor clocks extend it.
 - A host lends its part of the rates only once its registration is so old that
   every host that still admits requests has seen it.
 - A registration that was removed counts in the divisor for as long. A host
   that stops keeps its registration.
 """
 
-# Duration of a loan, in seconds of the leader's clock: three heartbeats, less
+# Duration of a lease, in seconds of the leader's clock: three heartbeats, less
 # the time for which the returned clock value is old already.
-LOAN_S = 1.3
+LEASE_S = 1.3
 # Shortest time from the end of a process to the start of its host's next one,
-# in seconds, which knows nothing of earlier loans.
+# in seconds, which knows nothing of earlier leases.
 RESTART_S = 1.0
-# By how much the owner's view of a loan is longer, in seconds, as a leader
-# applies the end of a loan a little late.
-LOAN_MARGIN_S = 0.1
+# By how much the owner's view of a lease is longer, in seconds, as a leader
+# applies the end of a lease a little late.
+LEASE_MARGIN_S = 0.1
 # Stands for the unknown leader that an earlier process may have lent to.
 _EARLIER_LEADER = ""
 
@@ -34,50 +34,50 @@
     Times are in seconds of a clock that counts suspended time.
     """
 
-    __slots__ = ("_lent_until",)
+    __slots__ = ("_leased_until",)
 
     def __init__(self, started_at: float):
-        # By leader, the end of the loan on this host's clock.
-        self._lent_until: dict[str, float] = {
-            _EARLIER_LEADER: started_at + LOAN_S + LOAN_MARGIN_S - RESTART_S
+        # By leader, the end of the lease on this host's clock.
+        self._leased_until: dict[str, float] = {
+            _EARLIER_LEADER: started_at + LEASE_S + LEASE_MARGIN_S - RESTART_S
         }
 
     def try_lend(self, leader: str, heard_at: float, now: float) -> bool:
-        """Lend the part to a leader, or renew the loan, if it is free.
+        """Lend the part to a leader, or renew the lease, if it is free.
 
         `heard_at` is when this host received the leader's clock value that it
         returns now. Returns whether the part is lent to the leader.
         """
         if (
-            heard_at + LOAN_S <= now
+            heard_at + LEASE_S <= now
             or self.find_other_end(leader, now) is not None
         ):
             return False
-        self._lent_until[leader] = max(
-            heard_at + LOAN_S + LOAN_MARGIN_S,
-            self._lent_until.get(leader, float("-inf")),
+        self._leased_until[leader] = max(
+            heard_at + LEASE_S + LEASE_MARGIN_S,
+            self._leased_until.get(leader, float("-inf")),
         )
         return True
 
     def release(self, leader: str) -> bool:
         """Record that a leader gave the part up; return whether it had it."""
-        return self._lent_until.pop(leader, None) is not None
+        return self._leased_until.pop(leader, None) is not None
 
     def release_earlier(self) -> None:
         """Record that this host's name had no process before."""
-        self._lent_until.pop(_EARLIER_LEADER, None)
+        self._leased_until.pop(_EARLIER_LEADER, None)
 
     def find_other_end(self, leader: str, now: float) -> float | None:
-        """Return when the loans to leaders other than this one have ended.
+        """Return when the leases of leaders other than this one have ended.
 
-        Returns None if there is no such loan.
+        Returns None if there is no such lease.
         """
-        self._lent_until = {
+        self._leased_until = {
             name: until
-            for name, until in self._lent_until.items()
+            for name, until in self._leased_until.items()
             if until > now
         }
-        ends = [u for name, u in self._lent_until.items() if name != leader]
+        ends = [u for name, u in self._leased_until.items() if name != leader]
         return max(ends, default=None)
 
 
@@ -103,7 +103,7 @@
         until: float,
         is_settled: bool,
     ) -> None:
-        """Record a loan; `is_settled` is whether it is one of rates too."""
+        """Record a lease; `is_settled` is whether it is one of rates too."""
         if self._is_late(owner, order):
             return
         self._until[owner] = until
@@ -144,7 +144,7 @@
         return set(self._settled)
 
     def find_next_end(self) -> float:
-        """Return when the first loan ends, infinite if there is none."""
+        """Return when the first lease ends, infinite if there is none."""
         return min(self._until.values(), default=float("inf"))
 
     def _expire(self, now: float) -> None:
--- a/test/fleet/test_parts.py
+++ b/test/fleet/test_parts.py
@@ -12,8 +12,8 @@
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.fleet.leadership import FOLLOW_INTERVAL_S, LEADER_TIMEOUT_S
 from radishstile.fleet.parts import (
-    LOAN_MARGIN_S,
-    LOAN_S,
+    LEASE_MARGIN_S,
+    LEASE_S,
     RESTART_S,
     HeldParts,
     OwnPart,
@@ -203,7 +203,7 @@
         ):
             is_settled = self.is_settled(process)
             order = (process.incarnation, 0)
-            process.held.record(leader, order, clock + LOAN_S, is_settled)
+            process.held.record(leader, order, clock + LEASE_S, is_settled)
         if process.next_beat_at <= self.now:
             process.next_beat_at = self.now + FOLLOW_INTERVAL_S
             for name in sorted(self.up):
@@ -244,7 +244,7 @@
                 return
             clock = target.clock(self.now)
             if lends:
-                until = min(echo, clock) + LOAN_S
+                until = min(echo, clock) + LEASE_S
                 target.held.record(process.name, order, until, is_settled)
             else:
                 target.held.give_up(process.name, order)
@@ -314,13 +314,13 @@
 
 
 class HeldPartsTest(unittest.TestCase):
-    def test_parts_count_until_their_loans_end(self):
+    def test_parts_count_until_their_leases_end(self):
         parts = HeldParts()
-        hold(parts, "a", LOAN_S)
-        hold(parts, "b", 1.0 + LOAN_S)
+        hold(parts, "a", LEASE_S)
+        hold(parts, "b", 1.0 + LEASE_S)
         names = set("abcd")
         self.assertEqual(measure_share(parts.list_held(1.0), names), 0.5)
-        ended_at = LOAN_S + 0.1
+        ended_at = LEASE_S + 0.1
         self.assertEqual(measure_share(parts.list_held(ended_at), names), 0.25)
 
     def test_more_parts_than_registered_hosts_share_at_most_one(self):
@@ -333,7 +333,7 @@
             leaders = {name: HeldParts() for name in names}
             for name in names:
                 reach = [n for n in names if n == name or rng.random() < 0.5]
-                hold(leaders[min(reach)], name, LOAN_S)
+                hold(leaders[min(reach)], name, LEASE_S)
             shares = [
                 measure_share(leader.list_held(0.0), set(names))
                 for leader in leaders.values()
@@ -345,15 +345,15 @@
         # the part was given up.
         parts = HeldParts()
         parts.give_up("a", (1, 2))
-        hold(parts, "a", LOAN_S)
+        hold(parts, "a", LEASE_S)
         self.assertEqual(parts.list_held(0.0), set())
 
     def test_process_after_a_clock_was_set_back_lends(self):
         # Guards against a host whose part is never used again.
         parts = HeldParts()
-        parts.record("a", (9, 9), LOAN_S, True)
-        hold(parts, "a", LOAN_S + 1.0)
-        self.assertEqual(parts.list_held(LOAN_S), {"a"})
+        parts.record("a", (9, 9), LEASE_S, True)
+        hold(parts, "a", LEASE_S + 1.0)
+        self.assertEqual(parts.list_held(LEASE_S), {"a"})
 
 
 class OwnPartTest(unittest.TestCase):
@@ -363,7 +363,7 @@
     def test_part_is_lent_to_one_leader_at_a_time(self):
         self.assertTrue(self.part.try_lend("a", 0.0, 0.1))
         self.assertFalse(self.part.try_lend("b", 1.0, 1.1))
-        end = LOAN_S + LOAN_MARGIN_S
+        end = LEASE_S + LEASE_MARGIN_S
         self.assertEqual(self.part.find_other_end("b", 1.1), end)
         self.assertTrue(self.part.try_lend("b", end, end + 0.01))
 
@@ -372,14 +372,14 @@
         self.assertTrue(self.part.release("a"))
         self.assertTrue(self.part.try_lend("b", 0.0, 0.2))
 
-    def test_old_clock_value_extends_no_loan(self):
+    def test_old_clock_value_extends_no_lease(self):
         # Guards against a leader that was frozen and counts on.
-        self.assertFalse(self.part.try_lend("a", 0.0, LOAN_S))
+        self.assertFalse(self.part.try_lend("a", 0.0, LEASE_S))
 
-    def test_new_process_awaits_the_loans_of_the_one_before(self):
+    def test_new_process_awaits_the_leases_of_the_one_before(self):
         part = OwnPart(0.0)
         self.assertFalse(part.try_lend("a", 0.0, 0.1))
-        free_at = LOAN_S + LOAN_MARGIN_S - RESTART_S
+        free_at = LEASE_S + LEASE_MARGIN_S - RESTART_S
         self.assertTrue(part.try_lend("a", free_at, free_at + 0.01))
 
     def test_first_process_of_a_host_lends_at_once(self):
