--- a/review/lab_2/lab.py
+++ b/review/lab_2/lab.py
@@ -345,7 +345,10 @@
                 if expected != self.name:
                     writer.write(
                         format_answer(
-                            421, None, f"X-Instance-Id: {self.name}\r\n"
+                            421,
+                            None,
+                            f"X-Request-Id: {request.request_id}\r\n"
+                            f"X-Instance-Id: {self.name}\r\n",
                         )
                     )
                     continue
