End the hosts of a review case that is stopped

Cause: SIGTERM of a script left its hosts running, and a closed output made it end with 1, as if the rule were broken.

--- a/review/lab_2/lab.py
+++ b/review/lab_2/lab.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from contextlib import suppress
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -734,10 +735,11 @@
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     try:
         code = asyncio.run(_run(temporary, record, play))
-    except Exception as error:
-        record.add(f"the case could not run: {type(error).__name__}: {error}")
-        print(f"could not run: {type(error).__name__}: {error}")
+    except (Exception, asyncio.CancelledError) as error:
         code = NOT_RUN
+        record.add(f"the case could not run: {type(error).__name__}: {error}")
+        with suppress(OSError):
+            print(f"could not run: {type(error).__name__}: {error}")
     finally:
         if "KEEP_LOGS" not in os.environ:
             shutil.rmtree(temporary, ignore_errors=True)
@@ -748,6 +750,9 @@
 
 async def _run(temporary: Path, record: Record, play) -> int:
     lab = Lab(temporary, record)
+    # A case that is stopped from outside ends its hosts too.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(CASE_LIMIT_S):
             has_held = await play(lab)
