Let a second SIGTERM not interrupt the end of a review case

Cause: a signal to the process group came twice, and the second one cancelled the end of the hosts. Change: only the first one cancels the case.

--- a/review/lab_2/lab.py
+++ b/review/lab_2/lab.py
@@ -751,8 +751,10 @@
 async def _run(temporary: Path, record: Record, play) -> int:
     lab = Lab(temporary, record)
     # A case that is stopped from outside ends its hosts too.
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, lambda: task.cancelling() or task.cancel()
+    )
     try:
         async with asyncio.timeout(CASE_LIMIT_S):
             has_held = await play(lab)
