--- a/radishstile/entry/answer_writer.py
+++ b/radishstile/entry/answer_writer.py
@@ -36,30 +36,51 @@
     """Writes answers, one after another, as fast as the caller reads.
 
     What the caller has not taken is charged to `holder`. `is_last` tells
-    whether the connection is to be closed after the answer.
+    whether the connection is to be closed after the answer. `patient_until` is
+    the loop's time, in seconds, until which a caller may pause: the latest
+    deadline of the answers that are complete at this host. Others occupy a
+    slot of their upstream.
     """
 
-    __slots__ = ("_stream", "_holder", "_metrics")
+    __slots__ = (
+        "patient_until",
+        "_stream",
+        "_holder",
+        "_metrics",
+        "_delivered_bytes",
+    )
 
     def __init__(
         self, stream: ByteStream, holder: Holder, metrics: EntryMetrics
     ):
+        self.patient_until = 0.0
         self._stream = stream
         self._holder = holder
         self._metrics = metrics
+        self._delivered_bytes = 0
 
     def charge_unsent(self, now: float) -> None:
-        """Charge what was written and not taken yet."""
+        """Charge what was written and not taken by the kernel yet."""
         unsent = self._stream.unsent_bytes
-        known = self._holder.get(Kind.UNSENT)
-        if unsent == known:
-            return
+        is_first = unsent > 0 and not self._holder.get(Kind.UNSENT)
         self._holder.charge(Kind.UNSENT, unsent)
-        if not known:
+        if is_first:
             # Until now the caller had nothing to read.
             self._holder.record_progress(now)
-        elif unsent < known:
-            self._holder.record_moved(known - unsent, now)
+            self._delivered_bytes = self._stream.delivered_bytes
+
+    def record_delivered(self, now: float) -> None:
+        """Record what the caller has acknowledged as progress.
+
+        The kernel takes more bytes in large steps only, seconds apart where a
+        caller reads slowly.
+        """
+        if not self._holder.get(Kind.UNSENT):
+            return
+        delivered = self._stream.delivered_bytes
+        if delivered > self._delivered_bytes:
+            self._holder.record_moved(delivered - self._delivered_bytes, now)
+        self._delivered_bytes = delivered
 
     async def write_refusal(
         self,
@@ -104,6 +125,7 @@
         head = encode_answer(answer.head, length, is_last)
         self._write_parts(head, answer.parts, length)
         self._count(caller_request.http_request, answer.head.status, "")
+        self.patient_until = max(self.patient_until, answer.deadline_at)
         await self._drain()
 
     @write.register
@@ -139,6 +161,7 @@
             return
         if size is None:
             self._stream.write(b"0\r\n\r\n")
+        self.patient_until = max(self.patient_until, answer.deadline_at)
         self._count(caller_request.http_request, answer.head.status, "")
 
     def _write_parts(
--- a/radishstile/entry/caller_request.py
+++ b/radishstile/entry/caller_request.py
@@ -61,19 +61,22 @@
 class BufferedAnswer:
     """An upstream's answer that is complete.
 
-    It must be closed, whether or not it was passed on.
+    It must be closed, whether or not it was passed on. `deadline_at` is the
+    request's deadline, the loop's time in seconds.
     """
 
-    __slots__ = ("head", "parts", "_reservation")
+    __slots__ = ("head", "parts", "deadline_at", "_reservation")
 
     def __init__(
         self,
         head: AnswerHead,
         parts: list[bytes],
         reservation: BufferReservation,
+        deadline_at: float,
     ):
         self.head = head
         self.parts = parts
+        self.deadline_at = deadline_at
         self._reservation = reservation
 
     async def close(self) -> None:
@@ -84,14 +87,16 @@
 class StreamedAnswer:
     """An upstream's answer whose body is still being received.
 
-    It must be closed, whether or not its body was read.
+    It must be closed, whether or not its body was read. `deadline_at` is the
+    request's deadline, the loop's time in seconds.
     """
 
-    __slots__ = ("head", "body")
+    __slots__ = ("head", "body", "deadline_at")
 
-    def __init__(self, head: AnswerHead, body: AnswerBody):
+    def __init__(self, head: AnswerHead, body: AnswerBody, deadline_at: float):
         self.head = head
         self.body = body
+        self.deadline_at = deadline_at
 
     async def close(self) -> None:
         """Free the slot and the connection."""
--- a/radishstile/entry/caller_server.py
+++ b/radishstile/entry/caller_server.py
@@ -19,6 +19,10 @@
 
 # Listen backlog; bursts open some hundred connections at once.
 BACKLOG = 1024
+# Time without an acknowledgement after which the kernel closes a caller's
+# connection, in seconds. It is longer than the deadline of any request, up to
+# which a caller may read slowly: `CallerServer.run` closes those that stall.
+CALLER_SILENCE_S = 60.0
 # Interval of checks for callers that don't read, in seconds.
 CHECK_INTERVAL_S = 1.0
 # Time without progress after which a connection may be closed if memory is
@@ -97,7 +101,8 @@
         """Close the connections of callers that don't read, until cancelled.
 
         The limit for a head also bounds the time that a caller may take for
-        the next bytes of its answer.
+        the next bytes of its answer, beyond its deadline if the answer is
+        complete.
         """
         while True:
             limit_s = read_limits(self._node).header_s
@@ -105,9 +110,7 @@
             now = read_clock()
             for connection in list(self._connections):
                 if connection.abort_stalled(now, limit_s):
-                    self._node.metrics.closed_connections.inc(
-                        {"reason": "slow-reader"}
-                    )
+                    self._record_stalled(connection, now)
             for kind in Kind:
                 self._node.metrics.held_bytes.set(
                     {"kind": kind.name.lower()},
@@ -164,7 +167,7 @@
         except Exception:
             _LOG.exception("callers: Connection failed.")
         # What its requests hold is given back before the holder is.
-        await connection.wait_closed(read_limits(self._node).header_s)
+        await connection.wait_closed()
 
     def _make_space(self) -> bool:
         """Close connections where a new one has no descriptor or memory."""
@@ -181,6 +184,20 @@
             return False
         return self._buffers.make_room(Holder(self._buffers), CONNECTION_BYTES)
 
+    def _record_stalled(
+        self, connection: CallerConnection, now: float
+    ) -> None:
+        """Count and log a connection that is closed as its caller stalls."""
+        self._node.metrics.closed_connections.inc({"reason": "slow-reader"})
+        holder = connection.holder
+        _LOG.warning(
+            "callers: Connection of a slow reader closed.",
+            extra=log_fields(
+                unsent_bytes=holder.get(Kind.UNSENT),
+                idle_s=round(now - holder.progress_at, 3),
+            ),
+        )
+
     def _record_evicted(self, victims: list[Holder]) -> None:
         """Count and log connections that are closed for lack of space."""
         self._node.metrics.closed_connections.add(
@@ -206,7 +223,7 @@
     __slots__ = ("_server", "_connection")
 
     def __init__(self, server: CallerServer):
-        super().__init__()
+        super().__init__(CALLER_SILENCE_S)
         self._server = server
         self._connection: CallerConnection | None = None
 
--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -10,7 +10,7 @@
 
 from radishstile.catalog.catalog import CallerLimits
 from radishstile.entry.answer_writer import AnswerWriter
-from radishstile.entry.buffers import PROGRESS_BYTES, BufferBudget, Kind
+from radishstile.entry.buffers import BufferBudget, Kind
 from radishstile.entry.forwarding import RequestForwarder
 from radishstile.entry.logs import log_fields
 from radishstile.entry.node import EntryNode, read_clock
@@ -120,6 +120,7 @@
     def refresh(self, now: float) -> None:
         """Bring the holder up to date."""
         self._writer.charge_unsent(now)
+        self._writer.record_delivered(now)
         self._reader.charge_unread()
         holder = self.holder
         holder.is_waiting = (
@@ -160,8 +161,12 @@
         An answer that is cut off doesn't look complete.
         """
         self.refresh(now)
-        is_stalled = now - self.holder.progress_at > limit_s
-        if not self.holder.get(Kind.UNSENT) or not is_stalled:
+        if not self.holder.get(Kind.UNSENT):
+            return False
+        allowed_until = max(
+            self.holder.progress_at + limit_s, self._writer.patient_until
+        )
+        if now <= allowed_until:
             return False
         self._stream.abort()
         return True
@@ -203,21 +208,14 @@
             return refusal.with_traceback(None)
         return None
 
-    async def wait_closed(self, limit_s: float) -> None:
-        """Wait until what was written is sent; abort a caller that stalls.
+    async def wait_closed(self) -> None:
+        """Wait until what was written is sent, or the caller is aborted.
 
         Requests that were cancelled hold their memory until they have ended.
         """
         if self._tasks:
             await asyncio.wait(self._tasks)
-        while not self._stream.is_lost:
-            unsent = self._stream.unsent_bytes
-            with suppress(TimeoutError):
-                async with asyncio.timeout(limit_s):
-                    await self._stream.wait_closed()
-            if self._stream.unsent_bytes > unsent - PROGRESS_BYTES:
-                self._stream.abort()
-                return
+        await self._stream.wait_closed()
 
     async def _read_some(self) -> bool:
         """Read and parse bytes; return False at the connection's end."""
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -363,7 +363,9 @@
         result.rate_limit = read_rate_limit(parser.head)
         result.load = self._read_load(parser.head)
         if parser.is_complete:
-            result.answer = BufferedAnswer(parser.head, parts, reservation)
+            result.answer = BufferedAnswer(
+                parser.head, parts, reservation, plan.deadline_at
+            )
             return result
         body = UpstreamBody(
             slot,
@@ -376,7 +378,7 @@
             self._connections,
             reservation,
         )
-        result.answer = StreamedAnswer(parser.head, body)
+        result.answer = StreamedAnswer(parser.head, body, plan.deadline_at)
         return result
 
     def _read_load(self, head: AnswerHead) -> LoadReport | None:
--- a/radishstile/http/stream.py
+++ b/radishstile/http/stream.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 # Bytes that are read from a socket at once.
 READ_BYTES = 65_536
@@ -17,9 +20,13 @@
 # Unsent bytes above which `drain` waits.
 UNSENT_LIMIT_BYTES = 131_072
 # Time without an acknowledgement after which the kernel closes a connection;
-# 3 s is the shortest `contact_s` that a platform file sets.
+# 3 s is the shortest `contact_s` that a platform file sets. The kernel applies
+# it as well to a peer that acknowledges all the time, but whose window is
+# smaller than the next segment.
 USER_TIMEOUT_S = 3.0
 _MS_PER_S = 1000
+# The integer that `SIOCOUTQ` fills in.
+_QUEUE_SIZE = struct.Struct("i")
 
 # All streams read into one buffer, whose content is copied at once: the event
 # loop reads from one socket at a time.
@@ -31,7 +38,8 @@
     """One TCP connection, read and written by one task at a time.
 
     `failure` is the error that ended the connection, or None after a normal
-    end.
+    end. The kernel ends it if the peer acknowledges nothing new, or too little
+    to go on, for `silence_s` seconds.
     """
 
     __slots__ = (
@@ -39,6 +47,8 @@
         "failure",
         "_chunks",
         "_unread_bytes",
+        "_written_bytes",
+        "_silence_s",
         "_is_ended",
         "_is_reading_paused",
         "_is_writing_paused",
@@ -48,11 +58,13 @@
         "_close_waiter",
     )
 
-    def __init__(self):
+    def __init__(self, silence_s: float = USER_TIMEOUT_S):
         self.transport: asyncio.Transport | None = None
         self.failure: Exception | None = None
         self._chunks: list[bytes] = []
         self._unread_bytes = 0
+        self._written_bytes = 0
+        self._silence_s = silence_s
         self._is_ended = False
         self._is_reading_paused = False
         self._is_writing_paused = False
@@ -73,6 +85,11 @@
             return 0
         return self.transport.get_write_buffer_size()
 
+    @property
+    def delivered_bytes(self) -> int:
+        """Return the bytes that were written and acknowledged by the peer."""
+        return self._written_bytes - self.unsent_bytes - self._count_queued()
+
     @property
     def peer_address(self) -> str:
         """Return the peer's IP address, empty if it is not known."""
@@ -123,6 +140,7 @@
     def write(self, content: bytes) -> None:
         """Send bytes without waiting."""
         if self.transport is not None and not self.transport.is_closing():
+            self._written_bytes += len(content)
             self.transport.write(content)
 
     async def drain(self) -> None:
@@ -154,6 +172,13 @@
         if self.transport is not None:
             self.transport.set_write_buffer_limits(high=size)
 
+    def set_silence(self, silence_s: float) -> None:
+        """Set how long the peer may acknowledge nothing new, in seconds."""
+        if silence_s == self._silence_s:
+            return
+        self._silence_s = silence_s
+        self._apply_silence()
+
     def end_writing(self) -> None:
         """Close the sending side after what was written."""
         if self.transport is not None and not self.transport.is_closing():
@@ -175,12 +200,7 @@
         """Set the transport and the socket options."""
         self.transport = transport
         transport.set_write_buffer_limits(high=UNSENT_LIMIT_BYTES)
-        raw = transport.get_extra_info("socket")
-        if raw is not None:
-            timeout_ms = int(USER_TIMEOUT_S * _MS_PER_S)
-            raw.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
-            )
+        self._apply_silence()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where to put received bytes."""
@@ -221,6 +241,35 @@
         self._is_writing_paused = False
         _wake(self._drain_waiter)
 
+    def _apply_silence(self) -> None:
+        if self.transport is None:
+            return
+        raw = self.transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(self._silence_s * _MS_PER_S),
+            )
+
+    def _count_queued(self) -> int:
+        """Return the bytes that the kernel holds until they are acknowledged.
+
+        0 if it doesn't tell.
+        """
+        if self.transport is None:
+            return 0
+        raw = self.transport.get_extra_info("socket")
+        if raw is None:
+            return 0
+        try:
+            answer = fcntl.ioctl(
+                raw.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size)
+            )
+        except OSError:
+            return 0
+        return _QUEUE_SIZE.unpack(answer)[0]
+
     def _is_flooded(self) -> bool:
         """Return whether all streams together have too many unread bytes."""
         return False
--- a/test/entry/test_slow_callers.py
+++ b/test/entry/test_slow_callers.py
@@ -7,7 +7,9 @@
 import asyncio
 import logging
 import os
+import socket
 import unittest
+from contextlib import asynccontextmanager
 
 import orjson
 
@@ -20,6 +22,13 @@
 )
 
 UPLOAD_BYTES = 400_000
+# At 80 KB a second it takes twice the kernel's default limit.
+SLOW_ANSWER_BYTES = 540_000
+# What a steady reader gets before its deadline.
+STEADY_BYTES = 200_000
+WINDOW_BYTES = 24_576
+PIECE_BYTES = 4096
+PAUSE_S = 0.05
 
 
 def start_upload(caller, size, sent):
@@ -63,6 +72,40 @@
         self.assertEqual(events.count("Attempt ended."), 50)
 
 
+def answer_within_buffers(head):
+    return make_answer(
+        head.headers["x-request-id"], body=bytes(SLOW_ANSWER_BYTES)
+    )
+
+
+class SmallWindowCaller(Caller):
+    """A caller's connection with a small receive buffer."""
+
+    async def __aenter__(self):
+        plain = socket.socket()
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        plain.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(
+            plain, (self._endpoint.address, self._endpoint.port)
+        )
+        self._reader, self._writer = await asyncio.open_connection(
+            sock=plain, limit=PIECE_BYTES
+        )
+        return self
+
+    async def count_slowly(self, size):
+        """Read up to `size` bytes of a body, and return how many came."""
+        await self._reader.readuntil(b"\r\n\r\n")
+        count = 0
+        while count < size:
+            part = await self._reader.read(PIECE_BYTES)
+            if not part:
+                break
+            count += len(part)
+            await asyncio.sleep(PAUSE_S)
+        return count
+
+
 def make_record(message):
     return logging.LogRecord(
         "radishstile", logging.WARNING, "", 0, message, (), None
@@ -84,6 +127,36 @@
         self.assertEqual(runs, 0)
 
 
+class SteadyReaderTest(PlatformTestCase):
+    """Callers that read slowly without a pause."""
+
+    configuration = make_configuration(idle_s=5)
+
+    async def test_answer_that_the_kernel_holds_reaches_its_caller(self):
+        # Guards against a kernel that ends a connection after seconds with a
+        # small window, though bytes are acknowledged all the time.
+        async with self.fetch(answer_within_buffers) as caller:
+            size = await caller.count_slowly(SLOW_ANSWER_BYTES)
+        self.assertEqual(size, SLOW_ANSWER_BYTES)
+
+    async def test_acknowledged_bytes_count_as_progress(self):
+        # Guards against a host that sees its own buffer only, from which the
+        # kernel takes a large piece every few seconds.
+        async with self.fetch(answer_without_end) as caller:
+            await caller.count_slowly(STEADY_BYTES)
+            # What the kernel holds arrives after a cut too.
+            self.assertEqual(self.host.entry._caller_server.count_open(), 1)
+
+    @asynccontextmanager
+    async def fetch(self, answer):
+        """Send a request, and yield its connection."""
+        for upstream in self.upstreams:
+            upstream.answers = [answer]
+        async with SmallWindowCaller(self.host) as caller:
+            caller.send()
+            yield caller
+
+
 class SlowCallerTest(PlatformTestCase):
     """A host of 3 MB, of which callers may hold 0.8."""
 
