Let upstreams read long bodies slowly

Callers got 502 for an upload whose upstream read it steadily, 80 KB a second, far before the deadline; an order may have run then.

The kernel ends a connection after 3 s in which the window is smaller than the next segment.

Change: while a body of more than 64 KiB is sent, the kernel's limit is the time that is left for the request; requests that are sent in one piece keep the 3 s.

--- a/radishstile/entry/connection_pool.py
+++ b/radishstile/entry/connection_pool.py
@@ -12,7 +12,7 @@
 from radishstile.errors import UpstreamRefusedError, UpstreamUnreachableError
 from radishstile.http.body import Body
 from radishstile.http.parser import AnswerParser
-from radishstile.http.stream import ByteStream
+from radishstile.http.stream import USER_TIMEOUT_S, ByteStream
 from radishstile.platform.http_codec import read_keepalive_timeout
 from radishstile.upstream.registration import Registration
 
@@ -50,15 +50,18 @@
         """Return whether all of the last request was written."""
         return self._sender is None or self._sender.done()
 
-    def send(self, head: bytes, body: Body) -> None:
+    def send(self, head: bytes, body: Body, limit_s: float) -> None:
         """Send a request without waiting; a long body in a task of its own.
 
-        The parts aren't copied, and the task waits for the upstream to read.
+        The parts aren't copied, and the task waits for the upstream to read,
+        which may pause for `limit_s` seconds.
         """
         self._sender = None
         if len(body) <= SEND_PART_BYTES:
+            self.stream.set_silence(USER_TIMEOUT_S)
             self.stream.write(b"".join([head, *body]))
             return
+        self.stream.set_silence(max(USER_TIMEOUT_S, limit_s))
         self.stream.write(head)
         self._sender = asyncio.create_task(self._send_body(body))
 
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -332,6 +332,7 @@
             connection.send(
                 encode_request_head(request, upstream, name, left_s),
                 request.http_request.body,
+                left_s,
             )
             result = await self._receive(
                 plan, slot, upstream, connection, parser, reservation
--- a/test/entry/_common.py
+++ b/test/entry/_common.py
@@ -213,6 +213,7 @@
 class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
     """A test case with a store, two upstreams and one entry host."""
 
+    upstream_type = Upstream
     upstream_count = 2
     configuration = CONFIGURATION
 
@@ -224,7 +225,7 @@
             self.store.put("config", "main", self.configuration)
         self.upstreams = []
         for number in range(self.upstream_count):
-            upstream = await Upstream(f"i-{number}").start()
+            upstream = await self.upstream_type(f"i-{number}").start()
             self.addAsyncCleanup(upstream.stop)
             self.upstreams.append(upstream)
             self.register(upstream)
@@ -369,13 +370,14 @@
         key=KEY,
         request_id=None,
         extra=(),
+        deadline_ms=3000,
     ):
         self._sent += 1
         lines = [
             f"{method} {target} HTTP/1.1",
             f"Host: {HOSTNAME}",
             f"X-Request-Id: {request_id or f'q{self._sent}'}",
-            "X-Deadline-Ms: 3000",
+            f"X-Deadline-Ms: {deadline_ms}",
             *extra,
         ]
         if key:
@@ -390,8 +392,10 @@
     def disconnect(self):
         self._writer.transport.abort()
 
-    async def receive(self):
-        head = await asyncio.wait_for(self._reader.readuntil(b"\r\n\r\n"), 5)
+    async def receive(self, limit_s=5):
+        head = await asyncio.wait_for(
+            self._reader.readuntil(b"\r\n\r\n"), limit_s
+        )
         first, *lines = head.decode().rstrip().split("\r\n")
         headers = {}
         for line in lines:
--- a/test/entry/test_slow_callers.py
+++ b/test/entry/test_slow_callers.py
@@ -18,6 +18,7 @@
     CONFIGURATION,
     Caller,
     PlatformTestCase,
+    Upstream,
     make_answer,
 )
 
@@ -157,6 +158,45 @@
             yield caller
 
 
+class SlowUpstream(Upstream):
+    """An upstream with a small receive buffer that reads without a pause."""
+
+    async def start(self):
+        plain = socket.socket()
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        plain.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(
+            self._serve, sock=plain, limit=PIECE_BYTES
+        )
+        return self
+
+    async def _serve(self, reader, writer):
+        read = reader.read
+
+        async def read_slowly(size):
+            await asyncio.sleep(PAUSE_S)
+            return await read(PIECE_BYTES)
+
+        reader.read = read_slowly
+        await super()._serve(reader, writer)
+
+
+class SlowUpstreamTest(PlatformTestCase):
+    """Upstreams that read a request's body slowly."""
+
+    upstream_type = SlowUpstream
+    configuration = make_configuration(idle_s=5)
+
+    async def test_body_reaches_an_upstream_that_reads_slowly(self):
+        # Guards against a kernel that ends the upstream's connection in the
+        # middle of a body, so that the request may have run or not.
+        async with Caller(self.host) as caller:
+            body = bytes(SLOW_ANSWER_BYTES)
+            caller.send("/order/1", "POST", body, deadline_ms=10_000)
+            answer = await caller.receive(10)
+        self.assertEqual(answer.status, 200)
+
+
 class SlowCallerTest(PlatformTestCase):
     """A host of 3 MB, of which callers may hold 0.8."""
 
