Check addresses, ports and names of stored entries

Cause: any text before the colon was taken for an address, so each connection to it looked up a name; the port was whatever int() reads. Related: the name of an entry is written into a header of each request, the number of slots into messages between hosts, and entries of hosts had no check but that their fields exist.

Change: one place for these checks, platform/values.py. An address is the IPv4 address of one host (the platform has no names), a port is 1 to 65535 in ASCII digits, a name has printable ASCII without spaces, an upstream has at most 100,000 slots, and an entry of a host bears that host's name. What fails is logged and counted as a malformed entry, as before.

--- a/radishstile/platform/registrations.py
+++ b/radishstile/platform/registrations.py
@@ -7,8 +7,12 @@
 from radishstile.member import Member
 from radishstile.platform.objects import PlatformObject
 from radishstile.platform.values import (
+    MAX_PORT,
+    require_address,
+    require_count,
+    require_endpoint,
+    require_name,
     require_number,
-    require_positive,
     require_type,
 )
 from radishstile.upstream.registration import Readiness, Registration
@@ -19,7 +23,8 @@
 EVACUATION_KIND = "evacuations"
 HOST_KIND = "entry-hosts"
 
-MAX_PORT = 65_535
+# Slots of one upstream; messages between hosts hold no larger sums of them.
+MAX_SLOTS = 100_000
 
 
 class MalformedEntryError(PlatformError):
@@ -32,7 +37,7 @@
     """Return the registration of an upstream.
 
     `zones` maps zones to regions; `now` is the loop time in seconds. Raises
-    `MalformedEntryError` if a field is missing or has the wrong type.
+    `MalformedEntryError` if a field is missing or can't be used.
     """
     try:
         # The spec and the status are written by different parties, each with
@@ -41,16 +46,16 @@
         record = {**_to_dict(stored.status), **_to_dict(stored.spec)}
         info = record["info"]
         status = _find_status(stored, record)
-        address, port = _split_address(require_type(str, record["address"]))
+        address, port = require_endpoint(record["address"])
         zone = require_type(str, info["zone"])
         return Registration(
-            stored.name,
+            require_name(stored.name),
             require_type(str, info["service"]),
             address,
             port,
             zone,
             zones[zone],
-            require_positive(info["slots"]),
+            require_count(info["slots"], MAX_SLOTS),
             Readiness(status["state"]),
             require_number(status.get("warmup_left_s", 0)),
             require_type(int, record.get("born", 0)),
@@ -74,22 +79,37 @@
 def decode_host(stored: PlatformObject) -> RegisteredHost:
     """Return the registered entry host.
 
-    Raises `MalformedEntryError`.
+    Raises `MalformedEntryError` if a field is missing or can't be used, or if
+    the entry has the name of another host.
     """
     try:
-        spec = stored.spec
+        spec = require_type(dict, stored.spec)
         return RegisteredHost(
-            Member.from_record(spec),
+            _decode_member(stored.name, spec),
             require_number(spec["cores"]),
             require_number(spec.get("registered_at", 0.0)),
             spec.get("is_stopped", False) is True,
         )
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise MalformedEntryError(
             f"{stored.name}: missing or malformed field: {error}"
         ) from error
 
 
+def _decode_member(name: str, spec: dict) -> Member:
+    if spec["host"] != name:
+        raise ValueError(f"names the host {spec['host']!r}")
+    return Member(
+        require_name(name),
+        require_type(int, spec["incarnation"]),
+        require_name(spec["zone"]),
+        require_name(spec["region"]),
+        require_address(spec["address"]),
+        require_count(spec["peer_port"], MAX_PORT),
+        require_count(spec["http_port"], MAX_PORT),
+    )
+
+
 def _find_status(stored: PlatformObject, record: dict) -> dict:
     if "status" in record:
         return record["status"]
@@ -98,13 +118,3 @@
 
 def _to_dict(value: Any) -> dict:
     return value if type(value) is dict else {}
-
-
-def _split_address(text: str) -> tuple[str, int]:
-    address, _, port = text.rpartition(":")
-    if not address:
-        raise ValueError(f"{text!r} is not ADDRESS:PORT")
-    number = int(port)
-    if not 0 < number <= MAX_PORT:
-        raise ValueError(f"{text!r} has no valid port")
-    return address, number
--- a/test/platform/test_registrations.py
+++ b/test/platform/test_registrations.py
@@ -14,6 +14,33 @@
 INFO = {"service": "press", "version": "v1", "zone": "akl-a", "slots": 6}
 STATUS = {"state": "ready", "sequence": 4, "warmup_left_s": 1.5}
 
+GOOD = {"address": "10.0.0.9:8080", "info": INFO, "status": STATUS}
+BAD_ADDRESSES = (
+    "",
+    "10.0.0.\ufffd",
+    "10.0.0.\0",
+    "10.0..9",
+    "a" * 64 + ".example",
+    "slow.example",
+    "localhost",
+    "10.0.0",
+    "10.0.0.256",
+    "[fd00::9]",
+    "0.0.0.0",
+    "224.0.0.1",
+    "255.255.255.255",
+)
+HOST = {
+    "host": "i-1",
+    "incarnation": 5,
+    "zone": "akl-a",
+    "region": "akl",
+    "address": "10.0.0.7",
+    "peer_port": 7560,
+    "http_port": 8388,
+    "cores": 0.6,
+}
+
 
 def make_object(spec, status=None):
     return PlatformObject("i-1", 7, False, spec, status)
@@ -38,8 +65,30 @@
                 self.assertIs(found.readiness, Readiness.READY)
                 self.assertEqual(found.cold_until, 101.5)
 
+    def test_rejects_what_is_no_address_of_a_host(self):
+        # Guards against an entry of another writer that names an upstream
+        # which no connection can be opened to.
+        for address in BAD_ADDRESSES:
+            spec = {**GOOD, "address": f"{address}:8080"}
+            with self.subTest(spec), self.assertRaises(MalformedEntryError):
+                decode(spec)
+
+    def test_rejects_what_is_no_port(self):
+        # Guards against ports that fail, or wrap around, at each connection.
+        for port in ("", "0", "-1", "+80", "8_0", "70000", "http", "\u0668"):
+            spec = {**GOOD, "address": f"10.0.0.9:{port}"}
+            with self.subTest(spec), self.assertRaises(MalformedEntryError):
+                decode(spec)
+
+    def test_rejects_names_that_can_not_stand_in_a_header(self):
+        # Guards against an entry whose name adds headers to each request.
+        for name in ("", "i 1", "i-1\r\nX-Tenant: a", "i-\ufffd", "i" * 300):
+            stored = PlatformObject(name, 7, False, GOOD, None)
+            with self.subTest(name), self.assertRaises(MalformedEntryError):
+                decode_upstream(stored, ZONES, 100.0)
+
     def test_rejects_malformed_registrations(self):
-        good = {"address": "10.0.0.9:8080", "info": INFO, "status": STATUS}
+        good = GOOD
         bad = (
             None,
             "bytes",
@@ -53,6 +102,7 @@
             {**good, "info": None},
             {**good, "info": {**INFO, "slots": "6"}},
             {**good, "info": {**INFO, "slots": 0}},
+            {**good, "info": {**INFO, "slots": 10**18}},
             {**good, "info": {**INFO, "zone": "nowhere"}},
             {**good, "info": {**INFO, "service": 1}},
             {**good, "status": {**STATUS, "state": "odd"}},
@@ -67,6 +117,18 @@
 
 class HostRegistrationTest(unittest.TestCase):
     def test_rejects_malformed_registrations(self):
-        for spec in (None, {}, {"host": "a"}, []):
+        bad = {
+            "host": "i-2",
+            "incarnation": "5",
+            "zone": ["akl-a"],
+            "region": None,
+            "address": "slow.example",
+            "peer_port": 70_000,
+            "http_port": "8388",
+            "cores": -1,
+        }
+        changed = [{**HOST, name: value} for name, value in bad.items()]
+        self.assertEqual(decode_host(make_object(HOST)).name, "i-1")
+        for spec in (None, {}, {"host": "a"}, [], *changed):
             with self.subTest(spec), self.assertRaises(MalformedEntryError):
                 decode_host(make_object(spec))
