--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -11,7 +11,10 @@
 from radishstile.catalog.catalog import CallerLimits
 from radishstile.entry.answer_writer import AnswerWriter
 from radishstile.entry.buffers import BufferBudget, Kind
-from radishstile.entry.forwarding import RequestForwarder
+from radishstile.entry.forwarding import (
+    RequestForwarder,
+    make_internal_refusal,
+)
 from radishstile.entry.logs import log_fields
 from radishstile.entry.node import EntryNode, read_clock
 from radishstile.entry.parse_turns import ParseTurns
@@ -277,12 +280,12 @@
     async def _run_request(
         self, request: Request, size: int, previous: asyncio.Task | None
     ) -> None:
-        """Answer a request; an unexpected error aborts the connection."""
+        """Answer a request; an error while writing aborts the connection."""
         try:
             await self._answer(request, previous)
         except Exception:
             _LOG.exception(
-                "callers: Unexpected error while serving a request."
+                "callers: Unexpected error while writing an answer."
             )
             self._stream.abort()
         finally:
@@ -340,12 +343,13 @@
             self._check_accepting()
             answer = await self._forwarder.serve(caller_request)
         except RefusalError as refusal:
-            await _wait_for(previous)
-            is_last = self._decide_close(request)
-            await self._writer.write_refusal(
-                refusal, request, request_id, is_last
-            )
-            self._close_if(is_last)
+            await self._refuse(refusal, request, request_id, previous)
+            return
+        except Exception:
+            # The other requests of the connection run elsewhere.
+            _LOG.exception("callers: Unexpected error before a request ran.")
+            refusal = make_internal_refusal(may_have_run=False)
+            await self._refuse(refusal, request, request_id, previous)
             return
         try:
             await _wait_for(previous)
@@ -355,6 +359,19 @@
         finally:
             await answer.close()
 
+    async def _refuse(
+        self,
+        refusal: RefusalError,
+        request: Request,
+        request_id: str,
+        previous: asyncio.Task | None,
+    ) -> None:
+        """Write a refusal after the previous answer."""
+        await _wait_for(previous)
+        is_last = self._decide_close(request)
+        await self._writer.write_refusal(refusal, request, request_id, is_last)
+        self._close_if(is_last)
+
     def _close_if(self, is_last: bool) -> None:
         if is_last:
             self.close()
--- a/radishstile/entry/connection_pool.py
+++ b/radishstile/entry/connection_pool.py
@@ -245,7 +245,8 @@
         raise UpstreamUnreachableError("connect timed out") from error
     except ConnectionRefusedError as error:
         raise UpstreamRefusedError(str(error)) from error
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # The latter two are those of addresses and ports that can't be used.
         raise UpstreamUnreachableError(str(error)) from error
 
 
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -129,6 +129,9 @@
         except RefusalError as refusal:
             self._limit_retry_after(plan, refusal)
             raise
+        except Exception as error:
+            _LOG.exception("forwarding: Unexpected error.")
+            raise make_internal_refusal(attempts.may_have_run) from error
 
     # Routing and authentication.
 
@@ -284,8 +287,9 @@
                 )
             connection = await self._connections.acquire(upstream)
             ending = Ending.TIMED_OUT
-            attempts.begin()
-            result = await self._send(plan, slot, upstream, connection)
+            result = await self._send(
+                plan, slot, upstream, connection, attempts
+            )
             ending = result.ending
             rate_limit, load = result.rate_limit, result.load
             is_streaming = type(result.answer) is StreamedAnswer
@@ -300,6 +304,15 @@
             cancelled.held_s = read_clock() - started_at
             self._log_attempt(plan, slot, cancelled)
             raise
+        except Exception as error:
+            # An error that nobody foresaw ends this attempt only.
+            _LOG.exception("forwarding: Unexpected error in an attempt.")
+            ending = (
+                Ending.BROKEN if attempts.is_in_flight else Ending.UNREACHABLE
+            )
+            return AttemptResult(
+                ending, upstream_id, detail=type(error).__name__
+            )
         finally:
             # The slot of a streamed answer is released at the body's end.
             if not is_streaming:
@@ -315,6 +328,7 @@
         slot: Slot,
         upstream: Registration,
         connection: UpstreamConnection,
+        attempts: Attempts,
     ) -> AttemptResult:
         """Send the request and read the answer."""
         request = plan.request
@@ -329,11 +343,9 @@
         result = None
         try:
             left_s = plan.deadline_at - started_at
-            connection.send(
-                encode_request_head(request, upstream, name, left_s),
-                request.http_request.body,
-                left_s,
-            )
+            head = encode_request_head(request, upstream, name, left_s)
+            attempts.begin()
+            connection.send(head, request.http_request.body, left_s)
             result = await self._receive(
                 plan, slot, upstream, connection, parser, reservation
             )
@@ -482,6 +494,15 @@
         )
 
 
+def make_internal_refusal(may_have_run: bool) -> RefusalError:
+    """Return the refusal of a request that an unexpected error ended."""
+    if may_have_run:
+        return RefusalError(Reason.INTERNAL, Outcome.UNKNOWN)
+    return RefusalError(
+        Reason.INTERNAL, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER_S
+    )
+
+
 async def _discard(answer: Answer | None) -> None:
     """Free what an answer occupies that is not passed on."""
     if answer is not None:
--- a/radishstile/entry/plan.py
+++ b/radishstile/entry/plan.py
@@ -114,36 +114,37 @@
     """The attempts of one request so far.
 
     `sent` counts those that reached an upstream, `claims` the slots claimed;
-    `excluded` holds the upstreams that were tried.
+    `excluded` holds the upstreams that were tried. `is_in_flight` is whether
+    the current attempt may have reached its upstream.
     """
 
     __slots__ = (
         "sent",
         "claims",
         "excluded",
+        "is_in_flight",
         "_may_have_run",
-        "_is_in_flight",
     )
 
     def __init__(self):
         self.sent = 0
         self.claims = 0
         self.excluded: set[str] = set()
+        self.is_in_flight = False
         self._may_have_run = False
-        self._is_in_flight = False
 
     @property
     def may_have_run(self) -> bool:
         """Return whether an upstream may have started the request."""
-        return self._may_have_run or self._is_in_flight
+        return self._may_have_run or self.is_in_flight
 
     def begin(self) -> None:
         """Record that the request is about to be sent."""
-        self._is_in_flight = True
+        self.is_in_flight = True
 
     def record(self, result: AttemptResult) -> None:
         """Record the result of an attempt."""
-        self._is_in_flight = False
+        self.is_in_flight = False
         self.excluded.add(result.upstream_id)
         if result.ending is not Ending.UNREACHABLE:
             self.sent += 1
--- a/radishstile/platform/http_codec.py
+++ b/radishstile/platform/http_codec.py
@@ -53,7 +53,7 @@
 # Statuses that tell the caller that the request was not run and won't be.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Statuses that suggest that an upstream may have run the request.
-_GATEWAY_ERROR_STATUSES = frozenset({502, 504})
+_RUN_STATUSES = frozenset({500, 502, 504})
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -253,7 +253,7 @@
     if refusal.reason is Reason.HARMFUL:
         status = _UNAVAILABLE
     if refusal.outcome is Outcome.NOT_RUN:
-        return _UNAVAILABLE if status in _GATEWAY_ERROR_STATUSES else status
+        return _UNAVAILABLE if status in _RUN_STATUSES else status
     return _BAD_GATEWAY if status in _NOT_RUN_STATUSES else status
 
 
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -1,14 +1,17 @@
 """Tests of whole requests through one entry host on loopback."""
 
 import asyncio
+from unittest.mock import patch
 
 import orjson
 
+from radishstile.entry import callers, connection_pool
 from standin.object_store import FailureMode
 from test.entry._common import (
     CONFIGURATION,
     Caller,
     PlatformTestCase,
+    Upstream,
     answer_at_length,
     answer_other_request,
     answer_twice,
@@ -24,6 +27,19 @@
 )
 
 
+def raise_error(*_):
+    raise KeyError("odd")
+
+
+_open = connection_pool._open
+
+
+async def fail_at_odd(stream, upstream):
+    if upstream.upstream_id == "i-odd":
+        raise KeyError("odd")
+    await _open(stream, upstream)
+
+
 class ForwardingTest(PlatformTestCase):
     def list_runs(self):
         return [run for u in self.upstreams for run in u.runs]
@@ -291,6 +307,39 @@
                 self.assertIsNotNone(registry.find_usable(name))
                 self.assertIsNone(registry.find_usable("i-odd"))
 
+    async def test_attempt_that_can_not_begin_ends_no_other_request(self):
+        # Guards against an upstream that each connection to fails in a way
+        # that nobody foresaw: all requests of the caller's connection ended.
+        self.register(self.upstreams[1], state="draining")
+        await asyncio.sleep(0.1)
+        self.upstreams[0].delay_s = 0.3
+        odd = await Upstream("i-odd").start()
+        self.addAsyncCleanup(odd.stop)
+        async with Caller(self.host) as caller:
+            caller.send()
+            await asyncio.sleep(0.1)
+            self.register(odd)
+            await asyncio.sleep(0.1)
+            with patch.object(connection_pool, "_open", fail_at_odd):
+                caller.send()
+                answers = [await caller.receive() for _ in range(2)]
+        self.assertEqual([a.status for a in answers], [200, 200])
+        self.assertEqual(odd.runs, [])
+
+    async def test_error_before_a_request_ran_ends_no_other_request(self):
+        # Guards against a request that takes those of its connection with it.
+        for upstream in self.upstreams:
+            upstream.delay_s = 0.2
+        async with Caller(self.host) as caller:
+            caller.send()
+            await asyncio.sleep(0.1)
+            with patch.object(callers, "decode_caller_request", raise_error):
+                caller.send()
+                await asyncio.sleep(0)
+                answers = [await caller.receive() for _ in range(2)]
+        self.assertEqual([a.status for a in answers], [200, 503])
+        self.assertIn("retry-after", answers[1].headers)
+
     async def test_requests_survive_an_unreachable_upstream(self):
         await self.upstreams[0].stop()
         for _ in range(6):
