Take no upstream at the endpoint of a host of the fleet

Callers with a valid key got 401 while another writer's entry named an endpoint of an entry host.

Cause: an entry was taken for an upstream if it was well-formed. A request to it came back to the fleet, without the caller's key, which is not passed on.

Change: the registry knows the endpoints of all registered hosts; upstreams there aren't usable, which is logged and counted as a malformed entry. They become usable if the host's registration goes, and the other way round.

--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -68,6 +68,7 @@
         self._store_data_at = float("-inf")
         self.registry = UpstreamRegistry()
         self.hosts = HostTable(RegisteredHost(self.local_member, file.cores))
+        self.registry.replace_own_endpoints(self.list_endpoints())
         self.is_leaving = False
         # Set when the catalog, the registry or the hosts have changed.
         self.changed = asyncio.Event()
@@ -159,6 +160,19 @@
         """
         return FRESH_MAX_AGE_S + self.freshness.limit_s
 
+    def list_endpoints(self) -> frozenset[tuple[str, int]]:
+        """Return the endpoints of all hosts, as addresses and ports.
+
+        Those that a host doesn't register have the same port on each.
+        """
+        file = self.file
+        ports = {file.callers.port, file.readiness.port, file.directory.port}
+        return frozenset(
+            (member.address, port)
+            for member in self.hosts.list_members()
+            for port in ports | {member.peer_port, member.http_port}
+        )
+
     def list_region_hosts(self) -> list[Member]:
         """Return the hosts of the local region, the preferred leader first."""
         return self.hosts.list_leader_order(self.local_member.region)
--- a/radishstile/entry/subscribers.py
+++ b/radishstile/entry/subscribers.py
@@ -20,6 +20,7 @@
     decode_host,
     decode_upstream,
 )
+from radishstile.upstream.registration import Registration
 
 _LOG = logging.getLogger("radishstile.replica")
 
@@ -115,6 +116,7 @@
         """Apply all registrations; malformed ones are left out."""
         decoded = [self._decode(stored) for stored in listing.objects]
         self._node.registry.replace_all([r for r in decoded if r])
+        _report_own(self._node, self._node.registry.list_own())
         self._node.check_initialized()
         self._node.changed.set()
 
@@ -128,6 +130,8 @@
             registry.remove(change.object.name)
         else:
             registry.add(registration)
+            if registry.is_own(registration):
+                _report_own(self._node, [registration])
         self._node.changed.set()
         state = registration.readiness.value if registration else "gone"
         _LOG.info(
@@ -211,7 +215,7 @@
         self._node.hosts.replace_all(
             [host for host in decoded if host], read_clock()
         )
-        self._node.changed.set()
+        self._publish()
 
     def apply(self, change: Change) -> None:
         """Apply a change of a host."""
@@ -220,11 +224,20 @@
             self._node.hosts.remove(change.object.name, read_clock())
         else:
             self._node.hosts.put(host)
-        self._node.changed.set()
+        self._publish()
 
     def confirm(self, asked_at: float) -> None:
         """Hosts need no confirmation; heartbeats show which are live."""
 
+    def _publish(self) -> None:
+        registry = self._node.registry
+        known = registry.list_own()
+        registry.replace_own_endpoints(self._node.list_endpoints())
+        _report_own(
+            self._node, [r for r in registry.list_own() if r not in known]
+        )
+        self._node.changed.set()
+
     def _decode(self, stored: PlatformObject) -> RegisteredHost | None:
         try:
             return decode_host(stored)
@@ -234,6 +247,19 @@
             return None
 
 
+def _report_own(node: EntryNode, registrations: list[Registration]) -> None:
+    """Count and log entries that name an endpoint of the fleet's hosts."""
+    for registration in registrations:
+        node.metrics.malformed_entries.inc({"kind": UPSTREAM_KIND})
+        _LOG.warning(
+            "replica: Upstream at the endpoint of a host ignored.",
+            extra=log_fields(
+                upstream=registration.upstream_id,
+                endpoint=f"{registration.address}:{registration.port}",
+            ),
+        )
+
+
 Subscriber = (
     ConfigurationSubscriber
     | UpstreamSubscriber
--- a/radishstile/fleet/hosts.py
+++ b/radishstile/fleet/hosts.py
@@ -128,6 +128,11 @@
         }
         return sorted(regions | {self.local_host.member.region})
 
+    def list_members(self) -> list[Member]:
+        """Return all registered hosts, stopped ones too, and the local one."""
+        known = {**self._by_name, self.local_host.name: self.local_host}
+        return [host.member for host in known.values()]
+
     def list_names(self, region: str) -> list[str]:
         """Return all registered hosts of a region, stopped ones too."""
         return [
--- a/radishstile/upstream/registration.py
+++ b/radishstile/upstream/registration.py
@@ -74,14 +74,22 @@
     """All registered upstreams by id, and the evacuated zones.
 
     `version` grows with each change. `is_loaded` is whether a complete list
-    of upstreams was applied.
+    of upstreams was applied. An upstream at an endpoint of the fleet's own
+    hosts is not usable: its requests would come back.
     """
 
-    __slots__ = ("_by_id", "_evacuated_zones", "version", "is_loaded")
+    __slots__ = (
+        "_by_id",
+        "_evacuated_zones",
+        "_own_endpoints",
+        "version",
+        "is_loaded",
+    )
 
     def __init__(self):
         self._by_id: dict[str, Registration] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
+        self._own_endpoints: frozenset[tuple[str, int]] = frozenset()
         self.version = 0
         self.is_loaded = False
 
@@ -112,6 +120,23 @@
             self._evacuated_zones = zones
             self.version += 1
 
+    def replace_own_endpoints(
+        self, endpoints: frozenset[tuple[str, int]]
+    ) -> None:
+        """Replace the endpoints of the fleet's hosts."""
+        if endpoints != self._own_endpoints:
+            self._own_endpoints = endpoints
+            self.version += 1
+
+    def is_own(self, registration: Registration) -> bool:
+        """Return whether the upstream's endpoint is one of the fleet's."""
+        endpoint = (registration.address, registration.port)
+        return endpoint in self._own_endpoints
+
+    def list_own(self) -> list[Registration]:
+        """Return the upstreams whose endpoint is one of the fleet's."""
+        return [r for r in self._by_id.values() if self.is_own(r)]
+
     def find_usable(self, upstream_id: str) -> Registration | None:
         """Return the upstream if it may get new requests, else None."""
         registration = self._by_id.get(upstream_id)
@@ -131,4 +156,5 @@
         return (
             registration.readiness is Readiness.READY
             and registration.zone not in self._evacuated_zones
+            and not self.is_own(registration)
         )
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -307,6 +307,27 @@
                 self.assertIsNotNone(registry.find_usable(name))
                 self.assertIsNone(registry.find_usable("i-odd"))
 
+    async def test_upstream_at_an_endpoint_of_a_host_gets_no_requests(self):
+        # Guards against requests that come back to the host that sent them.
+        for upstream in self.upstreams:
+            self.register(upstream, state="draining")
+        record = self.store.get_spec("servers", "i-0")
+        own = {**record, "address": str(self.host.file.callers)}
+        status = {"state": "ready", "sequence": 1, "warmup_left_s": 0}
+        self.store.put("servers", "i-own", own, status)
+        await asyncio.sleep(0.2)
+        self.assertEqual((await self.ask()).status, 503)
+        # Hosts that are added later have their endpoints, too.
+        registry = self.host.entry.node.registry
+        file = self.make_file("front-2", "akl-a")
+        own = {**record, "address": file["network"]["listen"]["front"]}
+        self.store.put("servers", "i-own", own, status)
+        await asyncio.sleep(0.4)
+        self.assertIsNotNone(registry.find_usable("i-own"))
+        await self.run_host(self.make_host(file))
+        await asyncio.sleep(0.4)
+        self.assertIsNone(registry.find_usable("i-own"))
+
     async def test_attempt_that_can_not_begin_ends_no_other_request(self):
         # Guards against an upstream that each connection to fails in a way
         # that nobody foresaw: all requests of the caller's connection ended.
