--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-from contextlib import suppress
 
 from radishstile.catalog.catalog import CallerLimits
 from radishstile.entry.answer_writer import AnswerWriter
@@ -20,6 +19,7 @@
 from radishstile.entry.parse_turns import ParseTurns
 from radishstile.entry.request_reader import MEMORY_RETRY_S, RequestReader
 from radishstile.errors import HttpError, RefusalError
+from radishstile.http.closing import ClosingLimits, close_gracefully
 from radishstile.http.message import Request
 from radishstile.http.stream import ByteStream
 from radishstile.outcome import Outcome, Reason
@@ -35,15 +35,13 @@
 PIPELINE_LIMIT = 32
 # Retry-After of a host that stops, in seconds: others serve at once.
 STOPPING_RETRY_S = 0.05
-# How long, and how many, bytes that follow a refused request are read.
-LINGER_S = 1.0
-LINGER_BYTES = 4_194_304
 # Memory of a connection with the task of one request, in bytes; measured 10 KB
 # with a pooled connection to an upstream.
 CONNECTION_BYTES = 16_384
 # Memory of the task of each further request, in bytes.
 RUN_BYTES = 8192
 
+_CLOSING_LIMITS = ClosingLimits()
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASON_BY_STATUS = {
     400: Reason.BAD_REQUEST,
@@ -73,6 +71,7 @@
         "_pipeline_slots",
         "_running_bytes",
         "_is_closing",
+        "_has_ended",
     )
 
     def __init__(
@@ -99,7 +98,9 @@
         self._pipeline_slots = asyncio.Semaphore(PIPELINE_LIMIT)
         # Memory of the requests in flight.
         self._running_bytes = 0
+        # Whether no more requests are read, and whether no more is written.
         self._is_closing = False
+        self._has_ended = False
 
     @property
     def is_busy(self) -> bool:
@@ -116,9 +117,15 @@
         return self._stream.peer_address
 
     def close(self) -> None:
-        """Close the connection after the bytes already written."""
+        """Close the connection after the bytes already written.
+
+        `serve` reads on until the caller has them.
+        """
         self._is_closing = True
-        self._stream.close()
+        if not self._has_ended:
+            self._has_ended = True
+            self._stream.end_writing()
+            self._stream.interrupt_read()
 
     def refresh(self, now: float) -> None:
         """Bring the holder up to date."""
@@ -138,7 +145,11 @@
         A request that has arrived partly is refused as not run, unless
         answers are to be written before.
         """
-        is_refusable = self._reader.is_incomplete and not self._tasks
+        is_refusable = (
+            self._reader.is_incomplete
+            and not self._tasks
+            and not self._has_ended
+        )
         self._is_closing = True
         self._reader.discard()
         self._budget.forget(self.holder)
@@ -156,6 +167,8 @@
                 "the host's memory is full",
             )
             self._stream.write(encode_refusal(refusal, "", True))
+            self.close()
+            return
         self._stream.close()
 
     def abort_stalled(self, now: float, limit_s: float) -> bool:
@@ -184,6 +197,9 @@
             refusal = await self._serve_requests()
             if refusal is not None:
                 await self._refuse_unread(refusal)
+            if not self._stream.is_ended:
+                self._has_ended = True
+                await close_gracefully(self._stream, _CLOSING_LIMITS)
         except ConnectionError as error:
             _LOG.debug("callers: Connection lost: %s", error)
         finally:
@@ -313,23 +329,6 @@
             "callers: Request not read.",
             extra=log_fields(status=find_status(refusal), why=str(refusal)),
         )
-        await self._discard_rest()
-
-    async def _discard_rest(self) -> None:
-        """Read on for a while, so that the refusal reaches the caller.
-
-        Closing a connection with unread bytes would reset it.
-        """
-        self._stream.end_writing()
-        left = LINGER_BYTES
-        with suppress(TimeoutError, ConnectionError):
-            async with asyncio.timeout(LINGER_S):
-                while left > 0:
-                    # No name keeps the bytes while the next ones are awaited.
-                    size = len(await self._stream.read())
-                    if not size:
-                        return
-                    left -= size
 
     async def _answer(
         self, request: Request, previous: asyncio.Task | None
--- a/radishstile/http/server.py
+++ b/radishstile/http/server.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 from radishstile.errors import HttpError
+from radishstile.http.closing import ClosingLimits, close_gracefully
 from radishstile.http.message import Request
 from radishstile.http.parser import RequestParser
 from radishstile.http.stream import ByteStream
@@ -185,13 +186,9 @@
     async def serve(self) -> None:
         """Answer requests until the connection ends or is unused."""
         try:
-            while request := await self._receive():
-                await self._send(request)
-                if not request.keeps_alive:
-                    return
-        except HttpError as error:
-            answer = make_error_answer(error.status, str(error))
-            self._stream.write(_encode(answer, "close", has_body=True))
+            await self._serve_requests()
+            if not self._stream.is_ended:
+                await close_gracefully(self._stream, ClosingLimits())
         except TimeoutError:
             self._stream.abort()
         except ConnectionError:
@@ -200,6 +197,16 @@
         finally:
             self._stream.close()
 
+    async def _serve_requests(self) -> None:
+        try:
+            while request := await self._receive():
+                await self._send(request)
+                if not request.keeps_alive:
+                    return
+        except HttpError as error:
+            answer = make_error_answer(error.status, str(error))
+            self._stream.write(_encode(answer, "close", has_body=True))
+
     async def _receive(self) -> Request | None:
         """Return the next request, or None at the end of the stream."""
         parser = self._parser
--- a/radishstile/http/stream.py
+++ b/radishstile/http/stream.py
@@ -52,6 +52,7 @@
         "_is_ended",
         "_is_reading_paused",
         "_is_writing_paused",
+        "_is_writing_ended",
         "_is_idle",
         "_read_waiter",
         "_drain_waiter",
@@ -68,6 +69,7 @@
         self._is_ended = False
         self._is_reading_paused = False
         self._is_writing_paused = False
+        self._is_writing_ended = False
         self._is_idle = False
         self._read_waiter: asyncio.Future | None = None
         self._drain_waiter: asyncio.Future | None = None
@@ -138,8 +140,8 @@
         self._is_idle = is_idle
 
     def write(self, content: bytes) -> None:
-        """Send bytes without waiting."""
-        if self.transport is not None and not self.transport.is_closing():
+        """Send bytes without waiting, unless the sending side has ended."""
+        if self._can_write:
             self._written_bytes += len(content)
             self.transport.write(content)
 
@@ -181,9 +183,14 @@
 
     def end_writing(self) -> None:
         """Close the sending side after what was written."""
-        if self.transport is not None and not self.transport.is_closing():
+        if self._can_write:
+            self._is_writing_ended = True
             self.transport.write_eof()
 
+    def interrupt_read(self) -> None:
+        """Let a `read` that waits return no bytes, as at the stream's end."""
+        _wake(self._read_waiter)
+
     def close(self) -> None:
         """Close the connection after sending what was written."""
         if self.transport is not None:
@@ -241,6 +248,12 @@
         self._is_writing_paused = False
         _wake(self._drain_waiter)
 
+    @property
+    def _can_write(self) -> bool:
+        if self.transport is None or self._is_writing_ended:
+            return False
+        return not self.transport.is_closing()
+
     def _apply_silence(self) -> None:
         if self.transport is None:
             return
--- a/test/entry/test_slow_callers.py
+++ b/test/entry/test_slow_callers.py
@@ -99,7 +99,8 @@
         await self._reader.readuntil(b"\r\n\r\n")
         count = 0
         while count < size:
-            part = await self._reader.read(PIECE_BYTES)
+            left = size - count
+            part = await self._reader.read(min(PIECE_BYTES, left))
             if not part:
                 break
             count += len(part)
@@ -148,6 +149,20 @@
             # What the kernel holds arrives after a cut too.
             self.assertEqual(self.host.entry._caller_server.count_open(), 1)
 
+    async def test_answers_reach_a_pipelining_caller_of_a_stopping_host(self):
+        # Guards against a request that arrives at a closed connection: the
+        # kernel resets it, and drops the answers that are still on their way.
+        self.host.entry.node.is_leaving = True
+        async with self.fetch(answer_within_buffers) as caller:
+            caller.send("/read/2")
+            await asyncio.sleep(0.5)
+            # The caller can't know yet that it is not read.
+            caller.send("/read/3")
+            size = await caller.count_slowly(SLOW_ANSWER_BYTES)
+            self.assertEqual(size, SLOW_ANSWER_BYTES)
+            self.assertEqual((await caller.receive()).status, 200)
+            self.assertTrue(await caller.is_closed())
+
     @asynccontextmanager
     async def fetch(self, answer):
         """Send a request, and yield its connection."""
