--- a/radishstile/entry/caller_server.py
+++ b/radishstile/entry/caller_server.py
@@ -131,15 +131,6 @@
         """Stop listening, so that callers try another host."""
         self._server.close()
 
-    def refuse_requests(self) -> None:
-        """Refuse further requests on open connections.
-
-        A pipelining caller keeps its connection busy, so that it is never
-        idle, and what came late would be cut off at the end of the drain.
-        """
-        for connection in self._connections:
-            connection.refuses_requests = True
-
     def close_idle(self) -> None:
         """Close the connections without requests in flight."""
         for connection in list(self._connections):
--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -33,8 +33,6 @@
 
 # Concurrent requests per connection; further ones stay unread.
 PIPELINE_LIMIT = 32
-# Retry-After of a host that stops, in seconds: others serve at once.
-STOPPING_RETRY_S = 0.05
 # Memory of a connection with the task of one request, in bytes; measured 10 KB
 # with a pooled connection to an upstream.
 CONNECTION_BYTES = 16_384
@@ -58,7 +56,6 @@
     """
 
     __slots__ = (
-        "refuses_requests",
         "holder",
         "_node",
         "_forwarder",
@@ -82,7 +79,6 @@
         stream: ByteStream,
         turns: ParseTurns,
     ):
-        self.refuses_requests = False
         self.holder = budget.hold(self)
         self.holder.charge(Kind.CONNECTION, CONNECTION_BYTES)
         self._budget = budget
@@ -339,7 +335,6 @@
             caller_request = decode_caller_request(request)
             request_id = caller_request.request_id
             caller_request.holder = self.holder
-            self._check_accepting()
             answer = await self._forwarder.serve(caller_request)
         except RefusalError as refusal:
             await self._refuse(refusal, request, request_id, previous)
@@ -375,15 +370,6 @@
         if is_last:
             self.close()
 
-    def _check_accepting(self) -> None:
-        if self.refuses_requests:
-            raise RefusalError(
-                Reason.STOPPING,
-                Outcome.NOT_RUN,
-                STOPPING_RETRY_S,
-                "the host stops before the request could complete",
-            )
-
     def _decide_close(self, request: Request) -> bool:
         """Return whether to close the connection after this answer.
 
--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -41,6 +41,7 @@
     choose_shared_priority,
     make_fingerprint,
 )
+from radishstile.entry.stop_plan import StopPlan
 from radishstile.errors import (
     HttpError,
     LoadReportError,
@@ -66,6 +67,8 @@
 
 # Retry-After in seconds where no better estimate is known.
 DEFAULT_RETRY_AFTER_S = 0.5
+# Retry-After of a host that stops, in seconds: others serve at once.
+STOPPING_RETRY_S = 0.05
 # Longest Retry-After as a share of the time until the caller's deadline;
 # callers honour up to a third.
 RETRY_AFTER_SHARE = 0.3
@@ -90,6 +93,7 @@
         "_answer_limits",
         "_buffers",
         "_claim_numbers",
+        "_waits",
     )
 
     def __init__(
@@ -108,11 +112,19 @@
         self._answer_limits = answer_limits
         self._buffers = buffers
         self._claim_numbers = itertools.count()
+        # The time limits of the claims that wait for a slot.
+        self._waits: set[asyncio.Timeout] = set()
+
+    def limit_waits(self, stop_plan: StopPlan) -> None:
+        """Let no request wait for a slot until this host ends."""
+        for wait in self._waits:
+            wait.reschedule(stop_plan.grants_until)
 
     async def serve(self, request: CallerRequest) -> Answer:
         """Return the answer to a request; raises `RefusalError`."""
         await self._node.wait_initialized()
         plan = self._plan(request)
+        self._check_stopping(plan)
         attempts = Attempts()
         # The retry budget grows with requests, whatever their outcome.
         self._retry_budget.record_success()
@@ -133,6 +145,15 @@
             _LOG.exception("forwarding: Unexpected error.")
             raise make_internal_refusal(attempts.may_have_run) from error
 
+    def _check_stopping(self, plan: RequestPlan) -> None:
+        """Refuse a request that may not end before this host does."""
+        stop_plan = self._node.stop_plan
+        if stop_plan is None:
+            return
+        received_at = plan.request.http_request.received_at
+        if not stop_plan.may_take(received_at, plan.deadline_at):
+            raise make_stopping_refusal()
+
     # Routing and authentication.
 
     def _plan(self, request: CallerRequest) -> RequestPlan:
@@ -206,6 +227,7 @@
     ) -> Answer:
         while True:
             slot = await self._claim(plan, attempts)
+            await self._check_remaining_time(plan, attempts, slot)
             started_at = read_clock()
             result = await self._run_attempt(plan, slot, attempts)
             result.held_s = read_clock() - started_at
@@ -227,7 +249,7 @@
         attempts.claims += 1
         asked_at = read_clock()
         try:
-            slot = await self._slot_client.claim(claim, terms)
+            slot = await self._wait_for_slot(claim, terms)
         except RefusalError as refusal:
             if attempts.may_have_run:
                 raise RefusalError(
@@ -238,6 +260,35 @@
         self._node.metrics.claim_wait.observe({}, waited_s)
         return slot
 
+    async def _wait_for_slot(self, claim: Claim, terms: ClaimTerms) -> Slot:
+        """Return a slot; raises `RefusalError`, also if this host ends."""
+        stop_plan = self._node.stop_plan
+        wait = asyncio.timeout_at(stop_plan and stop_plan.grants_until)
+        try:
+            async with wait:
+                self._waits.add(wait)
+                try:
+                    return await self._slot_client.claim(claim, terms)
+                finally:
+                    self._waits.discard(wait)
+        except TimeoutError as error:
+            if not wait.expired():
+                raise
+            raise make_stopping_refusal() from error
+
+    async def _check_remaining_time(
+        self, plan: RequestPlan, attempts: Attempts, slot: Slot
+    ) -> None:
+        """Give the slot back if the run would hardly end before this host."""
+        stop_plan = self._node.stop_plan
+        if stop_plan is None or attempts.may_have_run:
+            return
+        expected_s = slot.grant.expected_s
+        if stop_plan.may_send(read_clock(), expected_s, plan.deadline_at):
+            return
+        await asyncio.shield(slot.release(Ending.ABANDONED, 0.0))
+        raise make_stopping_refusal()
+
     def _make_claim(
         self, plan: RequestPlan, attempts: Attempts
     ) -> tuple[Claim, ClaimTerms]:
@@ -494,6 +545,16 @@
         )
 
 
+def make_stopping_refusal() -> RefusalError:
+    """Return the refusal of a request that others have to serve."""
+    return RefusalError(
+        Reason.STOPPING,
+        Outcome.NOT_RUN,
+        STOPPING_RETRY_S,
+        "the host stops before the request could complete",
+    )
+
+
 def make_internal_refusal(may_have_run: bool) -> RefusalError:
     """Return the refusal of a request that an unexpected error ended."""
     if may_have_run:
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -7,6 +7,7 @@
 from radishstile.catalog.catalog import Catalog
 from radishstile.catalog.freshness import Freshness
 from radishstile.entry.metrics import EntryMetrics
+from radishstile.entry.stop_plan import StopPlan
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.fleet.leadership import FRESH_MAX_AGE_S
 from radishstile.member import Member
@@ -24,7 +25,8 @@
 class EntryNode:
     """The host's identity, its replicated state and its store client.
 
-    `catalog` is None until a configuration has been read.
+    `catalog` is None until a configuration has been read, and `stop_plan`
+    until the host is asked to stop.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "registry",
         "hosts",
         "is_leaving",
+        "stop_plan",
         "changed",
         "initialized",
         "_started_at",
@@ -70,6 +73,7 @@
         self.hosts = HostTable(RegisteredHost(self.local_member, file.cores))
         self.registry.replace_own_endpoints(self.list_endpoints())
         self.is_leaving = False
+        self.stop_plan: StopPlan | None = None
         # Set when the catalog, the registry or the hosts have changed.
         self.changed = asyncio.Event()
         # Set once a confirmed configuration and the upstreams are known.
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import os
+from contextlib import suppress
 
 from radishstile.entry.admission import AdmissionController
 from radishstile.entry.buffers import BufferBudget
@@ -24,6 +25,7 @@
 from radishstile.entry.registrar import Registrar
 from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.entry.replica import Replica
+from radishstile.entry.stop_plan import StopPlan
 from radishstile.errors import SettingsError
 from radishstile.http.parser import AnswerLimits
 from radishstile.platform.host_file import HostFile, read_host_file
@@ -36,11 +38,8 @@
 
 # Interval of checks of idle connections and the settings file, in seconds.
 MAINTENANCE_INTERVAL_S = 1.0
-# Shares of the grace period after which the host stops accepting connections
-# and closes idle ones, and after which it ends the drain. Callers use a
-# look-up for up to 6 s; requests that come late have the time in between.
-ACCEPT_GRACE_SHARE = 0.5
-DRAIN_GRACE_SHARE = 0.85
+# Interval of checks for open connections while the host stops, in seconds.
+DRAIN_INTERVAL_S = 0.1
 # Timeout for closing what is still open, in seconds. It bounds the stop within
 # the grace period when a connection is unresponsive.
 CLOSE_TIMEOUT_S = 0.4
@@ -69,6 +68,7 @@
         "_leadership",
         "_loans",
         "_connections",
+        "_forwarder",
         "_caller_server",
         "_directory",
         "_registrar",
@@ -110,7 +110,7 @@
         slot_client = SlotClient(
             self._leadership, self._admission, node.local_member.region
         )
-        forwarder = RequestForwarder(
+        self._forwarder = RequestForwarder(
             node,
             slot_client,
             self._connections,
@@ -119,7 +119,7 @@
             buffers,
         )
         self._caller_server = CallerServer(
-            node, forwarder, buffers, int(sockets * CALLER_SHARE)
+            node, self._forwarder, buffers, int(sockets * CALLER_SHARE)
         )
         self._grants = RemoteGrants(slot_client, node.metrics)
         self._directory = Directory(
@@ -241,22 +241,24 @@
     async def _drain(self) -> None:
         """Unregister, and keep serving until callers use other hosts."""
         node = self.node
-        stopped_at = read_clock()
-        grace_s = node.file.bounds.grace_s
+        plan = StopPlan(read_clock(), node.file.bounds.grace_s)
         node.is_leaving = True
+        node.stop_plan = plan
+        self._forwarder.limit_waits(plan)
         _LOG.info(
             "service: Draining.",
             extra=log_fields(connections=self._caller_server.count_open()),
         )
-        await self._registrar.mark_stopped()
-        while read_clock() - stopped_at < grace_s * DRAIN_GRACE_SHARE:
-            if read_clock() - stopped_at > grace_s * ACCEPT_GRACE_SHARE:
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(plan.takes_until):
+                await self._registrar.mark_stopped()
+        while read_clock() < plan.ends_at:
+            if read_clock() > plan.takes_until:
                 self._caller_server.stop_listening()
-                self._caller_server.refuse_requests()
                 self._caller_server.close_idle()
                 if not self._caller_server.count_open():
                     return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(DRAIN_INTERVAL_S)
 
     async def _close(self) -> None:
         try:
