Take answers with status 000 and the like for broken

Callers got answers with status 600 or 999 as they came, and waited until their deadline (504) where an upstream answered with 000, 001, 099 or 199.

Cause: the parser accepts any three digits; numbers below 200 were skipped as interim answers, all others passed on.

Change: one rule for upstreams and the store, here and in deployments of our own: 200 to 599 end an exchange, 100, 102 and 103 are skipped, all else is a broken answer, known with its head. Its request runs elsewhere if it may be repeated, others get 502 at once.

--- a/radishstile/http/parser.py
+++ b/radishstile/http/parser.py
@@ -12,13 +12,13 @@
     Request,
     measure_fields,
 )
+from radishstile.http.statuses import INTERIM_STATUSES, is_final
 
 _BAD_REQUEST = 400
 _BODY_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 # Colon, space and line end around a header's name and value.
 _HEADER_OVERHEAD_BYTES = 4
-_FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = (204, 304)
 
 
@@ -225,6 +225,7 @@
         "_limits",
         "_framing_bytes",
         "_skipped_bytes",
+        "_error",
     )
 
     def __init__(
@@ -250,6 +251,7 @@
         self._framing_bytes = 0
         # Bytes received before the awaited answer's head.
         self._skipped_bytes = 0
+        self._error: HttpError | None = None
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -270,7 +272,9 @@
             if self.is_complete:
                 self.has_extra_bytes = True
                 return
-            raise HttpError(502, f"malformed answer: {error}") from error
+            raise self._error or HttpError(
+                502, f"malformed answer: {error}"
+            ) from error
         self._check_limits()
 
     def _check_limits(self) -> None:
@@ -321,12 +325,16 @@
         if self.is_complete:
             return
         status = self._parser.get_status_code()
+        is_interim = status in INTERIM_STATUSES
+        if not is_interim and not is_final(status):
+            self._error = HttpError(502, f"{status:03} is no status of HTTP")
+            raise self._error
         head = AnswerHead(status, self._headers)
         is_other = (
             self._request_id is not None
             and head.find(self._id_header) != self._request_id
         )
-        self._is_skipping = status < _FIRST_FINAL_STATUS or is_other
+        self._is_skipping = is_interim or is_other
         if self._is_skipping:
             return
         self.head = head
--- a/radishstile/http/resending.py
+++ b/radishstile/http/resending.py
@@ -1,8 +1,12 @@
-"""Client middleware that disables the retries of aiohttp."""
+"""Client middleware that disables the retries of aiohttp.
+
+It also rejects answers whose status is none of HTTP.
+"""
 
 import aiohttp
 
 from radishstile.errors import RadishstileError
+from radishstile.http.statuses import is_final
 
 
 class ConnectionLostError(RadishstileError):
@@ -16,11 +20,16 @@
 
     It would send GET, PUT and DELETE again when a connection is lost, but the
     caller has to decide on each attempt and count it. Errors of a connect
-    pass unchanged, since nothing was sent.
+    pass unchanged, since nothing was sent. An answer with a number that is no
+    status is lost, too.
     """
     try:
-        return await handler(request)
+        response = await handler(request)
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         raise ConnectionLostError(type(error).__name__) from error
+    if not is_final(response.status):
+        response.close()
+        raise ConnectionLostError(f"{response.status:03} is no status of HTTP")
+    return response
--- a/radishstile/http/statuses.py
+++ b/radishstile/http/statuses.py
@@ -1,7 +1,13 @@
-"""HTTP statuses of refused requests."""
+"""HTTP statuses: those of refused requests, and those that exist at all."""
 
 from radishstile.outcome import Reason
 
+# Interim answers, which have no body (RFC 9110, section 15.2). The parser
+# would read others of their class as final answers with one.
+INTERIM_STATUSES = frozenset({100, 102, 103})
+_FIRST_FINAL = 200
+_LAST_FINAL = 599
+
 STATUSES = {
     Reason.NO_KEY: 401,
     Reason.BAD_KEY: 401,
@@ -27,3 +33,11 @@
     Reason.STOPPING: 503,
     Reason.INTERNAL: 500,
 }
+
+
+def is_final(status: int) -> bool:
+    """Return whether a status of HTTP ends an exchange.
+
+    An answer with any other number is as broken as one without a number.
+    """
+    return _FIRST_FINAL <= status <= _LAST_FINAL
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -17,6 +17,7 @@
     answer_twice,
     fail,
     fail_at_length,
+    make_answer,
     omit_stamp,
     reject,
     repeat_refusal,
@@ -31,6 +32,10 @@
     raise KeyError("odd")
 
 
+def make_odd(status):
+    return lambda head: make_answer(head.headers["x-request-id"], status)
+
+
 _open = connection_pool._open
 
 
@@ -129,6 +134,21 @@
         self.upstreams[1].answers = []
         self.assertEqual((await self.ask("/read/2")).body, b"done")
 
+    async def test_answer_with_status_000_is_none(self):
+        # Guards against an answer of an upstream in trouble that is passed on,
+        # or waited for until the deadline.
+        for status in ("000", "099", "199", "600", "999"):
+            for method in ("GET", "POST"):
+                for upstream in self.upstreams:
+                    upstream.answers = [make_odd(status)] * 2
+                began_at = asyncio.get_running_loop().time()
+                answer = await self.ask(method=method)
+                took_s = asyncio.get_running_loop().time() - began_at
+                with self.subTest((status, method)):
+                    self.assertEqual(answer.status, 502)
+                    self.assertNotIn("x-response-stamp", answer.headers)
+                    self.assertLess(took_s, 1.0)
+
     async def test_unsolicited_answer_is_discarded(self):
         for upstream in self.upstreams:
             upstream.answers = [answer_twice, answer_other_request]
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -99,6 +99,12 @@
 class FailureTest(ClientTestCase):
     """Each failure is an error, and the next request a new connection."""
 
+    async def test_answers_with_numbers_that_are_no_status(self):
+        # Guards against calls to the store that wait for a final answer.
+        for status in (b"000", b"199", b"600"):
+            answer = make_answer(b"odd").replace(b"200", status, 1)
+            await self.check(send(answer), HttpError)
+
     async def check(self, script, error, request=GET, timeout_s=ENOUGH_S):
         await self.connect(script, send(make_answer(b"next")))
         with self.assertRaises(error):
--- a/test/http/test_parser.py
+++ b/test/http/test_parser.py
@@ -5,6 +5,10 @@
 from radishstile.errors import HttpError
 from radishstile.http.parser import AnswerLimits, AnswerParser, RequestParser
 
+ODD_STATUSES = (
+    *(b"000", b"001", b"099", b"101", b"104", b"199", b"600", b"999"),
+    *(b"0", b"20", b"2000", b"2x0", b"+20", b"-20", b""),
+)
 POST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
 
 
@@ -92,6 +96,23 @@
         self.assertTrue(self.parser.keeps_alive)
         self.assertEqual(self.parser.take_body(), b"xyz")
 
+    def test_number_that_is_no_status_is_a_broken_answer(self):
+        # Guards against an answer with status 000, or 600, that is passed on,
+        # or taken for an interim one, so that its request waits for nothing.
+        for status in ODD_STATUSES:
+            parser = make_parser()
+            content = make_answer().replace(b"200", status, 1)
+            with self.subTest(status), self.assertRaises(HttpError):
+                parser.feed(content)
+
+    def test_skips_interim_answers(self):
+        for status in (b"100", b"102", b"103"):
+            parser = make_parser()
+            parser.feed(b"HTTP/1.1 %b Status\r\n\r\n" % status)
+            parser.feed(make_answer())
+            self.assertTrue(parser.is_complete)
+            self.assertEqual(parser.head.status, 200)
+
     def test_skips_an_answer_to_another_request(self):
         self.parser.feed(make_answer(b"1", b"old") + make_answer())
         self.assertEqual(self.parser.skipped_answers, 1)
--- a/test/http/test_upstream.py
+++ b/test/http/test_upstream.py
@@ -115,6 +115,14 @@
             self.assertIn(b"Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n", answer)
             self.assertTrue(answer.endswith(b"\r\n\r\nok"), answer)
 
+    async def test_answer_with_status_000_is_lost(self):
+        # Guards against numbers that are no status, passed on as answers.
+        for status in (b"000", b"099", b"600", b"999"):
+            self.upstream.answer = ANSWER.replace(b"200", status, 1)
+            with self.subTest(status):
+                answer = await self.send("GET", "/slips/1")
+                self.assertRegex(answer, rb"^HTTP/1.1 50[23] ")
+
     async def test_forwards_chunked_answers(self):
         self.upstream.answer = (
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
