--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -80,6 +80,7 @@
         "_node",
         "_waiters",
         "_granted",
+        "_unheld",
         "_broken_runs",
         "_has_waiting_claims",
         "_rates_changed",
@@ -99,6 +100,8 @@
         self._waiters: dict[str, asyncio.Future] = {}
         # Ids of the claims whose slots were granted and not released.
         self._granted: set[str] = set()
+        # Ids of the claims with a slot and no holder, at the last check.
+        self._unheld: set[str] = set()
         # Recently broken runs by upstream.
         self._broken_runs: dict[str, list[_BrokenRun]] = {}
         self._has_waiting_claims = asyncio.Event()
@@ -190,6 +193,21 @@
             self.scheduler.finish(claim.claim_id, ending, held_s, now)
         )
 
+    def reconcile(self) -> None:
+        """Release the slots that nobody holds, once they are seen twice.
+
+        A claim that was just granted gets its holder as its task runs.
+        """
+        running = self.scheduler.list_running()
+        unheld = running - self._granted - self._waiters.keys()
+        for claim_id in unheld & self._unheld:
+            _LOG.warning(
+                "admission: Slot without a holder released.",
+                extra=log_fields(request=claim_id),
+            )
+            self._free(claim_id)
+        self._unheld = unheld
+
     def record_rate(
         self, upstream_id: str, per_s: float | None, sent_at: float
     ) -> None:
@@ -300,20 +318,27 @@
         try:
             return await waiter
         except asyncio.CancelledError:
-            self._cancel(claim, waiter)
+            self._cancel(claim)
             raise
         finally:
             self._waiters.pop(claim.claim_id, None)
 
-    def _cancel(self, claim: Claim, waiter: asyncio.Future) -> None:
-        """Cancel a claim, and release its slot if it was just granted."""
+    def _cancel(self, claim: Claim) -> None:
+        """Cancel a claim, and release its slot if it was just granted.
+
+        The future of a cancelled task is cancelled before the task runs, so
+        it doesn't tell whether a slot was granted in between.
+        """
         self.scheduler.cancel(claim.claim_id, claim.service)
-        if waiter.done() and not waiter.cancelled():
-            self._deliver(
-                self.scheduler.finish(
-                    claim.claim_id, Ending.ABANDONED, 0.0, read_clock()
-                )
+        self._free(claim.claim_id)
+
+    def _free(self, claim_id: str) -> None:
+        """Release a claim's slot, if it has one, as that of no run."""
+        self._deliver(
+            self.scheduler.finish(
+                claim_id, Ending.ABANDONED, 0.0, read_clock()
             )
+        )
 
     def _deliver(self, decisions: list[Decision]) -> None:
         for decision in decisions:
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -36,7 +36,8 @@
 
 _LOG = logging.getLogger("radishstile.service")
 
-# Interval of checks of idle connections and the settings file, in seconds.
+# Interval of checks of idle connections, slots and the settings file, in
+# seconds.
 MAINTENANCE_INTERVAL_S = 1.0
 # Interval of checks for open connections while the host stops, in seconds.
 DRAIN_INTERVAL_S = 0.1
@@ -213,6 +214,7 @@
                 for registration in self.node.registry.list_usable()
             }
             self._connections.prune(usable)
+            self._admission.reconcile()
             if reload.is_set() or self._has_file_changed():
                 reload.clear()
                 self._reload()
--- a/radishstile/slot/scheduler.py
+++ b/radishstile/slot/scheduler.py
@@ -280,6 +280,10 @@
         """Return the number of occupied slots."""
         return len(self._upstreams_by_claim)
 
+    def list_running(self) -> set[str]:
+        """Return the ids of the claims that occupy slots."""
+        return set(self._upstreams_by_claim)
+
     def _get_service(self, name: str) -> ServiceState:
         state = self._services.get(name)
         if state is None:
--- a/test/entry/test_admission.py
+++ b/test/entry/test_admission.py
@@ -1,13 +1,16 @@
-"""Tests of charging claims to their workspaces' rates."""
+"""Tests of admission: charges to workspaces' rates, and slots given back."""
 
 import asyncio
+import random
 from types import SimpleNamespace
+from unittest.mock import MagicMock
 
 from radishstile.catalog.catalog import Service, Workspace
 from radishstile.entry.admission import AdmissionController, ClaimTerms
 from radishstile.entry.node import STARTUP_WAIT_S
 from radishstile.errors import RefusalError
 from radishstile.outcome import Reason
+from radishstile.slot.claim import Ending
 from test._common import PausedTestCase
 from test.slot._common import SERVICE, make_claim, make_registration
 
@@ -15,12 +18,15 @@
 REGION_SHARE = 1 / 3
 # A tenth of the burst, a quarter of the allowance, and half a second's rate.
 START_TOKENS = 3.4 + 5.0 + 17.0
+SLOTS = 3
+SEEDS = 50
+STEPS = 120
 
 
 class StubNode:
     """A node that started when the loop's clock was at zero."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, slots=50):
         workspace = Workspace("bureau", frozenset(), 1, 34.0, 34.0)
         self._clock = clock
         self.local_member = SimpleNamespace(host="front-akl-a-1", region="akl")
@@ -34,8 +40,9 @@
             workspaces={"bureau": workspace},
         )
         self.registry = SimpleNamespace(
-            list_usable=lambda: [make_registration("u", slots=50)]
+            list_usable=lambda: [make_registration("u", slots=slots)]
         )
+        self.metrics = MagicMock()
 
         self.initialized = asyncio.Event()
         self.initialized.set()
@@ -146,3 +153,95 @@
         claim.objective_at = self.now + 2.0
         terms = ClaimTerms(False, 0.5)
         return asyncio.create_task(admission.acquire(claim, terms))
+
+
+class CancelledClaimTest(PausedTestCase):
+    """Load: callers leave while their claims wait for slots."""
+
+    async def asyncSetUp(self):
+        self.admission = AdmissionController(
+            StubNode(asyncio.get_running_loop(), SLOTS)
+        )
+        self.admission.resize(1.0, 1.0)
+        self.admission.refresh()
+        self.tasks = {}
+        self.granted = {}
+
+    def start_claim(self, name):
+        claim = make_claim(name, now=self.now)
+        claim.objective_at = claim.deadline_at = self.now + 60.0
+        self.tasks[name] = asyncio.create_task(self.hold(claim))
+
+    async def hold(self, claim):
+        terms = ClaimTerms(False, 0.5)
+        grant = await self.admission.acquire(claim, terms)
+        self.granted[claim.claim_id] = claim, grant
+
+    def release(self, name):
+        claim, grant = self.granted.pop(name)
+        self.admission.release(claim, grant, Ending.SERVED, 0.1)
+
+    async def check_all_free(self):
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        for name in list(self.granted):
+            self.release(name)
+        scheduler = self.admission.scheduler
+        self.assertEqual(scheduler.count_running(), 0)
+        self.assertEqual(scheduler.count_waiting(), 0)
+        for number in range(SLOTS):
+            self.start_claim(f"last-{number}")
+        await asyncio.sleep(0.01)
+        self.assertEqual(len(self.granted), SLOTS)
+
+    async def test_slot_granted_to_a_cancelled_claim_is_given_back(self):
+        # Guards against slots that stay occupied for good: the claim's task
+        # runs only after the slot was granted to it.
+        for number in range(SLOTS + 1):
+            self.start_claim(f"c{number}")
+        await asyncio.sleep(0.01)
+        self.tasks[f"c{SLOTS}"].cancel()
+        self.release("c0")
+        await self.check_all_free()
+
+    async def test_slot_without_a_holder_is_released_at_the_second_check(self):
+        # Guards against slots that any other fault leaves occupied.
+        self.start_claim("c0")
+        await asyncio.sleep(0.01)
+        self.admission._granted.clear()
+        self.granted.clear()
+        self.admission.reconcile()
+        self.assertEqual(self.admission.scheduler.count_running(), 1)
+        self.admission.reconcile()
+        await self.check_all_free()
+
+    async def test_slots_in_use_are_kept_by_the_checks(self):
+        self.start_claim("c0")
+        await asyncio.sleep(0.01)
+        for _ in range(3):
+            self.admission.reconcile()
+        self.assertEqual(self.admission.scheduler.count_running(), 1)
+        await self.check_all_free()
+
+    async def test_all_slots_are_free_after_random_grants_and_cancels(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed):
+                await self.asyncSetUp()
+                await self.play(random.Random(seed))
+                await self.check_all_free()
+
+    async def play(self, rng):
+        for step in range(STEPS):
+            for _ in range(rng.randrange(3)):
+                self.start_claim(f"{step}-{rng.randrange(10**9)}")
+            for name in rng.sample(sorted(self.granted), len(self.granted)):
+                if rng.random() < 0.4:
+                    self.release(name)
+            for task in self.tasks.values():
+                if rng.random() < 0.1:
+                    task.cancel()
+            for name in sorted(self.granted)[: rng.randrange(2)]:
+                self.release(name)
+            if rng.random() < 0.7:
+                await asyncio.sleep(rng.choice((0, 0, 0.01)))
+        for task in self.tasks.values():
+            task.cancel()
