Free the answer of a request that is cancelled while its slot is reported

Cause: an attempt waits for the report of its slot. A deadline or a caller's end in that time dropped the result with its answer, whose memory stayed charged to the caller's connection for as long as that was open.

Change: the answer is freed if the wait is cancelled.

--- a/radishstile/entry/forwarding.py
+++ b/radishstile/entry/forwarding.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import logging
+from collections.abc import Coroutine
+from typing import Any
 
 from radishstile.catalog.catalog import (
     Catalog,
@@ -324,7 +326,7 @@
         upstream_id = slot.grant.upstream_id
         started_at = read_clock()
         ending = Ending.ABANDONED
-        rate_limit = load = None
+        rate_limit = load = result = None
         is_streaming = False
         try:
             upstream = self._node.registry.find_usable(upstream_id)
@@ -368,10 +370,9 @@
             # The slot of a streamed answer is released at the body's end.
             if not is_streaming:
                 held_s = read_clock() - started_at
-                await asyncio.shield(
-                    slot.release(ending, held_s, rate_limit, load)
-                )
                 self._node.metrics.hold_time.observe({}, held_s)
+                release = slot.release(ending, held_s, rate_limit, load)
+                await _release(release, result)
 
     async def _send(
         self,
@@ -564,6 +565,18 @@
     )
 
 
+async def _release(
+    release: Coroutine[Any, Any, None], result: AttemptResult | None
+) -> None:
+    """Give a slot back; an answer is freed if nobody waits for it by then."""
+    try:
+        await asyncio.shield(release)
+    except asyncio.CancelledError:
+        if result is not None:
+            await _discard(result.answer)
+        raise
+
+
 async def _discard(answer: Answer | None) -> None:
     """Free what an answer occupies that is not passed on."""
     if answer is not None:
--- a/test/entry/test_slow_callers.py
+++ b/test/entry/test_slow_callers.py
@@ -10,9 +10,12 @@
 import socket
 import unittest
 from contextlib import asynccontextmanager
+from unittest.mock import patch
 
 import orjson
 
+from radishstile.entry.buffers import Kind
+from radishstile.entry.claims import LocalSlot
 from radishstile.entry.logs import JsonLinesHandler
 from test.entry._common import (
     CONFIGURATION,
@@ -275,5 +278,22 @@
         await asyncio.sleep(0.3)
         self.assertEqual(self.read_used(), 0)
 
+    async def test_answer_that_nobody_waits_for_any_more_is_freed(self):
+        # Guards against an account that keeps the answer of a request whose
+        # deadline came while its slot was given back.
+        release = LocalSlot.release
+
+        async def release_late(*arguments):
+            await asyncio.sleep(0.5)
+            await release(*arguments)
+
+        async with Caller(self.host) as caller:
+            with patch.object(LocalSlot, "release", release_late):
+                caller.send(deadline_ms=300)
+                self.assertEqual((await caller.receive()).status, 504)
+                await asyncio.sleep(0.4)
+            buffers = self.host.entry._caller_server._buffers
+            self.assertEqual(buffers.used_by_kind[Kind.ANSWER], 0)
+
     def read_used(self):
         return self.host.entry._caller_server._buffers.used_bytes
