Split the forwarding of requests into claims, attempts and retries

Change: entry/request_claims.py claims the slots, entry/attempt.py makes an attempt, entry/refusals.py has the refusals that several parts give; entry/forwarding.py routes and retries. Nothing but the place of code changed.

--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -10,13 +10,11 @@
 from radishstile.catalog.catalog import CallerLimits
 from radishstile.entry.answer_writer import AnswerWriter
 from radishstile.entry.buffers import BufferBudget, Kind
-from radishstile.entry.forwarding import (
-    RequestForwarder,
-    make_internal_refusal,
-)
+from radishstile.entry.forwarding import RequestForwarder
 from radishstile.entry.logs import log_fields
 from radishstile.entry.node import EntryNode, read_clock
 from radishstile.entry.parse_turns import ParseTurns
+from radishstile.entry.refusals import make_internal_refusal
 from radishstile.entry.request_reader import MEMORY_RETRY_S, RequestReader
 from radishstile.errors import HttpError, RefusalError
 from radishstile.http.closing import ClosingLimits, close_gracefully
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 
 from radishstile.entry.admission import AdmissionController
+from radishstile.entry.attempt import AttemptRunner
 from radishstile.entry.buffers import BufferBudget
 from radishstile.entry.caller_server import CallerServer
 from radishstile.entry.claims import SlotClient
@@ -25,6 +26,7 @@
 from radishstile.entry.registrar import Registrar
 from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.entry.replica import Replica
+from radishstile.entry.request_claims import RequestClaims
 from radishstile.entry.stop_plan import StopPlan
 from radishstile.errors import SettingsError
 from radishstile.http.parser import AnswerLimits
@@ -69,7 +71,7 @@
         "_leadership",
         "_loans",
         "_connections",
-        "_forwarder",
+        "_request_claims",
         "_caller_server",
         "_directory",
         "_registrar",
@@ -111,16 +113,15 @@
         slot_client = SlotClient(
             self._leadership, self._admission, node.local_member.region
         )
-        self._forwarder = RequestForwarder(
-            node,
-            slot_client,
-            self._connections,
-            budget,
-            AnswerLimits(),
-            buffers,
+        self._request_claims = RequestClaims(node, slot_client)
+        runner = AttemptRunner(
+            node, self._connections, AnswerLimits(), buffers
+        )
+        forwarder = RequestForwarder(
+            node, self._request_claims, runner, budget
         )
         self._caller_server = CallerServer(
-            node, self._forwarder, buffers, int(sockets * CALLER_SHARE)
+            node, forwarder, buffers, int(sockets * CALLER_SHARE)
         )
         self._grants = RemoteGrants(slot_client, node.metrics)
         self._directory = Directory(
@@ -246,7 +247,7 @@
         plan = StopPlan(read_clock(), node.file.bounds.grace_s)
         node.is_leaving = True
         node.stop_plan = plan
-        self._forwarder.limit_waits(plan)
+        self._request_claims.limit_waits(plan)
         _LOG.info(
             "service: Draining.",
             extra=log_fields(connections=self._caller_server.count_open()),
