Name the TCP user timeout and acknowledged bytes by their terms

Change: renames only, and a closed socket's queue counts as empty.

Result: test.http and test.entry.test_slow_callers pass.

--- a/radishstile/entry/answer_writer.py
+++ b/radishstile/entry/answer_writer.py
@@ -36,28 +36,28 @@
     """Writes answers, one after another, as fast as the caller reads.
 
     What the caller has not taken is charged to `holder`. `is_last` tells
-    whether the connection is to be closed after the answer. `patient_until` is
-    the loop's time, in seconds, until which a caller may pause: the latest
-    deadline of the answers that are complete at this host. Others occupy a
-    slot of their upstream.
+    whether the connection is to be closed after the answer. `may_pause_until`
+    is the loop's time, in seconds, until which a caller may take nothing: the
+    latest deadline of the answers that are complete at this host. Others
+    occupy a slot of their upstream.
     """
 
     __slots__ = (
-        "patient_until",
+        "may_pause_until",
         "_stream",
         "_holder",
         "_metrics",
-        "_delivered_bytes",
+        "_acknowledged_bytes",
     )
 
     def __init__(
         self, stream: ByteStream, holder: Holder, metrics: EntryMetrics
     ):
-        self.patient_until = 0.0
+        self.may_pause_until = 0.0
         self._stream = stream
         self._holder = holder
         self._metrics = metrics
-        self._delivered_bytes = 0
+        self._acknowledged_bytes = 0
 
     def charge_unsent(self, now: float) -> None:
         """Charge what was written and not taken by the kernel yet."""
@@ -67,9 +67,9 @@
         if is_first:
             # Until now the caller had nothing to read.
             self._holder.record_progress(now)
-            self._delivered_bytes = self._stream.delivered_bytes
+            self._acknowledged_bytes = self._stream.acknowledged_bytes
 
-    def record_delivered(self, now: float) -> None:
+    def record_acknowledged(self, now: float) -> None:
         """Record what the caller has acknowledged as progress.
 
         The kernel takes more bytes in large steps only, seconds apart where a
@@ -77,10 +77,12 @@
         """
         if not self._holder.get(Kind.UNSENT):
             return
-        delivered = self._stream.delivered_bytes
-        if delivered > self._delivered_bytes:
-            self._holder.record_moved(delivered - self._delivered_bytes, now)
-        self._delivered_bytes = delivered
+        delivered = self._stream.acknowledged_bytes
+        if delivered > self._acknowledged_bytes:
+            self._holder.record_moved(
+                delivered - self._acknowledged_bytes, now
+            )
+        self._acknowledged_bytes = delivered
 
     async def write_refusal(
         self,
@@ -125,7 +127,7 @@
         head = encode_answer(answer.head, length, is_last)
         self._write_parts(head, answer.parts, length)
         self._count(caller_request.http_request, answer.head.status, "")
-        self.patient_until = max(self.patient_until, answer.deadline_at)
+        self.may_pause_until = max(self.may_pause_until, answer.deadline_at)
         await self._drain()
 
     @write.register
@@ -161,7 +163,7 @@
             return
         if size is None:
             self._stream.write(b"0\r\n\r\n")
-        self.patient_until = max(self.patient_until, answer.deadline_at)
+        self.may_pause_until = max(self.may_pause_until, answer.deadline_at)
         self._count(caller_request.http_request, answer.head.status, "")
 
     def _write_parts(
--- a/radishstile/entry/caller_server.py
+++ b/radishstile/entry/caller_server.py
@@ -22,7 +22,7 @@
 # Time without an acknowledgement after which the kernel closes a caller's
 # connection, in seconds. It is longer than the deadline of any request, up to
 # which a caller may read slowly: `CallerServer.run` closes those that stall.
-CALLER_SILENCE_S = 60.0
+CALLER_USER_TIMEOUT_S = 60.0
 # Interval of checks for callers that don't read, in seconds.
 CHECK_INTERVAL_S = 1.0
 # Time without progress after which a connection may be closed if memory is
@@ -214,7 +214,7 @@
     __slots__ = ("_server", "_connection")
 
     def __init__(self, server: CallerServer):
-        super().__init__(CALLER_SILENCE_S)
+        super().__init__(CALLER_USER_TIMEOUT_S)
         self._server = server
         self._connection: CallerConnection | None = None
 
--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -66,7 +66,7 @@
         "_pipeline_slots",
         "_running_bytes",
         "_is_closing",
-        "_has_ended",
+        "_has_ended_writing",
     )
 
     def __init__(
@@ -94,7 +94,7 @@
         self._running_bytes = 0
         # Whether no more requests are read, and whether no more is written.
         self._is_closing = False
-        self._has_ended = False
+        self._has_ended_writing = False
 
     @property
     def is_busy(self) -> bool:
@@ -116,15 +116,15 @@
         `serve` reads on until the caller has them.
         """
         self._is_closing = True
-        if not self._has_ended:
-            self._has_ended = True
+        if not self._has_ended_writing:
+            self._has_ended_writing = True
             self._stream.end_writing()
             self._stream.interrupt_read()
 
     def refresh(self, now: float) -> None:
         """Bring the holder up to date."""
         self._writer.charge_unsent(now)
-        self._writer.record_delivered(now)
+        self._writer.record_acknowledged(now)
         self._reader.charge_unread()
         holder = self.holder
         holder.is_waiting = (
@@ -142,7 +142,7 @@
         is_refusable = (
             self._reader.is_incomplete
             and not self._tasks
-            and not self._has_ended
+            and not self._has_ended_writing
         )
         self._is_closing = True
         self._reader.discard()
@@ -174,7 +174,7 @@
         if not self.holder.get(Kind.UNSENT):
             return False
         allowed_until = max(
-            self.holder.progress_at + limit_s, self._writer.patient_until
+            self.holder.progress_at + limit_s, self._writer.may_pause_until
         )
         if now <= allowed_until:
             return False
@@ -192,7 +192,7 @@
             if refusal is not None:
                 await self._refuse_unread(refusal)
             if not self._stream.is_ended:
-                self._has_ended = True
+                self._has_ended_writing = True
                 await close_gracefully(self._stream, _CLOSING_LIMITS)
         except ConnectionError as error:
             _LOG.debug("callers: Connection lost: %s", error)
--- a/radishstile/entry/connection_pool.py
+++ b/radishstile/entry/connection_pool.py
@@ -58,10 +58,10 @@
         """
         self._sender = None
         if len(body) <= SEND_PART_BYTES:
-            self.stream.set_silence(USER_TIMEOUT_S)
+            self.stream.set_user_timeout(USER_TIMEOUT_S)
             self.stream.write(b"".join([head, *body]))
             return
-        self.stream.set_silence(max(USER_TIMEOUT_S, limit_s))
+        self.stream.set_user_timeout(max(USER_TIMEOUT_S, limit_s))
         self.stream.write(head)
         self._sender = asyncio.create_task(self._send_body(body))
 
--- a/radishstile/http/closing.py
+++ b/radishstile/http/closing.py
@@ -50,7 +50,7 @@
     """Read and drop what arrives, until the peer closes or at a limit."""
     loop = asyncio.get_running_loop()
     left = limits.read_bytes
-    delivered = stream.delivered_bytes
+    delivered = stream.acknowledged_bytes
     ends_at = loop.time() + limits.time_s
     while left > 0 and loop.time() < ends_at:
         check_at = min(ends_at, loop.time() + _CHECK_INTERVAL_S)
@@ -61,6 +61,6 @@
                 if not size:
                     return
                 left -= size
-        if stream.delivered_bytes - delivered >= limits.progress_bytes:
-            delivered = stream.delivered_bytes
+        if stream.acknowledged_bytes - delivered >= limits.progress_bytes:
+            delivered = stream.acknowledged_bytes
             ends_at = loop.time() + limits.time_s
--- a/radishstile/http/stream.py
+++ b/radishstile/http/stream.py
@@ -39,7 +39,7 @@
 
     `failure` is the error that ended the connection, or None after a normal
     end. The kernel ends it if the peer acknowledges nothing new, or too little
-    to go on, for `silence_s` seconds.
+    to go on, for `user_timeout_s` seconds.
     """
 
     __slots__ = (
@@ -48,7 +48,7 @@
         "_chunks",
         "_unread_bytes",
         "_written_bytes",
-        "_silence_s",
+        "_user_timeout_s",
         "_is_ended",
         "_is_reading_paused",
         "_is_writing_paused",
@@ -59,13 +59,13 @@
         "_close_waiter",
     )
 
-    def __init__(self, silence_s: float = USER_TIMEOUT_S):
+    def __init__(self, user_timeout_s: float = USER_TIMEOUT_S):
         self.transport: asyncio.Transport | None = None
         self.failure: Exception | None = None
         self._chunks: list[bytes] = []
         self._unread_bytes = 0
         self._written_bytes = 0
-        self._silence_s = silence_s
+        self._user_timeout_s = user_timeout_s
         self._is_ended = False
         self._is_reading_paused = False
         self._is_writing_paused = False
@@ -88,7 +88,7 @@
         return self.transport.get_write_buffer_size()
 
     @property
-    def delivered_bytes(self) -> int:
+    def acknowledged_bytes(self) -> int:
         """Return the bytes that were written and acknowledged by the peer."""
         return self._written_bytes - self.unsent_bytes - self._count_queued()
 
@@ -174,12 +174,15 @@
         if self.transport is not None:
             self.transport.set_write_buffer_limits(high=size)
 
-    def set_silence(self, silence_s: float) -> None:
-        """Set how long the peer may acknowledge nothing new, in seconds."""
-        if silence_s == self._silence_s:
+    def set_user_timeout(self, user_timeout_s: float) -> None:
+        """Set how long the peer may acknowledge nothing new, in seconds.
+
+        It is the TCP user timeout (RFC 5482).
+        """
+        if user_timeout_s == self._user_timeout_s:
             return
-        self._silence_s = silence_s
-        self._apply_silence()
+        self._user_timeout_s = user_timeout_s
+        self._apply_user_timeout()
 
     def end_writing(self) -> None:
         """Close the sending side after what was written."""
@@ -207,7 +210,7 @@
         """Set the transport and the socket options."""
         self.transport = transport
         transport.set_write_buffer_limits(high=UNSENT_LIMIT_BYTES)
-        self._apply_silence()
+        self._apply_user_timeout()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where to put received bytes."""
@@ -254,7 +257,7 @@
             return False
         return not self.transport.is_closing()
 
-    def _apply_silence(self) -> None:
+    def _apply_user_timeout(self) -> None:
         if self.transport is None:
             return
         raw = self.transport.get_extra_info("socket")
@@ -262,13 +265,13 @@
             raw.setsockopt(
                 socket.IPPROTO_TCP,
                 socket.TCP_USER_TIMEOUT,
-                int(self._silence_s * _MS_PER_S),
+                int(self._user_timeout_s * _MS_PER_S),
             )
 
     def _count_queued(self) -> int:
         """Return the bytes that the kernel holds until they are acknowledged.
 
-        0 if it doesn't tell.
+        Returns 0 if the kernel doesn't tell.
         """
         if self.transport is None:
             return 0
@@ -279,7 +282,8 @@
             answer = fcntl.ioctl(
                 raw.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size)
             )
-        except OSError:
+        except (OSError, ValueError):
+            # The latter is that of a socket that was closed.
             return 0
         return _QUEUE_SIZE.unpack(answer)[0]
 
--- a/test/http/test_closing.py
+++ b/test/http/test_closing.py
@@ -22,7 +22,7 @@
         self._written = written
 
     @property
-    def delivered_bytes(self):
+    def acknowledged_bytes(self):
         now = asyncio.get_running_loop().time()
         return min(self._written, int(now * self._rate))
 
