Know the fleet's endpoints by addresses and ports

Change: one set of addresses and one of ports; nothing is compared unless one of them has changed.

Result: the test of an upstream at a host's endpoint passes, as do those of hosts and of the registry.

--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -71,7 +71,7 @@
         self._store_data_at = float("-inf")
         self.registry = UpstreamRegistry()
         self.hosts = HostTable(RegisteredHost(self.local_member, file.cores))
-        self.registry.replace_own_endpoints(self.list_endpoints())
+        self.update_own_endpoints()
         self.is_leaving = False
         self.stop_plan: StopPlan | None = None
         # Set when the catalog, the registry or the hosts have changed.
@@ -164,17 +164,18 @@
         """
         return FRESH_MAX_AGE_S + self.freshness.limit_s
 
-    def list_endpoints(self) -> frozenset[tuple[str, int]]:
-        """Return the endpoints of all hosts, as addresses and ports.
+    def update_own_endpoints(self) -> bool:
+        """Let the registry know all hosts; return whether they have changed.
 
-        Those that a host doesn't register have the same port on each.
+        Ports that a host doesn't register are the same on each.
         """
         file = self.file
+        members = self.hosts.list_members()
         ports = {file.callers.port, file.readiness.port, file.directory.port}
-        return frozenset(
-            (member.address, port)
-            for member in self.hosts.list_members()
-            for port in ports | {member.peer_port, member.http_port}
+        ports.update(member.peer_port for member in members)
+        ports.update(member.http_port for member in members)
+        return self.registry.replace_own(
+            frozenset(member.address for member in members), frozenset(ports)
         )
 
     def list_region_hosts(self) -> list[Member]:
--- a/radishstile/entry/subscribers.py
+++ b/radishstile/entry/subscribers.py
@@ -230,13 +230,13 @@
         """Hosts need no confirmation; heartbeats show which are live."""
 
     def _publish(self) -> None:
+        self._node.changed.set()
         registry = self._node.registry
         known = registry.list_own()
-        registry.replace_own_endpoints(self._node.list_endpoints())
-        _report_own(
-            self._node, [r for r in registry.list_own() if r not in known]
-        )
-        self._node.changed.set()
+        if not self._node.update_own_endpoints():
+            return
+        new = [r for r in registry.list_own() if r not in known]
+        _report_own(self._node, new)
 
     def _decode(self, stored: PlatformObject) -> RegisteredHost | None:
         try:
--- a/radishstile/upstream/registration.py
+++ b/radishstile/upstream/registration.py
@@ -81,7 +81,8 @@
     __slots__ = (
         "_by_id",
         "_evacuated_zones",
-        "_own_endpoints",
+        "_own_addresses",
+        "_own_ports",
         "version",
         "is_loaded",
     )
@@ -89,7 +90,8 @@
     def __init__(self):
         self._by_id: dict[str, Registration] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
-        self._own_endpoints: frozenset[tuple[str, int]] = frozenset()
+        self._own_addresses: frozenset[str] = frozenset()
+        self._own_ports: frozenset[int] = frozenset()
         self.version = 0
         self.is_loaded = False
 
@@ -120,18 +122,26 @@
             self._evacuated_zones = zones
             self.version += 1
 
-    def replace_own_endpoints(
-        self, endpoints: frozenset[tuple[str, int]]
-    ) -> None:
-        """Replace the endpoints of the fleet's hosts."""
-        if endpoints != self._own_endpoints:
-            self._own_endpoints = endpoints
-            self.version += 1
+    def replace_own(
+        self, addresses: frozenset[str], ports: frozenset[int]
+    ) -> bool:
+        """Replace the addresses and ports of the fleet's hosts.
+
+        Returns whether they have changed.
+        """
+        if (addresses, ports) == (self._own_addresses, self._own_ports):
+            return False
+        self._own_addresses = addresses
+        self._own_ports = ports
+        self.version += 1
+        return True
 
     def is_own(self, registration: Registration) -> bool:
         """Return whether the upstream's endpoint is one of the fleet's."""
-        endpoint = (registration.address, registration.port)
-        return endpoint in self._own_endpoints
+        return (
+            registration.address in self._own_addresses
+            and registration.port in self._own_ports
+        )
 
     def list_own(self) -> list[Registration]:
         """Return the upstreams whose endpoint is one of the fleet's."""
