Keep the user timeout of 3 s for callers that don't acknowledge

A connection that was cut off outlived the partition, and brought a request 3.4 s after its caller's deadline. With 3 s the kernel had ended it.

Change: once a second, a connection with bytes that aren't acknowledged gets the 60 s only if its peer is live: nothing is in flight, as the window is closed, or something was acknowledged within a second (TCP_INFO). Otherwise it has 3 s.

--- a/radishstile/entry/caller_server.py
+++ b/radishstile/entry/caller_server.py
@@ -19,10 +19,6 @@
 
 # Listen backlog; bursts open some hundred connections at once.
 BACKLOG = 1024
-# Time without an acknowledgement after which the kernel closes a caller's
-# connection, in seconds. It is longer than the deadline of any request, up to
-# which a caller may read slowly: `CallerServer.run` closes those that stall.
-CALLER_USER_TIMEOUT_S = 60.0
 # Interval of checks for callers that don't read, in seconds.
 CHECK_INTERVAL_S = 1.0
 # Time without progress after which a connection may be closed if memory is
@@ -214,7 +210,7 @@
     __slots__ = ("_server", "_connection")
 
     def __init__(self, server: CallerServer):
-        super().__init__(CALLER_USER_TIMEOUT_S)
+        super().__init__()
         self._server = server
         self._connection: CallerConnection | None = None
 
--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -171,6 +171,8 @@
         An answer that is cut off doesn't look complete.
         """
         self.refresh(now)
+        if not self._stream.is_acknowledged:
+            self._stream.adapt_user_timeout()
         if not self.holder.get(Kind.UNSENT):
             return False
         allowed_until = max(
--- a/radishstile/http/stream.py
+++ b/radishstile/http/stream.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import termios
+from typing import Any
 
 # Bytes that are read from a socket at once.
 READ_BYTES = 65_536
@@ -25,8 +26,17 @@
 # smaller than the next segment.
 USER_TIMEOUT_S = 3.0
 _MS_PER_S = 1000
+# The same for a peer that has no space for more, in seconds: longer than the
+# deadline of any request.
+SLOW_USER_TIMEOUT_S = 60.0
+# Time since the last acknowledgement within which a peer counts as live, in
+# seconds.
+LIVE_S = 1.0
 # The integer that `SIOCOUTQ` fills in.
 _QUEUE_SIZE = struct.Struct("i")
+# The segments in flight, and the milliseconds since the last acknowledgement,
+# in the kernel's `tcp_info`.
+_TCP_INFO = struct.Struct("24xI28xI")
 
 # All streams read into one buffer, whose content is copied at once: the event
 # loop reads from one socket at a time.
@@ -38,8 +48,7 @@
     """One TCP connection, read and written by one task at a time.
 
     `failure` is the error that ended the connection, or None after a normal
-    end. The kernel ends it if the peer acknowledges nothing new, or too little
-    to go on, for `user_timeout_s` seconds.
+    end.
     """
 
     __slots__ = (
@@ -48,6 +57,7 @@
         "_chunks",
         "_unread_bytes",
         "_written_bytes",
+        "_acknowledged_bytes",
         "_user_timeout_s",
         "_is_ended",
         "_is_reading_paused",
@@ -59,13 +69,14 @@
         "_close_waiter",
     )
 
-    def __init__(self, user_timeout_s: float = USER_TIMEOUT_S):
+    def __init__(self):
         self.transport: asyncio.Transport | None = None
         self.failure: Exception | None = None
         self._chunks: list[bytes] = []
         self._unread_bytes = 0
         self._written_bytes = 0
-        self._user_timeout_s = user_timeout_s
+        self._acknowledged_bytes = 0
+        self._user_timeout_s = 0.0
         self._is_ended = False
         self._is_reading_paused = False
         self._is_writing_paused = False
@@ -90,7 +101,14 @@
     @property
     def acknowledged_bytes(self) -> int:
         """Return the bytes that were written and acknowledged by the peer."""
-        return self._written_bytes - self.unsent_bytes - self._count_queued()
+        waiting_bytes = self.unsent_bytes + self._count_queued()
+        self._acknowledged_bytes = self._written_bytes - waiting_bytes
+        return self._acknowledged_bytes
+
+    @property
+    def is_acknowledged(self) -> bool:
+        """Return whether all was acknowledged when it was last asked for."""
+        return self._acknowledged_bytes == self._written_bytes
 
     @property
     def peer_address(self) -> str:
@@ -174,15 +192,31 @@
         if self.transport is not None:
             self.transport.set_write_buffer_limits(high=size)
 
-    def set_user_timeout(self, user_timeout_s: float) -> None:
+    def set_user_timeout(self, timeout_s: float) -> None:
         """Set how long the peer may acknowledge nothing new, in seconds.
 
         It is the TCP user timeout (RFC 5482).
         """
-        if user_timeout_s == self._user_timeout_s:
+        raw = self._find_socket()
+        if raw is None or timeout_s == self._user_timeout_s:
             return
-        self._user_timeout_s = user_timeout_s
-        self._apply_user_timeout()
+        self._user_timeout_s = timeout_s
+        raw.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(timeout_s * _MS_PER_S),
+        )
+
+    def adapt_user_timeout(self) -> None:
+        """Give a peer that only lacks space for more a longer user timeout.
+
+        Called about once a second while bytes are not acknowledged.
+        """
+        is_waiting = self.acknowledged_bytes < self._written_bytes
+        is_slow = is_waiting and self._is_peer_live()
+        self.set_user_timeout(
+            SLOW_USER_TIMEOUT_S if is_slow else USER_TIMEOUT_S
+        )
 
     def end_writing(self) -> None:
         """Close the sending side after what was written."""
@@ -210,7 +244,7 @@
         """Set the transport and the socket options."""
         self.transport = transport
         transport.set_write_buffer_limits(high=UNSENT_LIMIT_BYTES)
-        self._apply_user_timeout()
+        self.set_user_timeout(USER_TIMEOUT_S)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where to put received bytes."""
@@ -257,25 +291,18 @@
             return False
         return not self.transport.is_closing()
 
-    def _apply_user_timeout(self) -> None:
+    def _find_socket(self) -> Any:
+        """Return the socket, or None if there is none any more."""
         if self.transport is None:
-            return
-        raw = self.transport.get_extra_info("socket")
-        if raw is not None:
-            raw.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                int(self._user_timeout_s * _MS_PER_S),
-            )
+            return None
+        return self.transport.get_extra_info("socket")
 
     def _count_queued(self) -> int:
         """Return the bytes that the kernel holds until they are acknowledged.
 
         Returns 0 if the kernel doesn't tell.
         """
-        if self.transport is None:
-            return 0
-        raw = self.transport.get_extra_info("socket")
+        raw = self._find_socket()
         if raw is None:
             return 0
         try:
@@ -287,6 +314,22 @@
             return 0
         return _QUEUE_SIZE.unpack(answer)[0]
 
+    def _is_peer_live(self) -> bool:
+        """Return whether nothing is in flight, or was acknowledged lately."""
+        raw = self._find_socket()
+        if raw is None:
+            return False
+        try:
+            info = raw.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
+            )
+        except OSError:
+            return False
+        if len(info) < _TCP_INFO.size:
+            return False
+        in_flight, acknowledged_ms = _TCP_INFO.unpack(info)
+        return not in_flight or acknowledged_ms < LIVE_S * _MS_PER_S
+
     def _is_flooded(self) -> bool:
         """Return whether all streams together have too many unread bytes."""
         return False
