Let a closed socket not end the check of slow readers

Cause: found by reading the change. The check each second may set the user timeout of a connection whose socket is closed already, before its stream has learned so. The OSError would end the component, and with it the process.

Change: the error is ignored; the connection is lost either way.

--- a/radishstile/http/stream.py
+++ b/radishstile/http/stream.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import termios
+from contextlib import suppress
 from typing import Any
 
 # Bytes that are read from a socket at once.
@@ -201,11 +202,13 @@
         if raw is None or timeout_s == self._user_timeout_s:
             return
         self._user_timeout_s = timeout_s
-        raw.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(timeout_s * _MS_PER_S),
-        )
+        # A socket is closed before its stream learns that it is lost.
+        with suppress(OSError):
+            raw.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(timeout_s * _MS_PER_S),
+            )
 
     def adapt_user_timeout(self) -> None:
         """Give a peer that only lacks space for more a longer user timeout.
