--- /dev/null
+++ b/review/rig3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the third review's scripts."""
