Let the tests of free ports draw on past a reserved port

Cause: the tests let the draw end at 31,997 to 31,999 and expected just these.

Change: the mocked draw goes on over the whole range, and the tests check that the port in use isn't returned. They fail as before without the reservation and without the check for servers.

--- a/test/standin/test_free_ports.py
+++ b/test/standin/test_free_ports.py
@@ -1,5 +1,6 @@
 """Tests of drawing free ports."""
 
+import itertools
 import random
 import socket
 import unittest
@@ -14,25 +15,29 @@
     Both bind it only later, when their servers start, and one of them fails.
     """
 
-    def draw(self, *numbers):
-        rng = mock.Mock(choice=mock.Mock(side_effect=numbers))
+    def assert_left_out(self, *ports):
+        """Draw `ports` first, and check that none of them is returned."""
+        draws = itertools.chain(ports, reversed(_PORT_RANGE))
+        rng = mock.Mock(choice=mock.Mock(side_effect=draws))
         with mock.patch.object(random, "SystemRandom", lambda: rng):
-            return find_free_ports(1)
+            (found,) = find_free_ports(1)
+        self.assertNotIn(found, ports)
+        self.assertIn(found, _PORT_RANGE)
 
     def test_drawn_port_is_not_drawn_again(self):
         first, second = find_free_ports(2)
-        self.assertEqual(self.draw(first, second, 31_999), [31_999])
+        self.assert_left_out(first, second)
 
     def test_port_reserved_by_another_process_is_left_out(self):
         with socket.socket(type=socket.SOCK_DGRAM) as reservation:
             reservation.bind(("127.0.0.1", 0))
             port = reservation.getsockname()[1]
-            self.assertEqual(self.draw(port, 31_998), [31_998])
+            self.assert_left_out(port)
 
     def test_port_of_a_server_is_left_out(self):
         with socket.create_server(("127.0.0.1", 0)) as server:
             port = server.getsockname()[1]
-            self.assertEqual(self.draw(port, 31_997), [31_997])
+            self.assert_left_out(port)
 
     def test_server_can_listen_on_a_reserved_port(self):
         (port,) = find_free_ports(1)
