Compare revisions of the store only within one era

Cause: revisions were compared without the store's era, in which numbers are given out again: a watch went on from a number of the former era and missed what was written below it, and lists with lower numbers were refused.

Change: Revision holds the era and the number and orders itself by both; it is used by mirrors, patches, watches, conditional writes and between hosts. Retention decides what stays in force while a backup is older than what hosts have acted on. Hosts register and leaders save again in each era. The revised value classes of the store's client have a module of their own.

Why it works: a later era is always newer, so no place can compare numbers across eras, and what a host has shown is never ranked below a backup.

--- a/radishstile/entry/directory.py
+++ b/radishstile/entry/directory.py
@@ -124,6 +124,7 @@
         values = {
             "version": node.catalog.version if node.catalog else 0,
             "confirmed_age_s": min(age_s, 1e9),
+            "store_era": node.era,
             "upstreams": node.registry.count(),
             "hosts": len(node.hosts),
             "slot_share": self._admission.scheduler.share,
--- a/radishstile/entry/handlers.py
+++ b/radishstile/entry/handlers.py
@@ -14,6 +14,7 @@
     split_reply,
 )
 from radishstile.errors import HistoryLostError, WireError
+from radishstile.platform.revision import Revision
 from radishstile.wire.exchange import Exchange
 from radishstile.wire.messages.base import Message
 from radishstile.wire.messages.fleet import ReportCrash, ReportSuccess
@@ -91,7 +92,9 @@
                 reply = encode_listing(mirror.list_all())
             else:
                 reply = encode_changes(
-                    await mirror.watch(message.revision, message.wait_s)
+                    await mirror.watch(
+                        Revision(message.revision), message.wait_s
+                    )
                 )
         except HistoryLostError:
             reply = MirrorReply(
--- a/radishstile/entry/metrics.py
+++ b/radishstile/entry/metrics.py
@@ -39,6 +39,7 @@
         "state",
         "dropped_lines",
         "malformed_entries",
+        "retained",
         "wire",
         "refused_claims",
         "granted_work",
@@ -97,6 +98,11 @@
         self.malformed_entries = self._add(
             Counter, "radishstile_malformed_entries", "Entries not usable."
         )
+        self.retained = self._add(
+            Counter,
+            "radishstile_retained_objects",
+            "Objects retained as the store was restored, by kind.",
+        )
         self.wire = self._add(
             Gauge, "radishstile_wire", "Counters of peers' connections."
         )
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -1,20 +1,26 @@
 """State that the components of an entry host share."""
 
 import asyncio
+import logging
 import random
 import time
 
 from radishstile.catalog.catalog import Catalog
 from radishstile.catalog.freshness import Freshness
+from radishstile.entry.logs import log_fields
 from radishstile.entry.metrics import EntryMetrics
 from radishstile.entry.stop_plan import StopPlan
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.fleet.leadership import FRESH_MAX_AGE_S
 from radishstile.member import Member
 from radishstile.platform.host_file import HostFile
-from radishstile.platform.objects import ObjectClient
+from radishstile.platform.objects import (
+    ObjectClient,
+)
 from radishstile.upstream.registration import UpstreamRegistry
 
+_LOG = logging.getLogger("radishstile.node")
+
 # Time after its start in which a host holds requests until it is initialized,
 # in seconds: a fleet that starts far from the store takes most of it.
 STARTUP_WAIT_S = 0.9
@@ -37,6 +43,7 @@
         "random",
         "catalog",
         "freshness",
+        "era",
         "_store_answered_at",
         "_store_data_at",
         "registry",
@@ -64,6 +71,8 @@
         self.random = random.Random()
         self.catalog: Catalog | None = None
         self.freshness = Freshness(file.bounds.withdrawal_s)
+        # The store's highest era that a list or change was read in.
+        self.era = 0
         # Boot-time clock: when the store answered this host last.
         self._store_answered_at = float("-inf")
         # Boot-time clock: the time that the newest store data dates from,
@@ -107,6 +116,14 @@
         """
         self._store_data_at = max(self._store_data_at, as_of)
 
+    def observe_era(self, era: int) -> None:
+        """Record the store's era of objects that were read."""
+        if era <= self.era:
+            return
+        self.era = era
+        self.freshness.begin_era(read_boottime_clock())
+        _LOG.warning("node: Store is in a new era.", extra=log_fields(era=era))
+
     def measure_store_data_age(self) -> float:
         """Return the age of this host's store data, in seconds."""
         return min(read_boottime_clock() - self._store_data_at, AGE_LIMIT_S)
--- a/radishstile/entry/recorder.py
+++ b/radishstile/entry/recorder.py
@@ -38,7 +38,7 @@
     hosts, their callers come back at once, and only the store has the record.
     """
 
-    __slots__ = ("_node", "_leadership", "_admission", "_saved")
+    __slots__ = ("_node", "_leadership", "_admission", "_saved", "_saved_era")
 
     def __init__(
         self,
@@ -51,6 +51,8 @@
         self._admission = admission
         # The objects that were cached when this host saved a record last.
         self._saved: set[tuple[str, str]] = set()
+        # The store's era in which it was saved.
+        self._saved_era = 0
 
     async def run(self) -> None:
         """Restore the record each time this host leads, and save it then."""
@@ -113,9 +115,11 @@
         """Save the record if other objects are cached than last time."""
         record = self._admission.scheduler.make_record()
         cached = record.list_cached()
-        if cached == self._saved:
+        era = self._node.era
+        if cached == self._saved and era == self._saved_era:
             return
         region = self._node.local_member.region
         spec = encode_scheduler(record)
         await self._node.store.put(SCHEDULER_KIND, region, spec)
         self._saved = cached
+        self._saved_era = era
--- a/radishstile/entry/registrar.py
+++ b/radishstile/entry/registrar.py
@@ -26,18 +26,23 @@
 # registers, in seconds: the list tells since when its name is registered.
 LIST_WAIT_S = 0.5
 LIST_CHECK_INTERVAL_S = 0.02
+# Time over which hosts register again after the store was restored, in
+# seconds: within what others retain their registrations for.
+RESTORE_SPREAD_S = 2.0
 
 
 class Registrar:
     """Writes this host's registration, and as leader removes stale ones."""
 
-    __slots__ = ("_node", "_leadership", "_absent_since")
+    __slots__ = ("_node", "_leadership", "_absent_since", "_era")
 
     def __init__(self, node: EntryNode, leadership: Leadership):
         self._node = node
         self._leadership = leadership
         # The loop's time since which each absent host has been missed.
         self._absent_since: dict[str, float] = {}
+        # The store's era in which this host has registered, if it has.
+        self._era: int | None = None
 
     async def run(self) -> None:
         """Register, and check the registrations until cancelled."""
@@ -81,8 +86,14 @@
         node = self._node
         name = node.local_member.host
         known = node.hosts.find(name)
-        if node.is_leaving or known == node.hosts.local_host:
+        if node.is_leaving:
             return
+        era = node.era
+        if known == node.hosts.local_host and self._era == era:
+            return
+        if self._era not in (None, era):
+            # The store was restored, and all hosts register again.
+            await asyncio.sleep(node.random.uniform(0, RESTORE_SPREAD_S))
         if known is not None:
             node.hosts.local_host.registered_at = known.registered_at
         elif not node.hosts.local_host.registered_at:
@@ -90,6 +101,7 @@
             if node.hosts.is_loaded:
                 self._leadership.peers.part.release_earlier()
         await self._write(name, encode_host(node.hosts.local_host))
+        self._era = era
         node.hosts.put(node.hosts.local_host)
         node.changed.set()
         _LOG.info(
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -19,10 +19,13 @@
     CONFIGURATION_KIND,
 )
 from radishstile.platform.mirror import Mirror
-from radishstile.platform.objects import ObjectClient
+from radishstile.platform.objects import (
+    ObjectClient,
+)
 from radishstile.platform.registrations import (
     HOST_KIND,
 )
+from radishstile.platform.stored_objects import Listing
 
 _LOG = logging.getLogger("radishstile.replica")
 
@@ -57,7 +60,13 @@
     regions and not of hosts.
     """
 
-    __slots__ = ("_node", "_leadership", "_mirrors", "_is_source_lost")
+    __slots__ = (
+        "_node",
+        "_leadership",
+        "_mirrors",
+        "_eras",
+        "_is_source_lost",
+    )
 
     def __init__(self, node: EntryNode, leadership: Leadership):
         self._node = node
@@ -66,6 +75,8 @@
             subscriber.kind: Mirror(subscriber.kind)
             for subscriber in SUBSCRIBERS
         }
+        # The era that each kind was read in last.
+        self._eras = dict.fromkeys(self._mirrors, 0)
         self._is_source_lost = False
 
     def find_mirror(self, kind: str) -> Mirror:
@@ -90,6 +101,9 @@
         needs_list = True
         pause_s = RETRY_MIN_S
         while True:
+            if mirror.retention.is_due(read_clock()):
+                mirror.retention.end_due(read_clock())
+                needs_list = True
             peer = self._find_peer(mirror)
             if peer is None and self._should_defer(subscriber):
                 is_new = mirror.revision is None
@@ -211,7 +225,11 @@
             self._watch(subscriber, mirror, peer, wait_s)
         )
         try:
-            while not task.done() and self._leadership.find_source() is peer:
+            while not (
+                task.done()
+                or self._leadership.find_source() is not peer
+                or mirror.retention.is_due(read_clock())
+            ):
                 await asyncio.wait({task}, timeout=SOURCE_CHECK_INTERVAL_S)
             if task.done():
                 task.result()
@@ -238,10 +256,13 @@
         asked_at = read_boottime_clock()
         listing = await self._open_source(peer).list_kind(subscriber.kind)
         if not mirror.replace(listing):
+            self._record_refused_list(mirror, listing, peer)
             return False
-        subscriber.replace(listing)
+        self._observe_era(mirror)
+        # Not the listing: the mirror may retain objects.
+        subscriber.replace(mirror.list_all())
         if peer is None:
-            subscriber.confirm(asked_at)
+            subscriber.confirm(asked_at, mirror)
             await asyncio.sleep(subscriber.list_pause_s)
         else:
             self._record_peer_data(subscriber, peer)
@@ -261,8 +282,9 @@
         changes = await source.watch(subscriber.kind, mirror.revision, wait_s)
         for change in mirror.apply(changes):
             subscriber.apply(change)
+        self._observe_era(mirror)
         if peer is None:
-            subscriber.confirm(asked_at)
+            subscriber.confirm(asked_at, mirror)
             await asyncio.sleep(
                 subscriber.change_pause_s if changes.changes else 0.0
             )
@@ -273,6 +295,37 @@
             # busy loop.
             await asyncio.sleep(RETRY_MIN_S)
 
+    def _observe_era(self, mirror: Mirror) -> None:
+        """Record the mirror's era, and what it retains from former ones."""
+        era = mirror.revision.era
+        if era <= self._eras[mirror.kind]:
+            return
+        self._eras[mirror.kind] = era
+        self._node.observe_era(era)
+        retained = mirror.list_retained()
+        self._node.metrics.retained.add({"kind": mirror.kind}, len(retained))
+        _LOG.info(
+            "replica: Objects read in a new era.",
+            extra=log_fields(
+                kind=mirror.kind,
+                era=era,
+                retained=sorted(stored.name for stored in retained),
+            ),
+        )
+
+    def _record_refused_list(
+        self, mirror: Mirror, listing: Listing, peer: Peer | None
+    ) -> None:
+        _LOG.warning(
+            "replica: List refused, as it is older than what is known.",
+            extra=log_fields(
+                kind=mirror.kind,
+                revision=str(listing.revision),
+                known=str(mirror.revision),
+                source=str(peer.member) if peer else "store",
+            ),
+        )
+
     def _record_peer_data(self, subscriber: Subscriber, peer: Peer) -> None:
         """Record the age of the store data that a leader got from a peer.
 
--- a/radishstile/entry/sources.py
+++ b/radishstile/entry/sources.py
@@ -13,7 +13,8 @@
     StoreUnavailableError,
     WireError,
 )
-from radishstile.platform.objects import (
+from radishstile.platform.revision import Revision
+from radishstile.platform.stored_objects import (
     Change,
     Changes,
     Listing,
@@ -46,18 +47,20 @@
         """Return all objects of a kind that the peer has."""
         reply = await self._query(kind, _LIST_REVISION, 0.0)
         objects = [_decode(record).object for record in reply.objects]
-        return Listing(objects, reply.revision)
+        return Listing(objects, Revision(reply.revision))
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
+    async def watch(
+        self, kind: str, revision: Revision, wait_s: float
+    ) -> Changes:
         """Return the peer's changes after `revision`."""
         reply = await self._query(kind, revision, wait_s)
         changes = [_decode(record) for record in reply.objects]
-        return Changes(changes, reply.revision)
+        return Changes(changes, Revision(reply.revision))
 
     async def _query(
         self, kind: str, revision: int, wait_s: float
     ) -> MirrorReply:
-        query = MirrorQuery(kind=kind, revision=revision, wait_s=wait_s)
+        query = MirrorQuery(kind=kind, revision=int(revision), wait_s=wait_s)
         try:
             async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S):
                 reply = await self._receive(query, kind)
@@ -92,7 +95,7 @@
     """Return the message for changes."""
     return MirrorReply(
         objects=[_encode_change(change) for change in changes.changes],
-        revision=changes.revision,
+        revision=int(changes.revision),
         is_lost=False,
         has_more=False,
     )
@@ -147,7 +150,7 @@
     stored = change.object
     return [
         stored.name,
-        stored.revision,
+        int(stored.revision),
         stored.spec,
         stored.status,
         change.is_removed,
@@ -158,17 +161,18 @@
 def _(change: Patch) -> list:
     return [
         change.name,
-        change.revision,
+        int(change.revision),
         change.spec,
         change.status,
         False,
-        change.base_revision,
+        int(change.base_revision),
     ]
 
 
 def _decode(record: list) -> Change | Patch:
-    name, revision, spec, status, is_removed, *base_revision = record
-    if base_revision:
-        return Patch(name, revision, base_revision[0], spec, status)
+    name, number, spec, status, is_removed, *base = record
+    revision = Revision(number)
+    if base:
+        return Patch(name, revision, Revision(base[0]), spec, status)
     stored = PlatformObject(name, revision, False, spec, status)
     return Change(stored, is_removed)
--- a/radishstile/entry/subscribers.py
+++ b/radishstile/entry/subscribers.py
@@ -11,7 +11,7 @@
     CONFIGURATION_NAME,
     decode_catalog,
 )
-from radishstile.platform.objects import Change, Listing, PlatformObject
+from radishstile.platform.mirror import Mirror
 from radishstile.platform.registrations import (
     EVACUATION_KIND,
     HOST_KIND,
@@ -20,6 +20,11 @@
     decode_host,
     decode_upstream,
 )
+from radishstile.platform.stored_objects import (
+    Change,
+    Listing,
+    PlatformObject,
+)
 from radishstile.upstream.registration import Registration
 
 _LOG = logging.getLogger("radishstile.replica")
@@ -63,14 +68,16 @@
         if not change.is_removed:
             self._accept(change.object)
 
-    def confirm(self, asked_at: float) -> None:
+    def confirm(self, asked_at: float, mirror: Mirror) -> None:
         """Record that the store had nothing newer at `asked_at`.
 
-        `asked_at` is a time of the boot-time clock, in seconds.
+        `asked_at` is a time of the boot-time clock, in seconds. A store that
+        was restored with an older configuration may lack a newer one than
+        that in use, so its answers confirm nothing until it is written again.
         """
         self._node.record_store_answer()
-        if self._is_valid:
-            self._node.freshness.confirm(asked_at)
+        if self._is_valid and not mirror.list_retained():
+            self._node.freshness.confirm_by_store(asked_at)
         self._node.check_initialized()
 
     def _accept(self, stored: PlatformObject) -> None:
@@ -143,7 +150,7 @@
             ),
         )
 
-    def confirm(self, asked_at: float) -> None:
+    def confirm(self, asked_at: float, mirror: Mirror) -> None:
         """Registrations need no confirmation."""
 
     def _decode(self, stored: PlatformObject):
@@ -188,7 +195,7 @@
             ),
         )
 
-    def confirm(self, asked_at: float) -> None:
+    def confirm(self, asked_at: float, mirror: Mirror) -> None:
         """Evacuations need no confirmation."""
 
     def _publish(self) -> None:
@@ -226,7 +233,7 @@
             self._node.hosts.put(host)
         self._publish()
 
-    def confirm(self, asked_at: float) -> None:
+    def confirm(self, asked_at: float, mirror: Mirror) -> None:
         """Hosts need no confirmation; heartbeats show which are live."""
 
     def _publish(self) -> None:
--- a/radishstile/http/client.py
+++ b/radishstile/http/client.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from radishstile.errors import HttpError, NotConnectedError
-from radishstile.http.message import Headers
+from radishstile.http.message import AnswerHead, Headers
 from radishstile.http.parser import AnswerLimits, AnswerParser
 from radishstile.http.stream import ByteStream
 
@@ -49,14 +49,19 @@
 
 
 class ClientAnswer:
-    """Status and body of an answer; that of an error may lack its body."""
+    """Head and body of an answer; that of an error may lack its body."""
 
-    __slots__ = ("status", "body")
+    __slots__ = ("head", "body")
 
-    def __init__(self, status: int, body: bytes | bytearray):
-        self.status = status
+    def __init__(self, head: AnswerHead, body: bytes | bytearray):
+        self.head = head
         self.body = body
 
+    @property
+    def status(self) -> int:
+        """Return the status code."""
+        return self.head.status
+
 
 class HttpClient:
     """Sends requests to one server, each once on a connection of its own.
@@ -161,7 +166,7 @@
             head = parser.head
             if head is not None and head.status >= _FIRST_ERROR_STATUS:
                 break
-        return ClientAnswer(parser.head.status, body)
+        return ClientAnswer(parser.head, body)
 
     def _release(self, stream: ByteStream, is_kept: bool) -> None:
         # After `close` the stream is no longer among the open ones.
--- a/radishstile/platform/configuration.py
+++ b/radishstile/platform/configuration.py
@@ -54,6 +54,14 @@
         ) from error
 
 
+def read_version(document: Any) -> int | None:
+    """Return the version of a configuration document, None if unreadable."""
+    try:
+        return _decode_version(document["version"])
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
 def _decode_version(text: str) -> int:
     return int(text.removeprefix(_VERSION_PREFIX))
 
--- a/radishstile/platform/mirror.py
+++ b/radishstile/platform/mirror.py
@@ -7,7 +7,9 @@
 
 from radishstile.configuration.merge import make_merge_patch, merge
 from radishstile.errors import HistoryLostError
-from radishstile.platform.objects import (
+from radishstile.platform.retention import Retention
+from radishstile.platform.revision import Revision
+from radishstile.platform.stored_objects import (
     Change,
     Changes,
     Listing,
@@ -25,7 +27,7 @@
 
     __slots__ = ("revision", "change")
 
-    def __init__(self, revision: int, change: Change | Patch):
+    def __init__(self, revision: Revision, change: Change | Patch):
         self.revision = revision
         self.change = change
 
@@ -38,11 +40,15 @@
     version of a large configuration is sent to each host, and differs little
     from the last. A watcher that is behind, or that has another version than
     a patch is made from, must list all objects again.
+
+    Objects that `retention` keeps have revisions of former eras, also in the
+    list for other hosts.
     """
 
     __slots__ = (
         "kind",
         "revision",
+        "retention",
         "_objects",
         "_history",
         "_history_start",
@@ -51,10 +57,11 @@
 
     def __init__(self, kind: str):
         self.kind = kind
-        self.revision: int | None = None
+        self.revision: Revision | None = None
+        self.retention = Retention(kind)
         self._objects: dict[str, PlatformObject] = {}
         self._history: deque[RevisedChange] = deque()
-        self._history_start = 0
+        self._history_start = Revision(0)
         self._changed = asyncio.Event()
 
     def replace(self, listing: Listing) -> bool:
@@ -67,12 +74,17 @@
             self._objects = {stored.name: stored for stored in listing.objects}
             self._history_start = listing.revision
             self._set_revision(listing.revision)
+            if self.list_retained():
+                self._begin_era()
             return True
         if listing.revision < self.revision:
             return False
+        self._observe_era(listing.revision)
         listed = {stored.name for stored in listing.objects}
         for known in list(self._objects.values()):
-            if known.name not in listed:
+            if known.name not in listed and not self.retention.retains_missing(
+                known, listing.revision.era
+            ):
                 self._put(Change(known, True), listing.revision)
         for stored in listing.objects:
             change = Change(stored, False)
@@ -87,6 +99,7 @@
         Raises `HistoryLostError` if a patch is made from another version.
         """
         revision = max(changes.revision, self.revision)
+        self._observe_era(revision)
         new = []
         for received in changes.changes:
             change = self._complete(received)
@@ -125,24 +138,29 @@
         )
         return Change(stored, False)
 
-    def _put(self, change: Change, revision: int) -> None:
+    def _put(self, change: Change, revision: Revision) -> None:
         """Apply a new change and append it to the history."""
         name = change.object.name
         if change.is_removed:
-            self._objects.pop(name, None)
+            self.retention.record_removal(self._objects.pop(name))
             self._append_history(RevisedChange(revision, change))
             return
         patch = _make_patch(self._objects.get(name), change.object)
         self._objects[name] = change.object
         self._append_history(RevisedChange(revision, patch or change))
 
+    def list_retained(self) -> list[PlatformObject]:
+        """Return the objects that the store lacks or has in older versions."""
+        era = 0 if self.revision is None else self.revision.era
+        return [s for s in self._objects.values() if s.revision.era < era]
+
     def list_all(self) -> Listing:
         """Return all objects; raises `HistoryLostError` if not listed yet."""
         if self.revision is None:
             raise HistoryLostError(f"{self.kind}: not listed yet")
         return Listing(list(self._objects.values()), self.revision)
 
-    async def watch(self, revision: int, wait_s: float) -> Changes:
+    async def watch(self, revision: Revision, wait_s: float) -> Changes:
         """Return the changes after `revision`, waiting up to `wait_s` seconds.
 
         Raises `HistoryLostError` if they are no longer kept.
@@ -156,7 +174,7 @@
             return Changes([], revision)
         return self._collect_changes(revision)
 
-    def _collect_changes(self, revision: int) -> Changes:
+    def _collect_changes(self, revision: Revision) -> Changes:
         if revision < self._history_start:
             raise HistoryLostError(f"{self.kind}: changes are no longer kept")
         changes = [
@@ -174,12 +192,24 @@
     def _is_new(self, change: Change) -> bool:
         known = self._objects.get(change.object.name)
         if known is None:
-            return not change.is_removed
+            return not (
+                change.is_removed or self.retention.was_removed(change.object)
+            )
         if change.is_removed:
             return change.object.revision >= known.revision
-        return change.object.revision > known.revision
+        if change.object.revision <= known.revision:
+            return False
+        return not self.retention.prefers_known(known, change.object)
+
+    def _observe_era(self, revision: Revision) -> None:
+        """Retain what is known if the store was restored."""
+        if revision.era > self.revision.era:
+            self._begin_era()
+
+    def _begin_era(self) -> None:
+        self.retention.begin_era(asyncio.get_running_loop().time())
 
-    def _set_revision(self, revision: int) -> None:
+    def _set_revision(self, revision: Revision) -> None:
         self.revision = revision
         self._changed.set()
 
--- a/radishstile/platform/objects.py
+++ b/radishstile/platform/objects.py
@@ -20,6 +20,13 @@
 from radishstile.platform.calls import CallKind, StoreCallCounters
 from radishstile.platform.host_file import Endpoint
 from radishstile.platform.json_codec import decode_json, is_too_deep
+from radishstile.platform.revision import EraClock, Revision, read_era
+from radishstile.platform.stored_objects import (
+    Change,
+    Changes,
+    Listing,
+    PlatformObject,
+)
 
 # For calls other than watches; the store answers in milliseconds, and in a
 # quarter of a second while it is slow.
@@ -40,92 +47,29 @@
 _NOT_FOUND = 404
 
 
-class PlatformObject:
-    """One version of a stored object.
-
-    `revision` is the store's revision at its last change. With `is_deleting`
-    the object is removed once its finalizers are gone.
-    """
-
-    __slots__ = ("name", "revision", "is_deleting", "spec", "status")
-
-    def __init__(
-        self, name: str, revision: int, is_ending: bool, spec: Any, status: Any
-    ):
-        self.name = name
-        self.revision = revision
-        self.is_deleting = is_ending
-        self.spec = spec
-        self.status = status
-
-
-class Listing:
-    """All objects of a kind and the revision to watch from."""
+class StoreAnswer:
+    """The decoded body of an answer and the era that it names."""
 
-    __slots__ = ("objects", "revision")
+    __slots__ = ("record", "era")
 
-    def __init__(self, objects: list[PlatformObject], revision: int):
-        self.objects = objects
-        self.revision = revision
-
-
-class Change:
-    """An object that was written or, where `is_removed`, removed."""
-
-    __slots__ = ("object", "is_removed")
-
-    def __init__(self, changed: PlatformObject, is_removed: bool):
-        self.object = changed
-        self.is_removed = is_removed
-
-
-class Patch:
-    """A change as merge patches of the object's version at `base_revision`.
-
-    An empty patch leaves its part unchanged.
-    """
-
-    __slots__ = ("name", "revision", "base_revision", "spec", "status")
-
-    def __init__(
-        self,
-        name: str,
-        revision: int,
-        base_revision: int,
-        spec: dict,
-        status: dict,
-    ):
-        self.name = name
-        self.revision = revision
-        self.base_revision = base_revision
-        self.spec = spec
-        self.status = status
-
-
-class Changes:
-    """Result of a watch and the revision to continue from.
-
-    A mirror's watchers get patches where they can be made; the store has none.
-    """
-
-    __slots__ = ("changes", "revision")
-
-    def __init__(self, changes: list[Change | Patch], revision: int):
-        self.changes = changes
-        self.revision = revision
+    def __init__(self, record: Any, era: int):
+        self.record = record
+        self.era = era
 
 
 class ObjectClient:
     """Lists, watches and writes objects of one store.
 
     Calls raise `StoreUnavailableError` if the call had no effect, and
-    `WriteDoubtError` if a write may have taken effect or still may.
+    `WriteDoubtError` if a write may have taken effect or still may. An answer
+    of an era before the highest one known is not used.
     """
 
-    __slots__ = ("calls", "_store", "_client")
+    __slots__ = ("calls", "_clock", "_store", "_client")
 
     def __init__(self, store: Endpoint):
         self.calls = StoreCallCounters()
+        self._clock = EraClock()
         self._store = store
         self._client: HttpClient | None = None
 
@@ -150,36 +94,45 @@
         revision = None
         query: dict[str, str] = {}
         while True:
-            record = await self._read(CallKind.LIST, kind, query)
-            page = _decode(_decode_page, record, kind)
+            answer = await self._read(CallKind.LIST, kind, query)
+            page = _decode(_decode_page, answer, kind)
             objects += page.objects
             if revision is None:
                 revision = page.revision
-            if not record.get("more") or not page.objects:
+            if page.revision.era != revision.era:
+                raise StoreUnavailableError(f"{kind}: the store was restored")
+            if not answer.record.get("more") or not page.objects:
                 return Listing(objects, revision)
             query = {"after": objects[-1].name}
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
+    async def watch(
+        self, kind: str, revision: Revision, wait_s: float
+    ) -> Changes:
         """Return the changes after `revision`, waiting up to `wait_s` seconds.
 
-        Raises `HistoryLostError` if the store no longer has the changes.
+        Raises `HistoryLostError` if the store no longer has the changes, or
+        was restored since.
         """
+        if not self._clock.observe(revision.era):
+            raise HistoryLostError(f"{kind}: the store was restored")
         query = {
-            "watch": str(revision),
+            "watch": str(revision.number),
             "wait_ms": str(int(wait_s * _MS_PER_S)),
         }
         timeout_s = wait_s + WATCH_GRACE_S
-        record = await self._read(CallKind.WATCH, kind, query, timeout_s)
-        return _decode(_decode_changes, record, kind)
+        answer = await self._read(CallKind.WATCH, kind, query, timeout_s)
+        if answer.era != revision.era:
+            raise HistoryLostError(f"{kind}: the store was restored")
+        return _decode(_decode_changes, answer, kind)
 
     async def read(self, kind: str, name: str) -> PlatformObject | None:
         """Return one object, or None if there is none."""
         path = f"{kind}/{quote(name)}"
         try:
-            record = await self._read(CallKind.READ, path, {})
+            answer = await self._read(CallKind.READ, path, {})
         except ObjectMissingError:
             return None
-        return _decode(_decode_object, record, path)
+        return _decode(_decode_object, answer, path)
 
     async def create(self, kind: str, name: str, spec: Any) -> None:
         """Create an object; raises `ObjectConflictError` if it exists."""
@@ -187,15 +140,19 @@
         await self._write("POST", kind, body)
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int | None = None
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        revision: Revision | None = None,
     ) -> None:
         """Replace the spec of an object, if it is still at `revision`.
 
         Raises `ObjectMissingError` and `ObjectConflictError`.
         """
-        metadata = {"name": name}
+        metadata: dict[str, Any] = {"name": name}
         if revision is not None:
-            metadata["revision"] = revision
+            metadata["revision"] = self._find_number(name, revision)
         body = {"metadata": metadata, "spec": spec}
         await self._write("PUT", f"{kind}/{quote(name)}", body)
 
@@ -206,18 +163,29 @@
         except ObjectMissingError:
             await self.create(kind, name, spec)
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
+    async def delete(self, kind: str, name: str, revision: Revision) -> None:
         """Delete an object that is still at `revision`."""
-        path = f"{kind}/{quote(name)}?revision={revision}"
+        number = self._find_number(name, revision)
+        path = f"{kind}/{quote(name)}?revision={number}"
         await self._write("DELETE", path, None)
 
+    def _find_number(self, name: str, revision: Revision) -> int:
+        """Return the store's number of a revision to write on condition of.
+
+        Raises `ObjectConflictError` for one of another era, whose number may
+        have been given out again.
+        """
+        if revision.era != self._clock.era:
+            raise ObjectConflictError(f"{name}: the store was restored")
+        return revision.number
+
     async def _read(
         self,
         kind: CallKind,
         path: str,
         query: dict[str, str],
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> dict:
+    ) -> StoreAnswer:
         try:
             return await self._call(kind, "GET", path, query, None, timeout_s)
         except WriteDoubtError as error:
@@ -236,12 +204,15 @@
         query: dict[str, str],
         body: Any,
         timeout_s: float,
-    ) -> dict:
+    ) -> StoreAnswer:
         self.calls.record_call(kind)
         began_at = asyncio.get_running_loop().time()
         request = _make_request(method, path, query, body)
         try:
             answer = await self._client.send(request, timeout_s)
+            era = read_era(answer.head)
+            if not self._clock.observe(era):
+                raise WriteDoubtError(f"{path}: an answer of era {era}")
             _check_status(answer.status, path)
             record = decode_json(answer.body)
         except NotConnectedError as error:
@@ -256,11 +227,11 @@
             self.calls.record_failure()
             name = type(error).__name__
             raise WriteDoubtError(f"{path}: no answer ({name})") from error
-        except StoreUnavailableError:
+        except (StoreUnavailableError, WriteDoubtError):
             self.calls.record_failure()
             raise
         self.calls.record_answer(began_at)
-        return record
+        return StoreAnswer(record, era)
 
 
 def _make_request(
@@ -288,10 +259,12 @@
     raise WriteDoubtError(f"{path}: the store answered {status}")
 
 
-def _decode(decode: Callable[[Any], Any], record: Any, path: str) -> Any:
+def _decode(
+    decode: Callable[[Any, int], Any], answer: StoreAnswer, path: str
+) -> Any:
     """Decode an answer; raises `StoreUnavailableError` if it is another."""
     try:
-        return decode(record)
+        return decode(answer.record, answer.era)
     except (
         AttributeError,
         KeyError,
@@ -304,24 +277,24 @@
         ) from error
 
 
-def _decode_page(record: dict) -> Listing:
-    objects = [_decode_object(item) for item in record["items"]]
-    return Listing(objects, int(record["store_revision"]))
+def _decode_page(record: dict, era: int) -> Listing:
+    objects = [_decode_object(item, era) for item in record["items"]]
+    return Listing(objects, Revision.make(era, int(record["store_revision"])))
 
 
-def _decode_changes(record: dict) -> Changes:
+def _decode_changes(record: dict, era: int) -> Changes:
     changes = [
-        Change(_decode_object(event["object"]), bool(event["removed"]))
+        Change(_decode_object(event["object"], era), bool(event["removed"]))
         for event in record["events"]
     ]
-    return Changes(changes, int(record["store_revision"]))
+    return Changes(changes, Revision.make(era, int(record["store_revision"])))
 
 
-def _decode_object(record: dict) -> PlatformObject:
+def _decode_object(record: dict, era: int) -> PlatformObject:
     metadata = record["metadata"]
     return PlatformObject(
         metadata["name"],
-        metadata["revision"],
+        Revision.make(era, metadata["revision"]),
         bool(metadata.get("deleting")),
         _drop_deep(record.get("spec")),
         _drop_deep(record.get("status")),
--- a/radishstile/platform/registrations.py
+++ b/radishstile/platform/registrations.py
@@ -5,7 +5,9 @@
 from radishstile.errors import PlatformError
 from radishstile.fleet.hosts import RegisteredHost
 from radishstile.member import Member
-from radishstile.platform.objects import PlatformObject
+from radishstile.platform.stored_objects import (
+    PlatformObject,
+)
 from radishstile.platform.values import (
     MAX_PORT,
     require_address,
@@ -66,6 +68,24 @@
         raise MalformedEntryError(f"{stored.name}: {detail}") from error
 
 
+def rank_upstream(stored: PlatformObject) -> tuple[int, int, bool] | None:
+    """Return what orders the versions of an upstream's registration.
+
+    This is its start, its count of reports since then and whether it drains,
+    or None if a field can't be used.
+    """
+    try:
+        record = {**_to_dict(stored.status), **_to_dict(stored.spec)}
+        status = _find_status(stored, record)
+        return (
+            require_type(int, record.get("born", 0)),
+            require_type(int, status.get("sequence", 0)),
+            Readiness(status["state"]) is Readiness.DRAINING,
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
 def encode_host(host: RegisteredHost) -> dict:
     """Return the spec of an entry host's registration."""
     return {
--- a/radishstile/platform/scheduler_records.py
+++ b/radishstile/platform/scheduler_records.py
@@ -1,7 +1,9 @@
 """Encodes the records of slot schedulers for the store."""
 
-from radishstile.platform.objects import PlatformObject
 from radishstile.platform.registrations import MalformedEntryError
+from radishstile.platform.stored_objects import (
+    PlatformObject,
+)
 from radishstile.platform.values import require_number, require_type
 from radishstile.slot.record import CacheRecord, SchedulerRecord
 
--- a/standin/object_store.py
+++ b/standin/object_store.py
@@ -64,10 +64,22 @@
         self.is_removal = is_removal
 
 
+class StoreBackup:
+    """All that a store held at one moment."""
+
+    __slots__ = ("revision", "kinds", "events")
+
+    def __init__(self, revision: int, kinds: dict, events: list):
+        self.revision = revision
+        self.kinds = kinds
+        self.events = events
+
+
 class ObjectStore:
     """Serves `/v1/objects`; `calls` counts requests by method.
 
-    `endless_bytes` is what was written of the last answer without end.
+    `endless_bytes` is what was written of the last answer without end. `era`
+    rises each time the store is restored; answers name it once it has.
     """
 
     __slots__ = (
@@ -75,6 +87,7 @@
         "calls",
         "endless_bytes",
         "revision",
+        "era",
         "_kinds",
         "_events",
         "_dropped_revision",
@@ -89,6 +102,7 @@
         self.calls: dict[str, int] = {}
         self.endless_bytes = 0
         self.revision = 1
+        self.era = 0
         self._kinds: dict[str, dict[str, _StoredObject]] = {}
         self._events: list[_ChangeEvent] = []
         # The change history starts after this revision.
@@ -164,6 +178,20 @@
         self._dropped_revision = self.revision
         self._event_added.set()
 
+    def back_up(self) -> StoreBackup:
+        """Return a copy of all objects and changes."""
+        kinds = {kind: dict(held) for kind, held in self._kinds.items()}
+        return StoreBackup(self.revision, kinds, list(self._events))
+
+    def restore(self, backup: StoreBackup) -> None:
+        """Go back to a backup; later revisions are given out again."""
+        self.revision = backup.revision
+        self._kinds = {k: dict(held) for k, held in backup.kinds.items()}
+        self._events = list(backup.events)
+        self._dropped_revision = min(self._dropped_revision, self.revision)
+        self.era += 1
+        self._event_added.set()
+
     def get_spec(self, kind: str, name: str):
         """Return the spec of an object, or None."""
         found = self._find(kind, name)
@@ -172,6 +200,12 @@
     # Requests
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        answer = await self._answer(request)
+        if self.era and not answer.prepared:
+            answer.headers["Store-Era"] = str(self.era)
+        return answer
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
         method = request.method
         self.calls[method] = self.calls.get(method, 0) + 1
         if self.failure_mode in (FailureMode.SILENT, FailureMode.RESET):
@@ -249,6 +283,8 @@
 
     async def _watch(self, kind: str, query) -> web.Response:
         after = int(query["watch"])
+        if after > self.revision:
+            return web.Response(status=410)
         wait_s = int(query.get("wait_ms", 0)) / _MS_PER_S
         try:
             async with asyncio.timeout(wait_s):
--- a/test/catalog/test_freshness.py
+++ b/test/catalog/test_freshness.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from radishstile.catalog.freshness import Freshness
+from radishstile.catalog.freshness import ERA_SETTLE_S, Freshness
 
 
 class FreshnessTest(unittest.TestCase):
@@ -20,3 +20,13 @@
         freshness.confirm(100.0)
         freshness.confirm(90.0)
         self.assertEqual(freshness.measure_age(101.0), 1.0)
+
+    def test_store_confirms_nothing_just_after_it_was_restored(self):
+        # Guards against a revoked key that is accepted since the backup lacks
+        # the revocation, until the operator writes it again.
+        freshness = Freshness(5.0)
+        freshness.begin_era(100.0)
+        freshness.confirm_by_store(100.0 + ERA_SETTLE_S / 2)
+        self.assertFalse(freshness.accepts_keys(101.0))
+        freshness.confirm_by_store(100.0 + ERA_SETTLE_S)
+        self.assertTrue(freshness.accepts_keys(102.0))
--- a/test/entry/test_recorder.py
+++ b/test/entry/test_recorder.py
@@ -12,10 +12,13 @@
 from radishstile.errors import ObjectMissingError, StoreUnavailableError
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.member import Member
-from radishstile.platform.objects import ObjectClient, PlatformObject
+from radishstile.platform.objects import (
+    ObjectClient,
+)
 from radishstile.platform.scheduler_records import encode_scheduler
 from radishstile.slot.record import CacheRecord, SchedulerRecord
 from test._common import PausedTestCase
+from test.platform._common import make_stored
 
 RECORD = SchedulerRecord({}, [CacheRecord("u1", 1, ["a", "b"])])
 OTHER = SchedulerRecord({}, [CacheRecord("u1", 1, ["a", "c"])])
@@ -37,7 +40,7 @@
 
     async def read(self, kind, name):
         self._record("read")
-        return self.spec and PlatformObject(name, 1, False, self.spec, None)
+        return self.spec and make_stored(name, 1, self.spec)
 
     async def replace(self, kind, name, spec):
         self._record("replace")
@@ -81,6 +84,7 @@
             local_member=self.local.member,
             hosts=self.hosts,
             measure_store_answer_age=lambda: 0.1,
+            era=0,
             metrics=EntryMetrics(),
         )
         self.scheduler = SimpleNamespace(
--- a/test/entry/test_replica.py
+++ b/test/entry/test_replica.py
@@ -15,9 +15,9 @@
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.member import Member
 from radishstile.platform.mirror import Mirror
-from radishstile.platform.objects import Listing
 from radishstile.platform.registrations import HOST_KIND
 from test._common import PausedTestCase
+from test.platform._common import make_listing
 
 PAUSE_S = 2.0
 
@@ -70,7 +70,7 @@
         )
         peer = SimpleNamespace(measure_store_data_age=lambda now: 0.3)
         source = SimpleNamespace(
-            list_kind=mock.AsyncMock(return_value=Listing([], 7))
+            list_kind=mock.AsyncMock(return_value=make_listing([], 7))
         )
         subscriber = SimpleNamespace(kind=kind, replace=mock.Mock())
         replica = Replica(node, SimpleNamespace(is_leading=is_leading))
--- a/test/entry/test_sources.py
+++ b/test/entry/test_sources.py
@@ -10,15 +10,15 @@
 from radishstile.entry.handlers import MessageHandler
 from radishstile.entry.sources import PeerSource
 from radishstile.platform.mirror import Mirror
-from radishstile.platform.objects import Change, Changes, Listing
-from radishstile.platform.objects import PlatformObject as Stored
+from radishstile.platform.stored_objects import Change
+from test.platform._common import make_changes, make_listing, make_stored
 from test.wire._common import PeerTestCase
 
 KIND = "servers"
 
 
 def make_object(name, spec, revision=1):
-    return Stored(name, revision, False, spec, None)
+    return make_stored(name, revision, spec)
 
 
 class LongListTest(PeerTestCase):
@@ -35,7 +35,7 @@
         objects = [
             make_object(f"i-{n}", {"note": "x" * 60_000}) for n in range(40)
         ]
-        self.mirror.replace(Listing(objects, 7))
+        self.mirror.replace(make_listing(objects, 7))
         listing = await self.source.list_kind(KIND)
         self.assertEqual(listing.revision, 7)
         self.assertEqual(
@@ -47,7 +47,9 @@
         # Guards against hosts that don't serve after a restart as an entry of
         # another writer doesn't fit a frame.
         odd = make_object("odd", {"numbers": [0.1] * 160_000})
-        self.mirror.replace(Listing([odd, make_object("i-1", {"a": 1})], 7))
+        self.mirror.replace(
+            make_listing([odd, make_object("i-1", {"a": 1})], 7)
+        )
         listing = await self.source.list_kind(KIND)
         self.assertEqual(
             [(stored.name, stored.spec) for stored in listing.objects],
@@ -56,11 +58,11 @@
 
     async def test_long_change_of_an_entry_does_not_hide_others(self):
         # Guards against hosts that learn of no change behind a long one.
-        self.mirror.replace(Listing([make_object("odd", {"a": 1})], 7))
+        self.mirror.replace(make_listing([make_object("odd", {"a": 1})], 7))
         long = make_object("odd", {"a": [0.1] * 160_000}, 8)
         new = make_object("i-1", {"a": 1}, 9)
         changes = [Change(long, False), Change(new, False)]
-        self.mirror.apply(Changes(changes, 9))
+        self.mirror.apply(make_changes(changes, 9))
         received = await self.source.watch(KIND, 7, 1.0)
         self.assertEqual(received.revision, 9)
         self.assertEqual(
--- a/test/platform/test_mirror.py
+++ b/test/platform/test_mirror.py
@@ -6,18 +6,13 @@
 from radishstile.entry.sources import encode_changes
 from radishstile.errors import HistoryLostError
 from radishstile.platform.mirror import HISTORY_LIMIT_CHANGES, Mirror
-from radishstile.platform.objects import (
-    Change,
-    Changes,
-    Listing,
-    Patch,
-    PlatformObject,
-)
+from radishstile.platform.stored_objects import Change, Patch
 from radishstile.wire.codec import Envelope, encode
+from test.platform._common import make_changes, make_listing, make_stored
 
 
 def make_object(name, revision):
-    return PlatformObject(name, revision, False, {"at": revision}, None)
+    return make_stored(name, revision, {"at": revision})
 
 
 def make_change(name, revision, is_removed=False):
@@ -26,7 +21,7 @@
 
 def make_mirror(revision=10):
     mirror = Mirror("servers")
-    mirror.replace(Listing([make_object("a", 5)], revision))
+    mirror.replace(make_listing([make_object("a", 5)], revision))
     return mirror
 
 
@@ -41,7 +36,7 @@
 
     async def test_returns_changes_to_watchers(self):
         mirror = make_mirror()
-        mirror.apply(Changes([make_change("b", 12)], 13))
+        mirror.apply(make_changes([make_change("b", 12)], 13))
         changes = await mirror.watch(10, 0.0)
         self.assertEqual([c.object.name for c in changes.changes], ["b"])
         self.assertEqual(changes.revision, 13)
@@ -52,26 +47,26 @@
             asyncio.create_task(mirror.watch(10, 5.0)) for _ in range(3)
         ]
         await asyncio.sleep(0)
-        mirror.apply(Changes([make_change("b", 12)], 12))
+        mirror.apply(make_changes([make_change("b", 12)], 12))
         for changes in await asyncio.gather(*watches):
             self.assertEqual(len(changes.changes), 1)
 
     async def test_ignores_older_changes(self):
         mirror = make_mirror()
-        mirror.apply(Changes([make_change("a", 12)], 12))
-        new = mirror.apply(Changes([make_change("a", 11)], 12))
+        mirror.apply(make_changes([make_change("a", 12)], 12))
+        new = mirror.apply(make_changes([make_change("a", 11)], 12))
         self.assertEqual(new, [])
         self.assertEqual(mirror.list_all().objects[0].revision, 12)
 
     async def test_ignores_an_outdated_removal(self):
         mirror = make_mirror()
-        mirror.apply(Changes([make_change("a", 14)], 14))
-        mirror.apply(Changes([make_change("a", 12, True)], 14))
+        mirror.apply(make_changes([make_change("a", 14)], 14))
+        mirror.apply(make_changes([make_change("a", 12, True)], 14))
         self.assertEqual(list_names(mirror), ["a"])
 
     async def test_ignores_an_older_list(self):
         mirror = make_mirror()
-        self.assertFalse(mirror.replace(Listing([], 9)))
+        self.assertFalse(mirror.replace(make_listing([], 9)))
         self.assertEqual(list_names(mirror), ["a"])
 
     async def test_a_watcher_behind_a_new_list_gets_what_changed(self):
@@ -81,10 +76,10 @@
         has to list again, and all hosts that watch it did so after it.
         """
         source, watcher = make_mirror(), make_mirror()
-        source.apply(Changes([make_change("b", 12)], 12))
+        source.apply(make_changes([make_change("b", 12)], 12))
         listed = [make_object("a", 5), make_object("c", 18)]
-        source.replace(Listing(listed, 20))
-        source.replace(Listing([*listed, make_object("d", 21)], 22))
+        source.replace(make_listing(listed, 20))
+        source.replace(make_listing([*listed, make_object("d", 21)], 22))
         changes = await source.watch(10, 0.0)
         new = watcher.apply(changes)
         self.assertEqual(
@@ -100,9 +95,9 @@
 
     async def test_a_new_list_does_not_remove_what_a_watcher_knows_newer(self):
         source, watcher = make_mirror(), make_mirror()
-        watcher.apply(Changes([make_change("a", 12, True)], 12))
-        watcher.apply(Changes([make_change("a", 21)], 21))
-        source.replace(Listing([], 20))
+        watcher.apply(make_changes([make_change("a", 12, True)], 12))
+        watcher.apply(make_changes([make_change("a", 21)], 21))
+        source.replace(make_listing([], 20))
         watcher.apply(await source.watch(10, 0.0))
         self.assertEqual(list_names(watcher), ["a"])
         self.assertEqual(watcher.revision, 21)
@@ -112,7 +107,7 @@
         for number in range(HISTORY_LIMIT_CHANGES + 1):
             revision = 11 + number
             change = make_change(f"n{number}", revision)
-            mirror.apply(Changes([change], revision))
+            mirror.apply(make_changes([change], revision))
         with self.assertRaises(HistoryLostError):
             await mirror.watch(10, 0.0)
         changes = await mirror.watch(11, 0.0)
@@ -137,18 +132,18 @@
             for n in range(1500)
         }
         self.leader, self.follower = Mirror("config"), Mirror("config")
-        first = Listing([self.make_configuration(1, 10)], 10)
+        first = make_listing([self.make_configuration(1, 10)], 10)
         self.leader.replace(first)
         self.follower.replace(first)
 
     def make_configuration(self, version, revision, **routes):
         self.routes = {**self.routes, **routes}
         spec = {"version": f"r{version}", "routes": self.routes}
-        return PlatformObject("main", revision, False, spec, None)
+        return make_stored("main", revision, spec)
 
     def change(self, version, revision, **routes):
         stored = self.make_configuration(version, revision, **routes)
-        self.leader.apply(Changes([Change(stored, False)], revision))
+        self.leader.apply(make_changes([Change(stored, False)], revision))
         return stored
 
     async def test_change_of_a_route_is_sent_alone(self):
@@ -194,7 +189,7 @@
 
     async def test_patch_of_a_removed_object_makes_the_host_list_again(self):
         self.change(2, 12)
-        self.follower.apply(Changes([make_change("main", 11, True)], 11))
+        self.follower.apply(make_changes([make_change("main", 11, True)], 11))
         with self.assertRaises(HistoryLostError):
             self.follower.apply(await self.leader.watch(10, 0.0))
 
--- a/test/platform/test_objects.py
+++ b/test/platform/test_objects.py
@@ -11,7 +11,11 @@
 )
 from radishstile.platform import objects
 from radishstile.platform.host_file import Endpoint
-from radishstile.platform.objects import ANSWER_LIMIT_BYTES, ObjectClient
+from radishstile.platform.objects import (
+    ANSWER_LIMIT_BYTES,
+    ObjectClient,
+)
+from radishstile.platform.revision import Revision
 from standin.object_store import (
     LATE_WRITE_DELAY_S,
     PAGE_SIZE,
@@ -21,7 +25,9 @@
 from test.http._peers import ScriptedServer, send_and_close
 
 
-class ObjectClientTest(unittest.IsolatedAsyncioTestCase):
+class ObjectClientTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test case with a store and its client."""
+
     async def asyncSetUp(self):
         self.store = ObjectStore()
         await self.store.start()
@@ -30,6 +36,8 @@
         self.addAsyncCleanup(self.store.stop)
         self.addAsyncCleanup(self.client.close)
 
+
+class ObjectClientTest(ObjectClientTestCase):
     def shorten_timeouts(self):
         for name in ("CALL_TIMEOUT_S", "WATCH_GRACE_S"):
             before = getattr(objects, name)
@@ -77,7 +85,7 @@
         self.store.failure_mode = FailureMode.UNEXPECTED
         for call in (
             self.client.list_kind("config"),
-            self.client.watch("config", 1, 0.1),
+            self.client.watch("config", Revision(1), 0.1),
             self.client.read("config", "main"),
         ):
             with self.assertRaises(StoreUnavailableError):
@@ -108,7 +116,7 @@
                 self.subTest(trouble),
                 self.assertRaises(StoreUnavailableError),
             ):
-                await self.client.watch("config", 1, 0.1)
+                await self.client.watch("config", Revision(1), 0.1)
         self.store.failure_mode = FailureMode.NONE
         await self.client.list_kind("config")
 
@@ -168,3 +176,44 @@
         self.addAsyncCleanup(client.close)
         with self.assertRaises(StoreUnavailableError):
             await client.list_kind("config")
+
+
+class RestoredStoreTest(ObjectClientTestCase):
+    """The store comes back from a backup and gives out revisions again."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.store.put("config", "main", {"a": 1})
+        backup = self.store.back_up()
+        self.store.put("config", "main", {"a": 2})
+        self.known = await self.client.list_kind("config")
+        self.store.restore(backup)
+        self.store.put("config", "main", {"a": 3})
+
+    async def test_a_watch_of_a_former_era_must_list_again(self):
+        # Guards against a watch that goes on from a revision which the store
+        # has given out again, and misses what was written there (review/11).
+        with self.assertRaises(HistoryLostError):
+            await self.client.watch("config", self.known.revision, 0.0)
+        listing = await self.client.list_kind("config")
+        self.assertGreater(listing.revision, self.known.revision)
+        self.assertEqual(listing.objects[0].spec, {"a": 3})
+        changes = await self.client.watch("config", listing.revision, 0.0)
+        self.assertEqual(changes.revision, listing.revision)
+
+    async def test_a_write_on_a_revision_of_a_former_era_is_a_conflict(self):
+        (stored,) = self.known.objects
+        await self.client.list_kind("config")
+        with self.assertRaises(ObjectConflictError):
+            await self.client.delete("config", "main", stored.revision)
+        with self.assertRaises(ObjectConflictError):
+            await self.client.replace("config", "main", {}, stored.revision)
+        self.assertEqual(self.store.get_spec("config", "main"), {"a": 3})
+
+    async def test_an_answer_of_a_former_era_is_not_used(self):
+        await self.client.list_kind("config")
+        self.store.era = 0
+        with self.assertRaises(StoreUnavailableError):
+            await self.client.list_kind("config")
+        with self.assertRaises(WriteDoubtError):
+            await self.client.create("hosts", "a", {})
--- a/test/platform/test_registrations.py
+++ b/test/platform/test_registrations.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from radishstile.platform.objects import PlatformObject
 from radishstile.platform.registrations import (
     MalformedEntryError,
     decode_host,
     decode_upstream,
 )
 from radishstile.upstream.registration import Readiness
+from test.platform._common import make_stored
 
 ZONES = {"akl-a": "akl"}
 INFO = {"service": "press", "version": "v1", "zone": "akl-a", "slots": 6}
@@ -26,7 +26,7 @@
 
 
 def make_object(spec, status=None):
-    return PlatformObject("i-1", 7, False, spec, status)
+    return make_stored("i-1", 7, spec, status)
 
 
 def decode(spec, status=None):
@@ -61,7 +61,7 @@
     def test_rejects_names_that_can_not_stand_in_a_header(self):
         # Guards against an entry whose name adds headers to each request.
         for name in ("", "i 1", "i-1\r\nX-Tenant: a", "i-\ufffd", "i" * 300):
-            stored = PlatformObject(name, 7, False, GOOD, None)
+            stored = make_stored(name, 7, GOOD)
             with self.subTest(name), self.assertRaises(MalformedEntryError):
                 decode_upstream(stored, ZONES, 100.0)
 
--- a/test/platform/test_scheduler_records.py
+++ b/test/platform/test_scheduler_records.py
@@ -4,13 +4,13 @@
 
 import orjson
 
-from radishstile.platform.objects import PlatformObject
 from radishstile.platform.registrations import MalformedEntryError
 from radishstile.platform.scheduler_records import (
     decode_scheduler,
     encode_scheduler,
 )
 from radishstile.slot.record import CacheRecord, SchedulerRecord
+from test.platform._common import make_stored
 
 UPSTREAMS = 90
 OBJECTS = 548
@@ -20,7 +20,7 @@
 
 
 def decode(spec):
-    stored = PlatformObject("akl", 7, False, spec, None)
+    stored = make_stored("akl", 7, spec, None)
     return decode_scheduler(stored)
 
 
