Use an upstream no more that says it leaves

Cause: nothing read the header; the store's list was the only source on upstreams that leave.

Change: an answer that names it, also a refused or broken one, takes its incarnation out of use at this host at once. The report goes to the leaders of the region and, through them, of the others, and to each new leader. The senders of reports are named after that. A 421, another value and a doubled header are not used.

Why it works: routing asks UpstreamRegistry for usable upstreams before each attempt and grant, and the registry knows what the upstream itself said.

--- a/radishstile/entry/admission.py
+++ b/radishstile/entry/admission.py
@@ -27,6 +27,8 @@
 from radishstile.slot.load_report import LoadReport
 from radishstile.slot.scheduler import SlotScheduler
 from radishstile.slot.settings import SlotSettings
+from radishstile.upstream.departure import LeavingReport
+from radishstile.wire.reports import Report
 from radishstile.workspace.quota import WorkspaceQuotas
 from radishstile.workspace.weight import weigh_workspaces
 
@@ -108,10 +110,8 @@
         self._rates_changed = asyncio.Event()
         # Upstreams with a broken run, to be asked whether they have crashed.
         self.broken_upstreams: asyncio.Queue[str] = asyncio.Queue()
-        # Reports on poison requests, to be sent to other hosts.
-        self.reports: asyncio.Queue[CrashReport | SuccessReport] = (
-            asyncio.Queue()
-        )
+        # Reports to be sent to other hosts.
+        self.reports: asyncio.Queue[Report] = asyncio.Queue()
 
     async def run(self) -> None:
         """Check the queue periodically while claims wait in it."""
@@ -235,11 +235,34 @@
         is_used = self.scheduler.record_load(upstream_id, report, read_clock())
         self._node.metrics.count_load("used" if is_used else "unused")
 
-    def apply_report(self, report: CrashReport | SuccessReport) -> None:
+    def apply_report(self, report: Report) -> None:
         """Apply a report, and queue it for other hosts if it is new."""
-        if self.poison.apply(report, read_clock()):
+        if self._apply_report(report):
             self.reports.put_nowait(report)
 
+    @singledispatchmethod
+    def _apply_report(self, report: Report) -> bool:
+        """Apply a report; return whether it is new."""
+        raise TypeError(type(report).__name__)
+
+    @_apply_report.register
+    def _(self, report: CrashReport | SuccessReport) -> bool:
+        return self.poison.apply(report, read_clock())
+
+    @_apply_report.register
+    def _(self, report: LeavingReport) -> bool:
+        if not self._node.registry.record_leaving(report):
+            return False
+        self._node.metrics.count_leaving("new")
+        self._node.changed.set()
+        _LOG.info(
+            "admission: Upstream says that it leaves.",
+            extra=log_fields(
+                upstream=report.upstream_id, born=report.started_at_ms
+            ),
+        )
+        return True
+
     async def _charge(self, claim: Claim, terms: ClaimTerms) -> None:
         """Charge a claim to its workspace's rate.
 
--- a/radishstile/entry/attempt.py
+++ b/radishstile/entry/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from radishstile.entry.admission import AdmissionController
 from radishstile.entry.body import UpstreamBody
 from radishstile.entry.buffers import BufferBudget, BufferReservation
 from radishstile.entry.caller_request import (
@@ -36,11 +37,13 @@
     REQUEST_ID,
     classify_answer,
     encode_request_head,
+    read_leaving,
     read_load,
     read_rate_limit,
 )
 from radishstile.slot.claim import Ending
 from radishstile.slot.load_report import LoadReport
+from radishstile.upstream.departure import LeavingReport
 from radishstile.upstream.registration import Registration
 
 _LOG = logging.getLogger("radishstile.forwarding")
@@ -49,16 +52,24 @@
 class AttemptRunner:
     """Sends requests to the upstreams of their slots, and gives these back."""
 
-    __slots__ = ("_node", "_connections", "_answer_limits", "_buffers")
+    __slots__ = (
+        "_node",
+        "_admission",
+        "_connections",
+        "_answer_limits",
+        "_buffers",
+    )
 
     def __init__(
         self,
         node: EntryNode,
+        admission: AdmissionController,
         connections: ConnectionPool,
         answer_limits: AnswerLimits,
         buffers: BufferBudget,
     ):
         self._node = node
+        self._admission = admission
         self._connections = connections
         self._answer_limits = answer_limits
         self._buffers = buffers
@@ -151,6 +162,8 @@
                 Ending.BROKEN, upstream.upstream_id, detail=str(error)
             )
         finally:
+            if parser.head is not None:
+                self._read_leaving(upstream, parser.head)
             self._finish_send(upstream, connection, parser, result)
             if result is None:
                 reservation.close()
@@ -198,6 +211,16 @@
             self._node.metrics.count_load("malformed")
             return None
 
+    def _read_leaving(self, upstream: Registration, head: AnswerHead) -> None:
+        """Report an upstream that says that it leaves, in any answer."""
+        is_leaving = read_leaving(head)
+        if is_leaving is None:
+            self._node.metrics.count_leaving("malformed")
+        elif is_leaving:
+            self._admission.apply_report(
+                LeavingReport(upstream.upstream_id, upstream.started_at_ms)
+            )
+
     def _finish_send(
         self,
         upstream: Registration,
--- a/radishstile/entry/handlers.py
+++ b/radishstile/entry/handlers.py
@@ -25,6 +25,7 @@
     HeldSlots,
     MirrorQuery,
     MirrorReply,
+    ReportLeaving,
     ReportRates,
     SlotReport,
 )
@@ -71,7 +72,9 @@
 
     @_handle.register
     async def _(
-        self, message: ReportCrash | ReportSuccess, exchange: Exchange
+        self,
+        message: ReportCrash | ReportSuccess | ReportLeaving,
+        exchange: Exchange,
     ) -> None:
         self._admission.apply_report(decode_report(message))
 
--- a/radishstile/entry/rate_reports.py
+++ b/radishstile/entry/leader_reports.py
@@ -1,7 +1,8 @@
-"""Tells a host's new leader the rate limits that upstreams have named.
+"""Tells a host's new leader what upstreams have said of themselves.
 
-A new leader knows only those that its own requests have met. Without the
-others it would send each upstream in need as many requests as it has slots.
+A new leader knows only what its own requests have met. Without the rest it
+would send each upstream in need as many requests as it has slots, and grant
+slots of upstreams that leave.
 """
 
 import logging
@@ -9,9 +10,10 @@
 from radishstile.entry.admission import AdmissionController
 from radishstile.entry.leadership import Leadership
 from radishstile.entry.logs import log_fields
-from radishstile.entry.node import read_clock
+from radishstile.entry.node import EntryNode, read_clock
 from radishstile.errors import WireError
 from radishstile.wire.messages.slot import ReportRates
+from radishstile.wire.reports import encode_report
 
 _LOG = logging.getLogger("radishstile.rates")
 
@@ -19,12 +21,18 @@
 MAX_AGE_S = 10.0
 
 
-class RateReportSender:
-    """Sends the known rate limits to each leader that this host follows."""
+class LeaderReportSender:
+    """Sends rate limits and leaving upstreams to each leader it follows."""
 
-    __slots__ = ("_admission", "_leadership")
+    __slots__ = ("_node", "_admission", "_leadership")
 
-    def __init__(self, admission: AdmissionController, leadership: Leadership):
+    def __init__(
+        self,
+        node: EntryNode,
+        admission: AdmissionController,
+        leadership: Leadership,
+    ):
+        self._node = node
         self._admission = admission
         self._leadership = leadership
 
@@ -50,14 +58,17 @@
             return host
         since = read_clock() - MAX_AGE_S
         rates = self._admission.scheduler.list_rates(since)
-        report = ReportRates(rates=rates)
-        if rates:
-            self._leadership.peers.recent.add(report, read_clock())
+        leaving = self._node.registry.list_leaving()
+        reports = [ReportRates(rates=rates), *map(encode_report, leaving)]
+        if rates or leaving:
+            for report in reports:
+                self._leadership.peers.recent.add(report, read_clock())
         try:
-            await leader.client.notify(report)
+            for report in reports:
+                await leader.client.notify(report)
         except WireError as error:
             _LOG.info(
-                "rates: Rate limits not sent.",
+                "rates: Reports on upstreams not sent.",
                 extra=log_fields(lead=host, why=str(error)),
             )
         return host
--- a/radishstile/entry/metrics.py
+++ b/radishstile/entry/metrics.py
@@ -46,6 +46,7 @@
         "waiting_work",
         "returns",
         "load_reports",
+        "leaving_reports",
         "pace",
         "pace_age",
         "choices",
@@ -133,6 +134,11 @@
         self.load_reports = self._add(
             Counter, "radishstile_load_reports", "Reported loads by result."
         )
+        self.leaving_reports = self._add(
+            Counter,
+            "radishstile_leaving_upstreams",
+            "Upstreams that say that they leave, by result.",
+        )
         self.pace = self._add(
             Gauge, "radishstile_upstream_pace", "Reported pace, 1.0 as usual."
         )
@@ -189,6 +195,10 @@
         """Count a reported load; `result` is one of a few fixed words."""
         self.load_reports.inc({"result": result})
 
+    def count_leaving(self, result: str) -> None:
+        """Count an upstream that leaves; `result` is a fixed word."""
+        self.leaving_reports.inc({"result": result})
+
     def set_paces(self, paces: dict[str, LoadReport], now: float) -> None:
         """Replace the reported paces by upstream, at most `MAX_PACES`."""
         self.pace.values.clear()
--- a/radishstile/entry/poison_reports.py
+++ b/radishstile/entry/reports.py
@@ -1,6 +1,7 @@
-"""Sends reports on poison requests, which crash upstreams, to other hosts.
+"""Sends reports on upstreams and on poison requests to other hosts.
 
-Each region's leader counts crashes. Without the reports of others, a request
+Each region's leader counts the upstreams that a request crashes, and grants
+slots of those that don't leave. Without the reports of others, a request
 refused in one region would crash as many upstreams in the next one, and again
 under a new leader.
 """
@@ -17,7 +18,7 @@
 _LOG = logging.getLogger("radishstile.reports")
 
 
-class PoisonReportSender:
+class ReportSender:
     """Sends new reports to the peers of this host.
 
     They are the next leaders of its region and, for a leader, those of remote
@@ -40,7 +41,7 @@
                     await peer.client.notify(message)
                 except WireError as error:
                     _LOG.info(
-                        "reports: Poison request report not sent.",
+                        "reports: Report not sent.",
                         extra=log_fields(
                             host=peer.member.host, why=str(error)
                         ),
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -15,17 +15,17 @@
 from radishstile.entry.directory import METRICS_PORT, Directory
 from radishstile.entry.forwarding import RequestForwarder
 from radishstile.entry.handlers import MessageHandler
+from radishstile.entry.leader_reports import LeaderReportSender
 from radishstile.entry.leadership import Leadership
 from radishstile.entry.loans import Loans
 from radishstile.entry.logs import log_fields
 from radishstile.entry.node import EntryNode, read_clock
 from radishstile.entry.peers import Peers
-from radishstile.entry.poison_reports import PoisonReportSender
-from radishstile.entry.rate_reports import RateReportSender
 from radishstile.entry.recorder import SchedulerRecorder
 from radishstile.entry.registrar import Registrar
 from radishstile.entry.remote_grants import RemoteGrants
 from radishstile.entry.replica import Replica
+from radishstile.entry.reports import ReportSender
 from radishstile.entry.request_claims import RequestClaims
 from radishstile.entry.stop_plan import StopPlan
 from radishstile.errors import SettingsError
@@ -78,7 +78,7 @@
         "_replica",
         "_recorder",
         "_report_sender",
-        "_rate_sender",
+        "_leader_report_sender",
         "_crash_prober",
         "_grants",
         "_peer_server",
@@ -115,7 +115,7 @@
         )
         self._request_claims = RequestClaims(node, slot_client)
         runner = AttemptRunner(
-            node, self._connections, AnswerLimits(), buffers
+            node, self._admission, self._connections, AnswerLimits(), buffers
         )
         forwarder = RequestForwarder(
             node, self._request_claims, runner, budget
@@ -136,13 +136,15 @@
         self._recorder = SchedulerRecorder(
             node, self._leadership, self._admission
         )
-        self._report_sender = PoisonReportSender(
+        self._report_sender = ReportSender(
             self._admission, self._leadership.peers
         )
         self._crash_prober = CrashProber(
             node, self._admission, self._connections
         )
-        self._rate_sender = RateReportSender(self._admission, self._leadership)
+        self._leader_report_sender = LeaderReportSender(
+            node, self._admission, self._leadership
+        )
         handler = MessageHandler(
             self._leadership,
             self._grants,
@@ -181,7 +183,7 @@
                 self._loans.run(),
                 self._recorder.run(),
                 self._report_sender.run(),
-                self._rate_sender.run(),
+                self._leader_report_sender.run(),
                 self._crash_prober.run(),
                 self._admission.run(),
                 self._grants.run(),
--- a/radishstile/http/message.py
+++ b/radishstile/http/message.py
@@ -75,6 +75,14 @@
                 return value
         return None
 
+    def find_all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, given its lower-case name."""
+        return [
+            value.strip(b" \t")
+            for key, value in self.headers
+            if key.lower() == name
+        ]
+
 
 def measure_fields(count: int, size: int) -> int:
     """Return the memory of `count` headers of `size` bytes, in bytes."""
--- a/radishstile/platform/http_codec.py
+++ b/radishstile/platform/http_codec.py
@@ -31,6 +31,8 @@
 _NOT_EXECUTED = b"x-not-executed"
 # Requests a second that an upstream takes from all hosts together.
 _RATE_LIMIT = b"server-limit"
+# Set to 1 by an upstream that leaves.
+_LEAVING = b"server-leaving"
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _MAX_RATE_PER_S = 1e6
 # Requests running and waiting at an upstream, its slots, and how long work
@@ -167,11 +169,7 @@
     Infinity if the answer names no limit, None if it can't be told, as the
     header is doubled or no sensible number.
     """
-    values = [
-        value.strip()
-        for name, value in head.headers
-        if name.lower() == _RATE_LIMIT
-    ]
+    values = head.find_all(_RATE_LIMIT)
     if not values:
         return math.inf
     if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
@@ -180,17 +178,25 @@
     return rate if rate <= _MAX_RATE_PER_S else None
 
 
+def read_leaving(head: AnswerHead) -> bool | None:
+    """Return whether the upstream says that it leaves.
+
+    None if that can't be told, as the header is doubled or has another value.
+    An answer to a misdirected request is that of another upstream.
+    """
+    values = head.find_all(_LEAVING)
+    if not values or head.status == _MISDIRECTED:
+        return False
+    return True if values == [b"1"] else None
+
+
 def read_load(head: AnswerHead, now: float) -> LoadReport | None:
     """Return the load that the upstream names, or None if it names none.
 
     `now` is the loop's time, in seconds. Raises `LoadReportError` if the
     header is doubled, malformed or names impossible figures.
     """
-    values = [
-        value.strip(b" \t")
-        for name, value in head.headers
-        if name.lower() == _SERVER_LOAD
-    ]
+    values = head.find_all(_SERVER_LOAD)
     if not values:
         return None
     figures = _LOAD_FIGURES.fullmatch(values[0])
--- a/radishstile/upstream/registration.py
+++ b/radishstile/upstream/registration.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+from radishstile.upstream.departure import DepartedUpstreams, LeavingReport
+
 
 class Readiness(Enum):
     """Readiness that an upstream declares in its registration."""
@@ -75,7 +77,8 @@
 
     `version` grows with each change. `is_loaded` is whether a complete list
     of upstreams was applied. An upstream at an endpoint of the fleet's own
-    hosts is not usable: its requests would come back.
+    hosts is not usable: its requests would come back. One that has said that
+    it leaves is not usable either, whatever its registration tells.
     """
 
     __slots__ = (
@@ -83,6 +86,7 @@
         "_evacuated_zones",
         "_own_addresses",
         "_own_ports",
+        "_departed",
         "version",
         "is_loaded",
     )
@@ -92,6 +96,7 @@
         self._evacuated_zones: frozenset[str] = frozenset()
         self._own_addresses: frozenset[str] = frozenset()
         self._own_ports: frozenset[int] = frozenset()
+        self._departed = DepartedUpstreams()
         self.version = 0
         self.is_loaded = False
 
@@ -108,13 +113,32 @@
     def remove(self, upstream_id: str) -> None:
         """Remove an upstream if it is registered."""
         if self._by_id.pop(upstream_id, None) is not None:
+            self._departed.forget_unknown_start(upstream_id)
             self.version += 1
 
     def replace_all(self, registrations: list[Registration]) -> None:
         """Replace all upstreams by a complete list."""
         self.is_loaded = True
+        before = self._by_id
         self._by_id = {r.upstream_id: r for r in registrations}
+        for upstream_id in before.keys() - self._by_id.keys():
+            self._departed.forget_unknown_start(upstream_id)
+        self.version += 1
+
+    def record_leaving(self, report: LeavingReport) -> bool:
+        """Use an upstream no more that leaves; return whether that is new."""
+        if not self._departed.record(report):
+            return False
         self.version += 1
+        return True
+
+    def list_leaving(self) -> list[LeavingReport]:
+        """Return the reports on registered upstreams that leave."""
+        reports = [
+            self._departed.find(registration.incarnation)
+            for registration in self._by_id.values()
+        ]
+        return [report for report in reports if report is not None]
 
     def replace_evacuated(self, zones: frozenset[str]) -> None:
         """Replace the set of evacuated zones."""
@@ -165,6 +189,7 @@
     def _is_usable(self, registration: Registration) -> bool:
         return (
             registration.readiness is Readiness.READY
+            and not self._departed.has(registration.incarnation)
             and registration.zone not in self._evacuated_zones
             and not self.is_own(registration)
         )
--- a/radishstile/wire/messages/slot.py
+++ b/radishstile/wire/messages/slot.py
@@ -130,6 +130,18 @@
     rates: Rates
 
 
+class ReportLeaving(Message):
+    """Tells that an upstream has said in an answer that it leaves.
+
+    `started_at_ms` is its start in Unix milliseconds, or 0 if unknown.
+    """
+
+    __slots__ = ("upstream", "started_at_ms")
+
+    upstream: str
+    started_at_ms: int
+
+
 class FollowLead(Message):
     """A host's heartbeat to a leader.
 
--- a/radishstile/wire/registry.py
+++ b/radishstile/wire/registry.py
@@ -59,4 +59,5 @@
     100: slot.MirrorReply,
     101: slot.ReportRates,
     102: slot.HeldSlots,
+    103: slot.ReportLeaving,
 }
--- a/radishstile/wire/reports.py
+++ b/radishstile/wire/reports.py
@@ -1,11 +1,15 @@
-"""Converts reports on poison requests to messages and back."""
+"""Converts reports on upstreams and poison requests to messages and back."""
 
 from functools import singledispatch
 
 from radishstile.errors import WireError
 from radishstile.run.poison import CrashReport, SuccessReport
+from radishstile.upstream.departure import LeavingReport
 from radishstile.wire.messages.base import Message
 from radishstile.wire.messages.fleet import ReportCrash, ReportSuccess
+from radishstile.wire.messages.slot import ReportLeaving
+
+Report = CrashReport | SuccessReport | LeavingReport
 
 
 @singledispatch
@@ -30,8 +34,15 @@
     )
 
 
+@encode_report.register
+def _(report: LeavingReport) -> Message:
+    return ReportLeaving(
+        upstream=report.upstream_id, started_at_ms=report.started_at_ms
+    )
+
+
 @singledispatch
-def decode_report(message: Message) -> CrashReport | SuccessReport:
+def decode_report(message: Message) -> Report:
     """Return the report that a message carries.
 
     Raises `WireError` if a fingerprint is malformed.
@@ -51,6 +62,11 @@
     return SuccessReport(message.report_id, fingerprint)
 
 
+@decode_report.register
+def _(message: ReportLeaving) -> LeavingReport:
+    return LeavingReport(message.upstream, message.started_at_ms)
+
+
 def _decode_digest(text: str) -> bytes:
     try:
         return bytes.fromhex(text)
