Show in logs and in the soak why keys are refused

A host's log showed the refusals only.

Change: "Acceptance of keys changed." with the ages that it rests on. The soak restores its store from a backup, lets upstreams leave by their answers alone, and adds routes; it checks that hosts in touch know these, confirm what they use and send nothing more to an upstream that has told them.

--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -44,6 +44,7 @@
         "catalog",
         "freshness",
         "era",
+        "_accepted_keys",
         "_store_answered_at",
         "_store_data_at",
         "registry",
@@ -73,6 +74,8 @@
         self.freshness = Freshness(file.bounds.withdrawal_s)
         # The store's highest era that a list or change was read in.
         self.era = 0
+        # Whether keys were accepted at the last check.
+        self._accepted_keys = False
         # Boot-time clock: when the store answered this host last.
         self._store_answered_at = float("-inf")
         # Boot-time clock: the time that the newest store data dates from,
@@ -116,13 +119,17 @@
         """
         self._store_data_at = max(self._store_data_at, as_of)
 
-    def observe_era(self, era: int) -> None:
-        """Record the store's era of objects that were read."""
+    def observe_era(self, era: int) -> bool:
+        """Record the store's era of objects that were read.
+
+        Returns whether it is a new one.
+        """
         if era <= self.era:
-            return
+            return False
         self.era = era
         self.freshness.begin_era(read_boottime_clock())
         _LOG.warning("node: Store is in a new era.", extra=log_fields(era=era))
+        return True
 
     def measure_store_data_age(self) -> float:
         """Return the age of this host's store data, in seconds."""
@@ -151,6 +158,25 @@
         if is_current and is_known:
             self.initialized.set()
 
+    def check_acceptance(self) -> None:
+        """Log a change of whether keys are accepted, and what it rests on."""
+        accepts_keys = self.freshness.accepts_keys(read_boottime_clock())
+        if accepts_keys == self._accepted_keys:
+            return
+        self._accepted_keys = accepts_keys
+        _LOG.log(
+            logging.INFO if accepts_keys else logging.WARNING,
+            "node: Acceptance of keys changed.",
+            extra=log_fields(
+                accepted=accepts_keys,
+                version=self.catalog.version if self.catalog else 0,
+                era=self.era,
+                confirmed_age_s=round(self.measure_confirmation_age(), 3),
+                store_answer_age_s=round(self.measure_store_answer_age(), 3),
+                store_data_age_s=round(self.measure_store_data_age(), 3),
+            ),
+        )
+
     async def wait_initialized(self) -> None:
         """Wait until the host is initialized, if it has just started."""
         if self.initialized.is_set():
--- a/radishstile/entry/service.py
+++ b/radishstile/entry/service.py
@@ -218,6 +218,7 @@
             }
             self._connections.prune(usable)
             self._admission.reconcile()
+            self.node.check_acceptance()
             if reload.is_set() or self._has_file_changed():
                 reload.clear()
                 self._reload()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -82,7 +82,9 @@
         self._sent_count += 1
         rng = self._rng
         is_non_idempotent = rng.random() < NON_IDEMPOTENT_SHARE
-        path = NON_IDEMPOTENT_PATH if is_non_idempotent else READ_PATH
+        path = NON_IDEMPOTENT_PATH
+        if not is_non_idempotent:
+            path = rng.choice([READ_PATH, *self._fleet.list_added_routes()])
         request = SentRequest(
             f"{self.name}-{self._sent_count}",
             host,
@@ -122,14 +124,16 @@
                 return False
             request.ended_at = clock()
             request.status, request.body = answer.status, bytes(answer.body)
+            request.names_leaving = answer.names_leaving
             is_open = is_open and answer.keeps_alive
         return is_open
 
 
 class _Answer:
-    __slots__ = ("status", "body", "keeps_alive")
+    __slots__ = ("status", "body", "keeps_alive", "names_leaving")
 
     def __init__(self):
+        self.names_leaving = False
         self.status = 0
         self.body = bytearray()
         self.keeps_alive = False
@@ -149,6 +153,11 @@
         """Start the next answer."""
         self._current = _Answer()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store whether the upstream names that it leaves."""
+        if name.lower() == b"server-leaving":
+            self._current.names_leaving = True
+
     def on_headers_complete(self) -> None:
         """Store the status and whether the connection can be reused."""
         self._current.status = self.parser.get_status_code()
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -55,6 +55,11 @@
     }
 
 
+def make_added_route(prefix: str) -> dict:
+    """Return a route that a fault adds to the configuration."""
+    return _make_route(prefix, "safe", READ_PRIORITY)
+
+
 def _make_route(prefix: str, kind: str, priority: int) -> dict:
     return {
         "hostname": HOSTNAME,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -94,6 +94,19 @@
     __slots__ = ()
 
 
+class StoreRestored(Fault):
+    """Absence of the store, which is then restored from a backup.
+
+    `backup_age_s` is the backup's age at the start of the absence, in seconds.
+    """
+
+    __slots__ = ("backup_age_s",)
+
+    def __init__(self, subject: str, duration_s: float, backup_age_s: float):
+        super().__init__(subject, duration_s)
+        self.backup_age_s = backup_age_s
+
+
 class UpstreamCrashed(Fault):
     """Crash of an upstream, which restarts under the same id."""
 
@@ -114,6 +127,14 @@
     is_planned = True
 
 
+class UpstreamWithdrawn(Fault):
+    """Leave of an upstream whose answers alone tell of it."""
+
+    __slots__ = ()
+
+    is_planned = True
+
+
 class LinkHarmed(Fault):
     """Connection fault between all hosts and an upstream."""
 
@@ -137,6 +158,14 @@
     is_planned = True
 
 
+class RouteAdded(Fault):
+    """New configuration version with a route that callers then use."""
+
+    __slots__ = ()
+
+    is_planned = True
+
+
 class ConfigurationChanged(Fault):
     """New configuration version without a change for callers."""
 
@@ -198,6 +227,11 @@
     fleet.store.drop_history()
 
 
+@begin_fault.register
+async def _(fault: StoreRestored, fleet: Fleet) -> None:
+    fleet.take_store_away()
+
+
 @begin_fault.register
 async def _(fault: UpstreamCrashed, fleet: Fleet) -> None:
     if fault.subject in fleet.upstreams:
@@ -213,12 +247,21 @@
 @begin_fault.register
 async def _(fault: UpstreamLeaves, fleet: Fleet) -> None:
     upstream = fleet.upstreams.get(fault.subject)
-    if upstream is None or fault.subject in fleet.record.upstream_drains:
+    if upstream is None or fleet.record.is_leaving(fault.subject):
         return
     await fleet.add_upstream(upstream.zone)
     fleet.drain_upstream(fault.subject)
 
 
+@begin_fault.register
+async def _(fault: UpstreamWithdrawn, fleet: Fleet) -> None:
+    upstream = fleet.upstreams.get(fault.subject)
+    if upstream is None or fleet.record.is_leaving(fault.subject):
+        return
+    await fleet.add_upstream(upstream.zone)
+    fleet.withdraw_upstream(fault.subject)
+
+
 @begin_fault.register
 async def _(fault: LinkHarmed, fleet: Fleet) -> None:
     if fault.subject in fleet.upstream_proxies:
@@ -227,11 +270,19 @@
 
 @begin_fault.register
 async def _(fault: KeyWithdrawn, fleet: Fleet) -> None:
+    await fleet.store_present.wait()
     fleet.revoke_key()
 
 
+@begin_fault.register
+async def _(fault: RouteAdded, fleet: Fleet) -> None:
+    await fleet.store_present.wait()
+    fleet.add_route()
+
+
 @begin_fault.register
 async def _(fault: ConfigurationChanged, fleet: Fleet) -> None:
+    await fleet.store_present.wait()
     fleet.publish_new_version()
 
 
@@ -257,13 +308,17 @@
     fleet.store.failure_mode = FailureMode.NONE
 
 
+@end_fault.register
+async def _(fault: StoreRestored, fleet: Fleet) -> None:
+    fleet.restore_store(fault.backup_age_s)
+
+
 @end_fault.register
 async def _(fault: UpstreamCrashed, fleet: Fleet) -> None:
     name = fault.subject
-    is_leaving = name in fleet.record.upstream_drains
+    is_leaving = fleet.record.is_leaving(name)
     if name not in fleet.upstreams and not is_leaving:
-        zone = fleet.store.get_spec("servers", name)["info"]["zone"]
-        await fleet.add_upstream(zone, name)
+        await fleet.add_upstream(fleet.upstream_zones[name], name)
 
 
 @end_fault.register
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,17 +4,25 @@
 import copy
 import os
 import random
+from collections import deque
 
-from soak.configuration import make_configuration
+from soak.configuration import make_added_route, make_configuration
 from soak.hosts import Host
 from soak.proxy import Proxy
 from soak.record import SoakRecord
 from soak.settings import SoakSettings
 from soak.upstream import DRAIN_OVERRUN_S, Upstream
-from standin.object_store import ObjectStore
+from standin.object_store import FailureMode, ObjectStore, StoreBackup
 
 # Processing time of a request at an upstream, in seconds.
 REQUEST_DURATION_S = 0.06
+# Interval and number of the store's backups that are kept.
+BACKUP_INTERVAL_S = 0.25
+BACKUP_LIMIT = 40
+# Longest time, in seconds, in which the operator and the upstreams write again
+# what a restored store lacks.
+OPERATOR_PAUSE_S = 0.5
+UPSTREAM_PAUSE_S = 1.5
 
 
 class Fleet:
@@ -27,12 +35,16 @@
         "hosts",
         "upstreams",
         "upstream_proxies",
+        "upstream_zones",
+        "store_present",
         "rng",
         "configuration",
         "_started_at",
         "_last_incarnation",
         "_task_group",
         "_host_tasks",
+        "_states",
+        "_backups",
     )
 
     def __init__(self, settings: SoakSettings):
@@ -43,12 +55,22 @@
         self.upstreams: dict[str, Upstream] = {}
         # The proxy in front of each upstream, by name.
         self.upstream_proxies: dict[str, Proxy] = {}
+        self.upstream_zones: dict[str, str] = {}
+        # Set unless the store is away until it is restored.
+        self.store_present = asyncio.Event()
+        self.store_present.set()
         self.rng = random.Random(settings.seed)
         self.configuration = make_configuration(self.record)
         self._started_at = asyncio.get_running_loop().time()
         self._last_incarnation = 0
         self._task_group: asyncio.TaskGroup | None = None
         self._host_tasks: list[asyncio.Task] = []
+        # The state that each upstream has registered last, None if removed.
+        self._states: dict[str, str | None] = {}
+        # Backups of the store with the time of each, the oldest first.
+        self._backups: deque[tuple[float, StoreBackup]] = deque(
+            maxlen=BACKUP_LIMIT
+        )
 
     def read_clock(self) -> float:
         """Return the seconds since the test started."""
@@ -59,6 +81,7 @@
         self._task_group = group
         await self.store.start()
         self._store_configuration()
+        self._host_tasks.append(group.create_task(self._back_up_store()))
         for zone in self.settings.zones:
             for _ in range(self.settings.upstreams_per_zone):
                 await self.add_upstream(zone)
@@ -103,6 +126,7 @@
             self.read_clock,
         ).start()
         self.upstreams[name] = upstream
+        self.upstream_zones[name] = zone
         self.upstream_proxies[name] = await Proxy(upstream.port).start()
         self._register(upstream, "ready")
         return upstream
@@ -114,10 +138,66 @@
 
     def drain_upstream(self, name: str) -> None:
         """Register an upstream as draining, and remove it later."""
-        self._register(self.upstreams[name], "draining")
+        upstream = self.upstreams[name]
+        upstream.is_leaving = True
+        self._register(upstream, "draining")
         self.record.upstream_drains[name] = self.read_clock()
         self._task_group.create_task(self._remove_after_drain(name))
 
+    def withdraw_upstream(self, name: str) -> None:
+        """Let an upstream leave without telling the store, but for its end."""
+        self.upstreams[name].is_leaving = True
+        self.record.upstream_withdrawals.add(name)
+        self._task_group.create_task(self._remove_after_drain(name))
+
+    def take_store_away(self) -> None:
+        """Let the store answer nothing until it is restored."""
+        self.store_present.clear()
+        self.store.failure_mode = FailureMode.RESET
+
+    def restore_store(self, backup_age_s: float) -> None:
+        """Restore the store from a backup; its writers write again soon."""
+        until = self.read_clock() - backup_age_s
+        backups = [backup for at, backup in self._backups if at <= until]
+        backup = backups[-1] if backups else self._backups[0][1]
+        self.store.restore(backup)
+        self.store.failure_mode = FailureMode.NONE
+        self.store_present.set()
+        self._task_group.create_task(self._write_again())
+
+    async def _back_up_store(self) -> None:
+        while True:
+            if self.store_present.is_set():
+                backup = self.store.back_up()
+                self._backups.append((self.read_clock(), backup))
+            await asyncio.sleep(BACKUP_INTERVAL_S)
+
+    async def _write_again(self) -> None:
+        """Write what a restored store lacks, as its writers do."""
+        await asyncio.sleep(self.rng.uniform(0, OPERATOR_PAUSE_S))
+        self._store_configuration()
+        for name, state in list(self._states.items()):
+            await asyncio.sleep(
+                self.rng.uniform(0, UPSTREAM_PAUSE_S / len(self._states))
+            )
+            if state is None:
+                self._unregister(name)
+            elif name in self.upstreams:
+                self._register(self.upstreams[name], self._states[name])
+
+    def list_added_routes(self) -> list[str]:
+        """Return the path prefixes of routes that all hosts must serve."""
+        until = self.read_clock() - self.settings.apply_s
+        additions = self.record.route_additions.items()
+        return [prefix for prefix, added_at in additions if added_at <= until]
+
+    def add_route(self) -> None:
+        """Add a route to the configuration."""
+        prefix = f"/added-{len(self.record.route_additions)}/"
+        self.configuration["routes"][prefix] = make_added_route(prefix)
+        self.publish_new_version()
+        self.record.route_additions[prefix] = self.read_clock()
+
     def revoke_key(self) -> str | None:
         """Revoke a key and return it, or None if none may be revoked."""
         workspaces = self.configuration["tenants"].values()
@@ -146,9 +226,15 @@
         )
         status = {"state": state, "sequence": 1, "warmup_left_s": 0}
         self.store.put("servers", upstream.name, registration, status)
+        self._states[upstream.name] = state
+
+    def _unregister(self, name: str) -> None:
+        self._states[name] = None
+        if self.store.get_spec("servers", name) is not None:
+            self.store.remove("servers", name)
 
     async def _remove_after_drain(self, name: str) -> None:
         await asyncio.sleep(self.settings.drain_s + DRAIN_OVERRUN_S)
-        self.store.remove("servers", name)
+        self._unregister(name)
         if name in self.upstreams:
             await self.crash_upstream(name)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -24,6 +24,13 @@
 RECOVERY_S = 4.0
 # Tolerance for scheduling delays between processes, in seconds.
 CLOCK_SLACK_S = 0.2
+# The reason that a host gives when its configuration is not confirmed.
+NOT_CURRENT = b"not-current"
+NOT_FOUND = 404
+# Faults after which a host does not know what it has been told.
+_FORGETTING_FAULTS = frozenset(
+    {"AllKilled", "HostKilled", "HostPaused", "HostStopped"}
+)
 
 
 class Breach:
@@ -183,10 +190,92 @@
     """Yield valid requests with a valid key that were denied."""
     for request in indexed.requests.values():
         has_valid_key = request.key not in indexed.record.key_revocations
-        if has_valid_key and request.status in DENIED_STATUSES:
+        is_denied = has_valid_key and request.status in DENIED_STATUSES
+        # A host that is out of touch may not know an added route.
+        if is_denied and _find_addition(indexed, request) is None:
             yield Breach("denied", f"{request.request_id}: {request.status}")
 
 
+def check_additions(indexed: IndexedRecord) -> Iterator[Breach]:
+    """Yield requests on added routes that hosts in touch don't know."""
+    for request in indexed.requests.values():
+        added_at = _find_addition(indexed, request)
+        if added_at is None or request.status != NOT_FOUND:
+            continue
+        if not indexed.find_unplanned_faults(added_at, request.ended_at):
+            yield Breach(
+                "unknown route",
+                f"{request.request_id} at {request.host}, sent "
+                f"{request.sent_at - added_at:.2f} s after",
+            )
+
+
+def _find_addition(
+    indexed: IndexedRecord, request: SentRequest
+) -> float | None:
+    """Return when the route of a request was added, if it was."""
+    prefix = request.target[: request.target.rindex("/") + 1]
+    return indexed.record.route_additions.get(prefix)
+
+
+def check_confirmations(indexed: IndexedRecord) -> Iterator[Breach]:
+    """Yield keys refused for lack of a confirmation, with no fault nearby."""
+    for request in indexed.requests.values():
+        if request.status == OK or NOT_CURRENT not in request.body:
+            continue
+        if not indexed.find_unplanned_faults(
+            request.sent_at, request.ended_at
+        ):
+            yield Breach(
+                "not confirmed",
+                f"{request.request_id} at {request.host}, sent at "
+                f"{request.sent_at:.2f}",
+            )
+
+
+def check_leaves(indexed: IndexedRecord) -> Iterator[Breach]:
+    """Yield runs on an upstream whose answer had told its host that it leaves.
+
+    Also if the host is out of touch; a restart or a pause of it excuses them.
+    """
+    told_at: dict[tuple[str, str], float] = {}
+    for request in indexed.requests.values():
+        runs = indexed.runs.get(request.request_id)
+        if not runs or not request.names_leaving:
+            continue
+        key = request.host, runs[-1].upstream
+        told_at[key] = min(
+            told_at.get(key, request.ended_at), request.ended_at
+        )
+    for run in indexed.record.runs:
+        request = indexed.requests.get(run.request_id)
+        if request is None:
+            continue
+        since = told_at.get((request.host, run.upstream))
+        if (
+            since is None
+            or request.sent_at <= since + indexed.settings.drain_s
+        ):
+            continue
+        if not _has_forgotten(indexed, since, run.started_at):
+            yield Breach(
+                "leaving upstream",
+                f"{run.request_id} at {request.host}, sent "
+                f"{request.sent_at - since:.2f} s after {run.upstream} had "
+                "named it",
+            )
+
+
+def _has_forgotten(indexed: IndexedRecord, begin: float, end: float) -> bool:
+    """Return whether a host may have been restarted or paused."""
+    return any(
+        period.kind in _FORGETTING_FAULTS
+        and period.begin <= end
+        and period.end >= begin
+        for period in indexed.record.fault_periods
+    )
+
+
 def check_rates(indexed: IndexedRecord) -> Iterator[Breach]:
     """Yield the first window in which a workspace exceeded its rate."""
     limit = RATE_PER_S * QUOTA_WINDOW_S + BURST
@@ -242,6 +331,9 @@
     check_drains,
     check_lost_requests,
     check_denied_requests,
+    check_additions,
+    check_confirmations,
+    check_leaves,
     check_rates,
     check_recovery,
 )
--- a/soak/record.py
+++ b/soak/record.py
@@ -50,6 +50,7 @@
         "status",
         "body",
         "is_timed_out",
+        "names_leaving",
     )
 
     def __init__(
@@ -72,6 +73,8 @@
         self.body = b""
         # The caller gave up after the deadline.
         self.is_timed_out = False
+        # The answer named that the upstream leaves.
+        self.names_leaving = False
 
 
 class FaultPeriod:
@@ -97,8 +100,10 @@
     """Everything that was observed in a soak test.
 
     `key_revocations` and `upstream_drains` hold the time at which the store
-    accepted the revocation of a key or the drain of an upstream.
-    `key_workspaces` maps keys to workspaces.
+    accepted the revocation of a key or the drain of an upstream;
+    `upstream_withdrawals` are those that leave without a word to the store.
+    `key_workspaces` maps keys to workspaces, and `route_additions` the path
+    prefixes of added routes to the time at which the store accepted them.
     """
 
     __slots__ = (
@@ -107,7 +112,9 @@
         "fault_periods",
         "key_revocations",
         "upstream_drains",
+        "upstream_withdrawals",
         "key_workspaces",
+        "route_additions",
     )
 
     def __init__(self):
@@ -116,4 +123,13 @@
         self.fault_periods: list[FaultPeriod] = []
         self.key_revocations: dict[str, float] = {}
         self.upstream_drains: dict[str, float] = {}
+        self.upstream_withdrawals: set[str] = set()
         self.key_workspaces: dict[str, str] = {}
+        self.route_additions: dict[str, float] = {}
+
+    def is_leaving(self, upstream: str) -> bool:
+        """Return whether an upstream was asked to leave."""
+        return (
+            upstream in self.upstream_drains
+            or upstream in self.upstream_withdrawals
+        )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -14,11 +14,14 @@
     HostStopped,
     KeyWithdrawn,
     LinkHarmed,
+    RouteAdded,
     StoreCut,
+    StoreRestored,
     StoreTroubled,
     UpstreamCrashed,
     UpstreamLeaves,
     UpstreamSlowed,
+    UpstreamWithdrawn,
 )
 from soak.fleet import Fleet
 from soak.proxy import ConnectionFault
@@ -29,6 +32,11 @@
 # Range of the duration of a fault, in seconds.
 MIN_FAULT_S = 0.5
 MAX_FAULT_S = 5.0
+# The same of the absence of a store that is then restored, and the range of
+# its backup's age.
+MAX_RESTORE_S = 1.5
+MIN_BACKUP_AGE_S = 0.5
+MAX_BACKUP_AGE_S = 5.0
 # Share of faults that are followed by another one of the same kind.
 REPEAT_SHARE = 0.3
 MAX_REPEAT_DELAY_S = 0.8
@@ -93,6 +101,14 @@
     return StoreTroubled(STORE, _draw_duration_s(rng), failure_mode)
 
 
+def _make_restored_store(fleet: Fleet, rng: random.Random) -> Fault:
+    return StoreRestored(
+        STORE,
+        rng.uniform(MIN_FAULT_S, MAX_RESTORE_S),
+        rng.uniform(MIN_BACKUP_AGE_S, MAX_BACKUP_AGE_S),
+    )
+
+
 def _make_upstream_link_fault(fleet: Fleet, rng: random.Random) -> Fault:
     connection_fault = rng.choice(
         [h for h in ConnectionFault if h is not ConnectionFault.NONE]
@@ -113,6 +129,9 @@
     partial(_make_for_upstream, UpstreamCrashed),
     partial(_make_for_upstream, UpstreamSlowed),
     partial(_make_for_upstream, UpstreamLeaves),
+    partial(_make_for_upstream, UpstreamWithdrawn),
+    partial(_make_fixed, RouteAdded, "configuration"),
+    _make_restored_store,
     _make_store_connection_fault,
     _make_store_failure,
     _make_upstream_link_fault,
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -22,6 +22,7 @@
         "faults",
         "contact_s",
         "revoke_s",
+        "apply_s",
         "drain_s",
         "grace_s",
     )
@@ -51,5 +52,6 @@
         # Short versions of the bounds that the platform configures.
         self.contact_s = 4.0
         self.revoke_s = 5.0
+        self.apply_s = 4.0
         self.drain_s = 2.5
         self.grace_s = 6.0
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -22,6 +22,7 @@
         "slots",
         "request_duration_s",
         "slowdown_factor",
+        "is_leaving",
         "runs",
         "busy_slots",
         "_clock",
@@ -38,6 +39,8 @@
         self.slots = slots
         self.request_duration_s = request_duration_s
         self.slowdown_factor = 1.0
+        # Whether its answers name that it leaves.
+        self.is_leaving = False
         # Shared by all upstreams, ordered by start.
         self.runs: list[Run] = runs
         self.busy_slots = 0
@@ -93,9 +96,10 @@
         request_id = request.headers.get("x-request-id", "")
         expected = request.headers.get("x-expect-instance", self.name)
         if expected != self.name:
-            return _encode_answer(421, request_id, b"", "X-Not-Executed: 1")
+            return _encode_answer(421, request_id, b"", ["X-Not-Executed: 1"])
         if self.busy_slots >= self.slots:
-            return _encode_answer(503, request_id, b"", "X-Not-Executed: 1")
+            headers = ["X-Not-Executed: 1", *self._list_headers()]
+            return _encode_answer(503, request_id, b"", headers)
         self.busy_slots += 1
         run = Run(
             request_id,
@@ -111,7 +115,12 @@
         finally:
             self.busy_slots -= 1
         body = make_body(request_id, request.target)
-        return _encode_answer(200, request_id, body, "X-Response-Stamp: stamp")
+        headers = ["X-Response-Stamp: stamp", *self._list_headers()]
+        return _encode_answer(200, request_id, body, headers)
+
+    def _list_headers(self) -> list[str]:
+        """Return the headers that tell the upstream's state."""
+        return ["Server-Leaving: 1"] if self.is_leaving else []
 
 
 class _ParsedRequest:
@@ -156,12 +165,12 @@
 
 
 def _encode_answer(
-    status: int, request_id: str, body: bytes, extra_header: str
+    status: int, request_id: str, body: bytes, extra_headers: list[str]
 ) -> bytes:
     lines = (
         f"HTTP/1.1 {status} Status",
         f"X-Request-Id: {request_id}",
         f"Content-Length: {len(body)}",
-        extra_header,
+        *extra_headers,
     )
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
