Ask the store for a first list that no peer has

Cause: a host without a list of the upstreams asked a peer that had a configuration, again and again, though that peer had no list either.

Change: each peer is asked once, then the store, then the peers again.

--- a/radishstile/entry/leadership.py
+++ b/radishstile/entry/leadership.py
@@ -149,12 +149,10 @@
         )
         return leader if name == self._leader else self.peers.find(name)
 
-    def find_initialized(self) -> Peer | None:
-        """Return a usable peer of this region that has a configuration."""
-        for peer in self.peers.list_usable(self._node.local_member.region):
-            if peer.state.version:
-                return peer
-        return None
+    def list_initialized(self) -> list[Peer]:
+        """Return the usable peers of this region that have a configuration."""
+        region = self._node.local_member.region
+        return [p for p in self.peers.list_usable(region) if p.state.version]
 
     def find_leader_of(self, region: str) -> Peer | None:
         """Return the usable peer that leads a region, if any.
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -14,6 +14,7 @@
     PlatformError,
     WireError,
 )
+from radishstile.fleet.first_list import FirstListSources
 from radishstile.fleet.leadership import FRESH_MAX_AGE_S
 from radishstile.platform.configuration import (
     CONFIGURATION_KIND,
@@ -65,6 +66,7 @@
         "_leadership",
         "_mirrors",
         "_eras",
+        "_first_sources",
         "_is_source_lost",
     )
 
@@ -77,6 +79,7 @@
         }
         # The era that each kind was read in last.
         self._eras = dict.fromkeys(self._mirrors, 0)
+        self._first_sources = {kind: FirstListSources() for kind in self._eras}
         self._is_source_lost = False
 
     def find_mirror(self, kind: str) -> Mirror:
@@ -124,10 +127,12 @@
                 pause_s = RETRY_MIN_S
                 self._record_success()
             except HistoryLostError as error:
+                self._record_no_list(mirror, peer)
                 _LOG.warning("replica: History lost, listing again: %s", error)
                 needs_list = True
                 await asyncio.sleep(RETRY_MIN_S)
             except PlatformError as error:
+                self._record_no_list(mirror, peer)
                 self._record_failure(subscriber, error)
                 jittered_s = self._node.random.uniform(0.5, 1) * pause_s
                 await self._pause(mirror, peer, jittered_s)
@@ -140,6 +145,7 @@
                 if peer is None:
                     raise
                 # What the peer sent may be applied in part.
+                self._record_no_list(mirror, peer)
                 self._leadership.peers.record_failure(peer.member, error)
                 needs_list = True
                 await asyncio.sleep(RETRY_MAX_S)
@@ -208,9 +214,17 @@
 
     def _find_peer(self, mirror: Mirror) -> Peer | None:
         """Return the peer to read a kind from, or None for the store."""
+        if mirror.revision is not None:
+            return self._leadership.find_source()
+        peers = {p.member.host: p for p in self._leadership.list_initialized()}
+        chosen = self._first_sources[mirror.kind].choose(list(peers))
+        return None if chosen is None else peers[chosen]
+
+    def _record_no_list(self, mirror: Mirror, peer: Peer | None) -> None:
+        """Ask another source if this one had no first list to give."""
         if mirror.revision is None:
-            return self._leadership.find_initialized()
-        return self._leadership.find_source()
+            host = None if peer is None else peer.member.host
+            self._first_sources[mirror.kind].record_failure(host)
 
     def _open_source(self, peer: Peer | None) -> ObjectClient | PeerSource:
         """Return what to read a kind from; None stands for the store."""
--- a/test/entry/test_peer_replies.py
+++ b/test/entry/test_peer_replies.py
@@ -328,7 +328,7 @@
             peers=peers,
             is_leading=False,
             find_source=lambda: self.peer,
-            find_initialized=lambda: self.peer,
+            list_initialized=lambda: [self.peer],
         )
         node = SimpleNamespace(measure_store_answer_age=lambda: 0.0)
         replica = Replica(node, leadership)
--- a/test/entry/test_replica.py
+++ b/test/entry/test_replica.py
@@ -1,6 +1,7 @@
 """Tests of the replica's retry pause while its sources change."""
 
 import asyncio
+import random
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -12,16 +13,23 @@
     SOURCE_CHECK_INTERVAL_S,
     Replica,
 )
+from radishstile.errors import HistoryLostError, StoreUnavailableError
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.member import Member
 from radishstile.platform.mirror import Mirror
-from radishstile.platform.registrations import HOST_KIND
+from radishstile.platform.registrations import HOST_KIND, UPSTREAM_KIND
 from test._common import PausedTestCase
 from test.platform._common import make_listing
 
 PAUSE_S = 2.0
 
 
+def make_member(number):
+    return Member(
+        f"front-{number}", 1, "wlg-a", "wlg", f"10.0.0.{number}", 1, 2
+    )
+
+
 class PauseTest(PausedTestCase):
     """A call to the store has failed."""
 
@@ -95,10 +103,7 @@
     """
 
     def setUp(self):
-        members = [
-            Member(f"front-{n}", 1, "wlg-a", "wlg", f"10.0.0.{n}", 1, 2)
-            for n in (1, 2)
-        ]
+        members = [make_member(n) for n in (1, 2)]
         self.hosts = [RegisteredHost(member, 0.6) for member in members]
 
     def waits(self, number, uptime_s, kind="config", is_loaded=True):
@@ -131,3 +136,74 @@
 
     def test_the_hosts_are_read_from_the_store_at_once(self):
         self.assertFalse(self.waits(1, 0.0, HOST_KIND, is_loaded=False))
+
+
+class FirstListTest(PausedTestCase):
+    """A host starts beside peers that have a configuration and no list.
+
+    They asked each other for the list of upstreams, and none the store, so
+    the whole region refused everything for good (review/13).
+    """
+
+    async def start_follower(self, peers, list_from_store):
+        """Follow the upstreams from the start, with peers that have none."""
+        node = SimpleNamespace(
+            random=random.Random(1),
+            measure_uptime=lambda: PEER_WAIT_S + self.now,
+            hosts=HostTable(RegisteredHost(make_member(0), 0.6)),
+            measure_store_answer_age=lambda: 0.0,
+        )
+        leadership = SimpleNamespace(
+            is_leading=False,
+            find_source=lambda: None,
+            list_initialized=lambda: peers,
+        )
+        replica = Replica(node, leadership)
+        self.asked = []
+
+        async def list_kind(kind, peer):
+            self.asked.append(peer and peer.member.host)
+            if peer is not None:
+                raise HistoryLostError("not listed yet")
+            return list_from_store()
+
+        def open_source(_, peer):
+            return SimpleNamespace(
+                list_kind=lambda kind: list_kind(kind, peer),
+                watch=mock.AsyncMock(side_effect=asyncio.Event().wait),
+            )
+
+        patched = mock.patch.object(Replica, "_open_source", open_source)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.listings = []
+        subscriber = SimpleNamespace(
+            kind=UPSTREAM_KIND,
+            watch_s=1.0,
+            list_pause_s=0.0,
+            replace=self.listings.append,
+            confirm=lambda asked_at, mirror: None,
+        )
+        task = asyncio.create_task(replica._follow(subscriber))
+        self.addCleanup(task.cancel)
+
+    def make_peers(self, count):
+        return [
+            SimpleNamespace(member=make_member(n + 1)) for n in range(count)
+        ]
+
+    async def test_store_is_asked_after_each_peer_once(self):
+        await self.start_follower(
+            self.make_peers(2), lambda: make_listing([], 7)
+        )
+        await asyncio.sleep(1.0)
+        self.assertEqual(len(self.listings), 1)
+        self.assertEqual(self.asked, ["front-1", "front-2", None])
+
+    async def test_peers_are_asked_again_after_the_store_failed(self):
+        def fail():
+            raise StoreUnavailableError("no answer")
+
+        await self.start_follower(self.make_peers(1), fail)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.asked[:3], ["front-1", None, "front-1"])
