Confirm keys as soon as a restored store may

Cause: watches of the configuration last 0.8 s, and one that began before a restored store's answers count again confirmed nothing at its end.

Change: the watch ends at that time, and one more is sent without a wait.

--- a/radishstile/catalog/freshness.py
+++ b/radishstile/catalog/freshness.py
@@ -44,6 +44,10 @@
         """Record that the store is known to be restored."""
         self._settled_at = now + ERA_SETTLE_S
 
+    def measure_settling(self, now: float) -> float:
+        """Return the seconds until the store's answers confirm again."""
+        return max(0.0, self._settled_at - now)
+
     def confirm_by_store(self, called_at: float) -> None:
         """Record that the store had nothing newer than what is in use.
 
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -68,6 +68,7 @@
         "_eras",
         "_first_sources",
         "_is_source_lost",
+        "_is_settling",
     )
 
     def __init__(self, node: EntryNode, leadership: Leadership):
@@ -81,6 +82,8 @@
         self._eras = dict.fromkeys(self._mirrors, 0)
         self._first_sources = {kind: FirstListSources() for kind in self._eras}
         self._is_source_lost = False
+        # Whether no watch was sent since the store's answers confirm again.
+        self._is_settling = False
 
     def find_mirror(self, kind: str) -> Mirror:
         """Return the mirror of a kind; raises `WireError` if there is none."""
@@ -255,6 +258,8 @@
         if self._is_source_lost or (peer is None and is_stale):
             # After a failure, find out at once whether the source answers.
             return 0.0
+        if peer is None and subscriber.kind == CONFIGURATION_KIND:
+            return self._choose_settling_wait(subscriber.watch_s)
         if peer is None:
             return subscriber.watch_s
         return (
@@ -263,6 +268,17 @@
             else PEER_WATCH_S
         )
 
+    def _choose_settling_wait(self, watch_s: float) -> float:
+        """Return a wait that lets the store confirm as soon as it can."""
+        if not self._is_settling:
+            return watch_s
+        now = read_boottime_clock()
+        settling_s = self._node.freshness.measure_settling(now)
+        if settling_s > 0:
+            return min(watch_s, settling_s)
+        self._is_settling = False
+        return 0.0
+
     async def _list(
         self, subscriber: Subscriber, mirror: Mirror, peer: Peer | None
     ) -> bool:
@@ -315,7 +331,8 @@
         if era <= self._eras[mirror.kind]:
             return
         self._eras[mirror.kind] = era
-        self._node.observe_era(era)
+        if self._node.observe_era(era):
+            self._is_settling = True
         retained = mirror.list_retained()
         self._node.metrics.retained.add({"kind": mirror.kind}, len(retained))
         _LOG.info(
--- a/test/entry/test_replica.py
+++ b/test/entry/test_replica.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from radishstile.catalog.freshness import ERA_SETTLE_S, Freshness
 from radishstile.entry.node import read_boottime_clock
 from radishstile.entry.replica import (
     FIRST_HOST_PEER_WAIT_S,
@@ -16,6 +17,7 @@
 from radishstile.errors import HistoryLostError, StoreUnavailableError
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.member import Member
+from radishstile.platform.configuration import CONFIGURATION_KIND
 from radishstile.platform.mirror import Mirror
 from radishstile.platform.registrations import HOST_KIND, UPSTREAM_KIND
 from test._common import PausedTestCase
@@ -138,6 +140,28 @@
         self.assertFalse(self.waits(1, 0.0, HOST_KIND, is_loaded=False))
 
 
+class SettlingTest(PausedTestCase):
+    """The store was restored, and confirms keys only after a while.
+
+    A watch that began before counted for nothing at its end, so that keys
+    were refused for twice that time.
+    """
+
+    async def test_watches_end_and_begin_as_the_store_confirms_again(self):
+        node = SimpleNamespace(
+            freshness=Freshness(5.0), measure_store_answer_age=lambda: 0.0
+        )
+        replica = Replica(node, None)
+        replica._is_settling = True
+        subscriber = SimpleNamespace(kind=CONFIGURATION_KIND, watch_s=0.8)
+        node.freshness.begin_era(read_boottime_clock() - ERA_SETTLE_S / 2)
+        wait_s = replica._choose_wait(subscriber, None)
+        self.assertAlmostEqual(wait_s, ERA_SETTLE_S / 2, delta=0.1)
+        node.freshness.begin_era(read_boottime_clock() - ERA_SETTLE_S)
+        waits = [replica._choose_wait(subscriber, None) for _ in range(2)]
+        self.assertEqual(waits, [0.0, 0.8])
+
+
 class FirstListTest(PausedTestCase):
     """A host starts beside peers that have a configuration and no list.
 
