Start no more requests of a caller that has left

Cause: the task that waits for a place for the next request, or for memory, is the one that reads the connection, so nobody saw its end.

Change: these waits, and that before `100 Continue`, end with the connection; places are counted from the requests in flight.

--- a/radishstile/entry/callers.py
+++ b/radishstile/entry/callers.py
@@ -63,7 +63,6 @@
         "_stream",
         "_tasks",
         "_newest_task",
-        "_pipeline_slots",
         "_running_bytes",
         "_is_closing",
         "_has_ended_writing",
@@ -89,7 +88,6 @@
         )
         self._tasks: set[asyncio.Task] = set()
         self._newest_task: asyncio.Task | None = None
-        self._pipeline_slots = asyncio.Semaphore(PIPELINE_LIMIT)
         # Memory of the requests in flight.
         self._running_bytes = 0
         # Whether no more requests are read, and whether no more is written.
@@ -242,13 +240,13 @@
         """Tell a caller that waits for it to send the body of a request."""
         if not self._reader.take_expectation():
             return
-        if self._tasks:
-            # It would be taken for a part of an earlier answer.
-            await asyncio.wait(self._tasks)
+        # It would be taken for a part of an earlier answer.
+        while self._tasks:
+            await self._wait_for_request()
         self._stream.write(_CONTINUE)
 
     async def _start_requests(self) -> None:
-        while not self._is_closing:
+        while not self._is_closing and not self._stream.is_lost:
             request = self._reader.take_request()
             if request is None:
                 return
@@ -256,11 +254,10 @@
 
     async def _start(self, request: Request) -> None:
         size = request.measure()
-        await self._pipeline_slots.acquire()
-        await self._await_memory(size)
+        while not self._has_space(size):
+            await self._wait_for_request()
         if self._is_closing:
             # It was read too late: its caller sends it again.
-            self._pipeline_slots.release()
             return
         self._newest_task = asyncio.ensure_future(
             self._run_request(request, size, self._newest_task)
@@ -268,17 +265,32 @@
         self._tasks.add(self._newest_task)
         self._charge_running(size)
 
-    async def _await_memory(self, size: int) -> None:
-        """Wait for earlier requests unless another one's task has space.
+    def _has_space(self, size: int) -> bool:
+        """Return whether a request of `size` bytes may start beside others.
 
         The connection's own charge covers one task.
         """
-        while self._tasks and not self._budget.has_room(
+        if len(self._tasks) >= PIPELINE_LIMIT:
+            return False
+        return not self._tasks or self._budget.has_room(
             self.holder, size + RUN_BYTES
-        ):
+        )
+
+    async def _wait_for_request(self) -> None:
+        """Wait until one of the requests in flight has ended.
+
+        Raises `ConnectionResetError` if the caller leaves, which no read
+        would tell meanwhile.
+        """
+        ended = asyncio.ensure_future(self._stream.wait_ended())
+        try:
             await asyncio.wait(
-                self._tasks, return_when=asyncio.FIRST_COMPLETED
+                {ended, *self._tasks}, return_when=asyncio.FIRST_COMPLETED
             )
+        finally:
+            ended.cancel()
+        if self._stream.is_ended:
+            raise ConnectionResetError("the caller has left")
 
     def _charge_running(self, size: int) -> None:
         """Count a request in flight, or one that has ended if negative."""
@@ -303,7 +315,6 @@
         finally:
             self._tasks.discard(asyncio.current_task())
             self._charge_running(-size)
-            self._pipeline_slots.release()
             self.holder.has_served = True
             self.holder.record_progress(read_clock())
 
--- a/radishstile/http/stream.py
+++ b/radishstile/http/stream.py
@@ -66,6 +66,7 @@
         "_is_writing_ended",
         "_is_idle",
         "_read_waiter",
+        "_end_waiter",
         "_drain_waiter",
         "_close_waiter",
     )
@@ -84,6 +85,7 @@
         self._is_writing_ended = False
         self._is_idle = False
         self._read_waiter: asyncio.Future | None = None
+        self._end_waiter: asyncio.Future | None = None
         self._drain_waiter: asyncio.Future | None = None
         self._close_waiter: asyncio.Future | None = None
 
@@ -178,6 +180,19 @@
         if self._is_ended:
             raise ConnectionResetError("the connection has ended")
 
+    async def wait_ended(self) -> None:
+        """Wait until the peer closes the connection or it is lost.
+
+        While too much is unread, only a write that fails shows it.
+        """
+        if self._is_ended:
+            return
+        self._end_waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._end_waiter
+        finally:
+            self._end_waiter = None
+
     async def wait_closed(self) -> None:
         """Wait until all was sent after `close`, or the connection is lost."""
         if self.is_lost:
@@ -353,6 +368,7 @@
     def _mark_ended(self) -> None:
         self._is_ended = True
         _wake(self._read_waiter)
+        _wake(self._end_waiter)
         _wake(self._drain_waiter)
 
 
--- a/test/entry/test_forwarding.py
+++ b/test/entry/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of whole requests through one entry host on loopback."""
 
 import asyncio
+import copy
 from unittest.mock import patch
 
 import orjson
@@ -229,6 +230,28 @@
         self.assertEqual(sum(u.closed_connections for u in self.upstreams), 1)
         self.assertEqual(self.host.entry.count_held_slots(), 0)
 
+    async def test_requests_of_a_caller_that_has_left_are_not_started(self):
+        # Guards against a connection whose end isn't seen while its next
+        # request waits for earlier ones (review/15).
+        configuration = copy.deepcopy(CONFIGURATION)
+        route = configuration["routes"]["r-read"]
+        route |= {"timeout_s": 9, "target_latency_s": 5}
+        self.store.put("config", "main", {**configuration, "version": "r2"})
+        await asyncio.sleep(0.2)
+        for upstream in self.upstreams:
+            upstream.delay_s = 0.6
+        async with Caller(self.host) as caller:
+            for _ in range(2 * callers.PIPELINE_LIMIT):
+                caller.send(deadline_ms=9000)
+            await asyncio.sleep(0.2)
+            caller.disconnect()
+        await asyncio.sleep(0.1)
+        before = sum(len(upstream.runs) for upstream in self.upstreams)
+        await asyncio.sleep(1.0)
+        after = sum(len(upstream.runs) for upstream in self.upstreams)
+        self.assertEqual(after, before)
+        self.assertEqual(self.host.entry.count_held_slots(), 0)
+
     async def test_route_timeout_is_answered_with_504(self):
         for upstream in self.upstreams:
             upstream.delay_s = 9
