Count what retention keeps, and the store's calls in the soak

A host logs and counts which retained objects later lists dropped or replaced ("Retained objects checked.", radishstile_retained_objects by result).

--- a/radishstile/entry/metrics.py
+++ b/radishstile/entry/metrics.py
@@ -102,7 +102,7 @@
         self.retained = self._add(
             Counter,
             "radishstile_retained_objects",
-            "Objects retained as the store was restored, by kind.",
+            "Objects retained as the store was restored, by kind and result.",
         )
         self.wire = self._add(
             Gauge, "radishstile_wire", "Counters of peers' connections."
@@ -195,6 +195,10 @@
         """Count a reported load; `result` is one of a few fixed words."""
         self.load_reports.inc({"result": result})
 
+    def count_retained(self, kind: str, result: str, count: int) -> None:
+        """Count objects of a kind that were retained in a new era."""
+        self.retained.add({"kind": kind, "result": result}, count)
+
     def count_leaving(self, result: str) -> None:
         """Count an upstream that leaves; `result` is a fixed word."""
         self.leaving_reports.inc({"result": result})
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -24,7 +24,7 @@
     ObjectClient,
 )
 from radishstile.platform.registrations import HOST_KIND, UPSTREAM_KIND
-from radishstile.platform.stored_objects import Listing
+from radishstile.platform.stored_objects import Listing, PlatformObject
 
 _LOG = logging.getLogger("radishstile.replica")
 
@@ -289,10 +289,12 @@
         """List a kind; return False if the source lags behind the mirror."""
         asked_at = read_boottime_clock()
         listing = await self._open_source(peer).list_kind(subscriber.kind)
+        retained = mirror.list_retained()
         if not mirror.replace(listing):
             self._record_refused_list(mirror, listing, peer)
             return False
         self._observe_era(mirror)
+        self._record_settled(mirror, retained)
         # Not the listing: the mirror may retain objects.
         subscriber.replace(mirror.list_all())
         if peer is None:
@@ -338,7 +340,7 @@
         if self._node.observe_era(era):
             self._is_settling = True
         retained = mirror.list_retained()
-        self._node.metrics.retained.add({"kind": mirror.kind}, len(retained))
+        self._node.metrics.count_retained(mirror.kind, "kept", len(retained))
         _LOG.info(
             "replica: Objects read in a new era.",
             extra=log_fields(
@@ -348,6 +350,29 @@
             ),
         )
 
+    def _record_settled(
+        self, mirror: Mirror, retained: list[PlatformObject]
+    ) -> None:
+        """Record what a list dropped or replaced of retained objects."""
+        if not retained:
+            return
+        names = {stored.name for stored in mirror.list_all().objects}
+        kept = {stored.name for stored in mirror.list_retained()}
+        dropped = [s.name for s in retained if s.name not in names]
+        renewed = [s.name for s in retained if s.name in names - kept]
+        metrics = self._node.metrics
+        metrics.count_retained(mirror.kind, "dropped", len(dropped))
+        metrics.count_retained(mirror.kind, "written-again", len(renewed))
+        _LOG.info(
+            "replica: Retained objects checked.",
+            extra=log_fields(
+                kind=mirror.kind,
+                dropped=sorted(dropped),
+                written_again=sorted(renewed),
+                retained=sorted(kept),
+            ),
+        )
+
     def _record_refused_list(
         self, mirror: Mirror, listing: Listing, peer: Peer | None
     ) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -77,7 +77,12 @@
 
 def _print_result(result: SoakResult) -> None:
     statuses = dict(sorted(result.statuses.items()))
-    print(f"seed {result.seed}: {statuses}", flush=True)
+    print(
+        f"seed {result.seed}: {statuses}, store at most "
+        f"{result.store_reads_per_s} reads and {result.store_writes_per_s} "
+        "writes a second",
+        flush=True,
+    )
     if not result.breaches:
         return
     for span in result.fault_periods:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -110,7 +110,10 @@
             *(h.store_proxy for h in self.hosts),
         ]:
             await proxy.stop()
-        await self.store.stop()
+        store = self.store
+        self.record.store_reads_per_s = max(store.reads_by_s.values())
+        self.record.store_writes_per_s = max(store.writes_by_s.values())
+        await store.stop()
 
     async def add_upstream(self, zone: str, name: str = "") -> Upstream:
         """Start and register an upstream; `name` restarts an earlier one."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -27,6 +27,9 @@
 # The reason that a host gives when its configuration is not confirmed.
 NOT_CURRENT = b"not-current"
 NOT_FOUND = 404
+# Calls a second that the platform's store serves.
+STORE_READS_PER_S = 2000
+STORE_WRITES_PER_S = 400
 # Faults after which a host does not know what it has been told.
 _FORGETTING_FAULTS = frozenset(
     {"AllKilled", "HostKilled", "HostPaused", "HostStopped"}
@@ -276,6 +279,15 @@
     )
 
 
+def check_store_load(indexed: IndexedRecord) -> Iterator[Breach]:
+    """Yield the largest load of the store if it is over its limits."""
+    record = indexed.record
+    if record.store_reads_per_s > STORE_READS_PER_S:
+        yield Breach("store overloaded", f"{record.store_reads_per_s} reads")
+    if record.store_writes_per_s > STORE_WRITES_PER_S:
+        yield Breach("store overloaded", f"{record.store_writes_per_s} writes")
+
+
 def check_rates(indexed: IndexedRecord) -> Iterator[Breach]:
     """Yield the first window in which a workspace exceeded its rate."""
     limit = RATE_PER_S * QUOTA_WINDOW_S + BURST
@@ -335,6 +347,7 @@
     check_confirmations,
     check_leaves,
     check_rates,
+    check_store_load,
     check_recovery,
 )
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -104,6 +104,7 @@
     `upstream_withdrawals` are those that leave without a word to the store.
     `key_workspaces` maps keys to workspaces, and `route_additions` the path
     prefixes of added routes to the time at which the store accepted them.
+    `store_reads_per_s` and `store_writes_per_s` are the most in one second.
     """
 
     __slots__ = (
@@ -115,6 +116,8 @@
         "upstream_withdrawals",
         "key_workspaces",
         "route_additions",
+        "store_reads_per_s",
+        "store_writes_per_s",
     )
 
     def __init__(self):
@@ -126,6 +129,8 @@
         self.upstream_withdrawals: set[str] = set()
         self.key_workspaces: dict[str, str] = {}
         self.route_additions: dict[str, float] = {}
+        self.store_reads_per_s = 0
+        self.store_writes_per_s = 0
 
     def is_leaving(self, upstream: str) -> bool:
         """Return whether an upstream was asked to leave."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,13 +1,12 @@
 """Runs one soak test: starts a fleet and callers, injects faults, checks."""
 
 import asyncio
-from collections import Counter
 
 from soak.callers import Caller
 from soak.faults import begin_fault, end_fault
 from soak.fleet import Fleet
 from soak.promises import Breach, IndexedRecord, check_all, count_statuses
-from soak.record import FaultPeriod
+from soak.record import FaultPeriod, SoakRecord
 from soak.schedule import ScheduledFault, draw_schedule
 from soak.settings import SoakSettings
 
@@ -20,21 +19,32 @@
 
 
 class SoakResult:
-    """Broken promises, number of requests by status, and faults of a seed."""
+    """Broken promises, number of requests by status, and faults of a seed.
 
-    __slots__ = ("seed", "breaches", "statuses", "fault_periods")
+    `store_reads_per_s` and `store_writes_per_s` are the most in one second.
+    """
+
+    __slots__ = (
+        "seed",
+        "breaches",
+        "statuses",
+        "fault_periods",
+        "store_reads_per_s",
+        "store_writes_per_s",
+    )
 
     def __init__(
         self,
         seed: int,
         breaches: list[Breach],
-        statuses: Counter,
-        fault_periods: list[FaultPeriod],
+        record: SoakRecord,
     ):
         self.seed = seed
         self.breaches = breaches
-        self.statuses = statuses
-        self.fault_periods = fault_periods
+        self.statuses = count_statuses(record)
+        self.fault_periods = record.fault_periods
+        self.store_reads_per_s = record.store_reads_per_s
+        self.store_writes_per_s = record.store_writes_per_s
 
 
 async def run_soak(settings: SoakSettings) -> SoakResult:
@@ -57,12 +67,7 @@
         await fleet.stop()
     record = fleet.record
     indexed = IndexedRecord(record, settings, stopped_at)
-    return SoakResult(
-        settings.seed,
-        check_all(indexed),
-        count_statuses(record),
-        record.fault_periods,
-    )
+    return SoakResult(settings.seed, check_all(indexed), record)
 
 
 def make_callers(fleet: Fleet) -> list[Caller]:
--- a/standin/object_store.py
+++ b/standin/object_store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import Counter
 from enum import Enum
 
 import orjson
@@ -78,6 +79,7 @@
 class ObjectStore:
     """Serves `/v1/objects`; `calls` counts requests by method.
 
+    `reads_by_s` and `writes_by_s` count them by second of the loop's clock.
     `endless_bytes` is what was written of the last answer without end. `era`
     rises each time the store is restored; answers name it once it has.
     """
@@ -85,6 +87,8 @@
     __slots__ = (
         "failure_mode",
         "calls",
+        "reads_by_s",
+        "writes_by_s",
         "endless_bytes",
         "revision",
         "era",
@@ -100,6 +104,8 @@
     def __init__(self):
         self.failure_mode = FailureMode.NONE
         self.calls: dict[str, int] = {}
+        self.reads_by_s: Counter[int] = Counter()
+        self.writes_by_s: Counter[int] = Counter()
         self.endless_bytes = 0
         self.revision = 1
         self.era = 0
@@ -208,6 +214,8 @@
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         method = request.method
         self.calls[method] = self.calls.get(method, 0) + 1
+        counter = self.reads_by_s if method == "GET" else self.writes_by_s
+        counter[int(asyncio.get_running_loop().time())] += 1
         if self.failure_mode in (FailureMode.SILENT, FailureMode.RESET):
             return await self._withhold_answer(request)
         if self.failure_mode is FailureMode.BUSY:
