Send an upstream nothing for as long as it asks

Cause: the header was not read; only the leader's own doubts about an upstream that sheds kept requests away.

Change: the host leaves a paused upstream out of its claims and gives back a slot that was granted there. Requests of a service whose upstreams are all paused are refused at once. The soak lets upstreams ask for pauses and checks the rule from what reaches them.

--- a/radishstile/entry/attempt.py
+++ b/radishstile/entry/attempt.py
@@ -39,6 +39,7 @@
     encode_request_head,
     read_leaving,
     read_load,
+    read_pause,
     read_rate_limit,
 )
 from radishstile.slot.claim import Ending
@@ -84,10 +85,10 @@
         rate_limit = load = result = None
         is_streaming = False
         try:
-            upstream = self._node.registry.find_usable(upstream_id)
+            upstream = self._find_usable(upstream_id)
             if upstream is None:
-                # It is new, and not known here yet, or leaving. The slot ends
-                # as abandoned, since nothing is known of its health.
+                # It is new, and not known here yet, or leaving or paused. The
+                # slot ends as abandoned, since nothing is known of its health.
                 return AttemptResult(
                     Ending.UNREACHABLE,
                     upstream_id,
@@ -164,6 +165,7 @@
         finally:
             if parser.head is not None:
                 self._read_leaving(upstream, parser.head)
+                self._read_pause(upstream, parser.head)
             self._finish_send(upstream, connection, parser, result)
             if result is None:
                 reservation.close()
@@ -211,6 +213,36 @@
             self._node.metrics.count_load("malformed")
             return None
 
+    def _find_usable(self, upstream_id: str) -> Registration | None:
+        """Return the upstream if this host may send it a request."""
+        upstream = self._node.registry.find_usable(upstream_id)
+        if upstream is None:
+            return None
+        pauses = self._node.pauses
+        if pauses.is_paused(upstream.incarnation, read_clock()):
+            return None
+        return upstream
+
+    def _read_pause(self, upstream: Registration, head: AnswerHead) -> None:
+        """Begin the pause that an upstream asks for as it turns away."""
+        pause_s = read_pause(head)
+        if pause_s is None:
+            self._node.metrics.count_pause("malformed")
+            return
+        if not pause_s:
+            return
+        is_new = self._node.pauses.begin(
+            upstream.incarnation, pause_s, read_clock()
+        )
+        if is_new:
+            self._node.metrics.count_pause("new")
+            _LOG.info(
+                "forwarding: Upstream asks for a pause.",
+                extra=log_fields(
+                    upstream=upstream.upstream_id, pause_s=pause_s
+                ),
+            )
+
     def _read_leaving(self, upstream: Registration, head: AnswerHead) -> None:
         """Report an upstream that says that it leaves, in any answer."""
         is_leaving = read_leaving(head)
--- a/radishstile/entry/metrics.py
+++ b/radishstile/entry/metrics.py
@@ -47,6 +47,7 @@
         "returns",
         "load_reports",
         "leaving_reports",
+        "pauses",
         "pace",
         "pace_age",
         "choices",
@@ -139,6 +140,11 @@
             "radishstile_leaving_upstreams",
             "Upstreams that say that they leave, by result.",
         )
+        self.pauses = self._add(
+            Counter,
+            "radishstile_upstream_pauses",
+            "Pauses that upstreams ask for, by result.",
+        )
         self.pace = self._add(
             Gauge, "radishstile_upstream_pace", "Reported pace, 1.0 as usual."
         )
@@ -203,6 +209,10 @@
         """Count an upstream that leaves; `result` is a fixed word."""
         self.leaving_reports.inc({"result": result})
 
+    def count_pause(self, result: str) -> None:
+        """Count a pause asked for; `result` is one of a few fixed words."""
+        self.pauses.inc({"result": result})
+
     def set_paces(self, paces: dict[str, LoadReport], now: float) -> None:
         """Replace the reported paces by upstream, at most `MAX_PACES`."""
         self.pace.values.clear()
--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -17,6 +17,7 @@
 from radishstile.platform.objects import (
     ObjectClient,
 )
+from radishstile.upstream.pause import UpstreamPauses
 from radishstile.upstream.registration import UpstreamRegistry
 
 _LOG = logging.getLogger("radishstile.node")
@@ -48,6 +49,7 @@
         "_store_answered_at",
         "_store_data_at",
         "registry",
+        "pauses",
         "hosts",
         "is_leaving",
         "stop_plan",
@@ -82,6 +84,7 @@
         # read directly or through a peer.
         self._store_data_at = float("-inf")
         self.registry = UpstreamRegistry()
+        self.pauses = UpstreamPauses()
         self.hosts = HostTable(RegisteredHost(self.local_member, file.cores))
         self.update_own_endpoints()
         self.is_leaving = False
--- a/radishstile/entry/request_claims.py
+++ b/radishstile/entry/request_claims.py
@@ -89,6 +89,7 @@
         object_key = ""
         if route.has_affinity and request.affinity_key:
             object_key = f"{route.prefix}{request.affinity_key}"
+        paused = self._node.pauses.list_paused(read_clock())
         # Callers may send two requests with one id at a time.
         number = next(self._numbers)
         host = self._node.local_member.host
@@ -100,7 +101,7 @@
             plan.priority,
             self._node.local_member.zone,
             plan.regions,
-            frozenset(attempts.excluded),
+            frozenset(attempts.excluded.union(paused)),
             read_clock(),
             plan.objective_at,
             plan.deadline_at,
--- a/radishstile/platform/http_codec.py
+++ b/radishstile/platform/http_codec.py
@@ -33,6 +33,9 @@
 _RATE_LIMIT = b"server-limit"
 # Set to 1 by an upstream that leaves.
 _LEAVING = b"server-leaving"
+# Seconds in which an upstream that turned a request away wants no other one.
+_RETRY_AFTER = b"retry-after"
+_MAX_PAUSE_S = 300.0
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _MAX_RATE_PER_S = 1e6
 # Requests running and waiting at an upstream, its slots, and how long work
@@ -190,6 +193,21 @@
     return True if values == [b"1"] else None
 
 
+def read_pause(head: AnswerHead) -> float | None:
+    """Return the seconds in which the upstream wants nothing from this host.
+
+    0 without such a request, None if it can't be told, as the header of an
+    answer 503 is doubled, no number of seconds, or too large.
+    """
+    values = head.find_all(_RETRY_AFTER)
+    if head.status != _UNAVAILABLE or not values:
+        return 0.0
+    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+        return None
+    pause_s = float(values[0])
+    return pause_s if pause_s <= _MAX_PAUSE_S else None
+
+
 def read_load(head: AnswerHead, now: float) -> LoadReport | None:
     """Return the load that the upstream names, or None if it names none.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,8 @@
 
 # Factor on the duration of requests at a slow upstream.
 SLOWDOWN_FACTOR = 8.0
+# Pause that an upstream asks for, in seconds.
+PAUSE_S = 2.0
 
 
 class Fault:
@@ -119,6 +121,12 @@
     __slots__ = ()
 
 
+class UpstreamPaused(Fault):
+    """Refusal of all requests by an upstream, which asks for pauses."""
+
+    __slots__ = ()
+
+
 class UpstreamLeaves(Fault):
     """Drain of an upstream, which a new one replaces."""
 
@@ -244,6 +252,12 @@
         fleet.upstreams[fault.subject].slowdown_factor = SLOWDOWN_FACTOR
 
 
+@begin_fault.register
+async def _(fault: UpstreamPaused, fleet: Fleet) -> None:
+    if fault.subject in fleet.upstreams:
+        fleet.upstreams[fault.subject].pause_s = PAUSE_S
+
+
 @begin_fault.register
 async def _(fault: UpstreamLeaves, fleet: Fleet) -> None:
     upstream = fleet.upstreams.get(fault.subject)
@@ -327,6 +341,12 @@
         fleet.upstreams[fault.subject].slowdown_factor = 1.0
 
 
+@end_fault.register
+async def _(fault: UpstreamPaused, fleet: Fleet) -> None:
+    if fault.subject in fleet.upstreams:
+        fleet.upstreams[fault.subject].pause_s = 0.0
+
+
 @end_fault.register
 async def _(fault: LinkHarmed, fleet: Fleet) -> None:
     if fault.subject in fleet.upstream_proxies:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -125,7 +125,7 @@
             self._last_incarnation,
             self.settings.slots,
             REQUEST_DURATION_S,
-            self.record.runs,
+            self.record,
             self.read_clock,
         ).start()
         self.upstreams[name] = upstream
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable, Iterator
 
 from soak.configuration import BURST, LIMITED_WORKSPACE, RATE_PER_S
-from soak.record import FaultPeriod, Run, SentRequest, SoakRecord
+from soak.record import (
+    Arrival,
+    FaultPeriod,
+    Run,
+    SentRequest,
+    SoakRecord,
+)
 from soak.settings import SoakSettings
 from soak.upstream import make_body
 
@@ -30,6 +36,10 @@
 # Calls a second that the platform's store serves.
 STORE_READS_PER_S = 2000
 STORE_WRITES_PER_S = 400
+# Requests that a host may send to an upstream that asked it for a pause, and
+# the time after that in which they don't count, in seconds.
+PAUSE_ARRIVALS = 2
+PAUSE_SLACK_S = 0.5
 # Faults after which a host does not know what it has been told.
 _FORGETTING_FAULTS = frozenset(
     {"AllKilled", "HostKilled", "HostPaused", "HostStopped"}
@@ -269,6 +279,30 @@
             )
 
 
+def check_pauses(indexed: IndexedRecord) -> Iterator[Breach]:
+    """Yield pauses in which a host sent more than a few requests all the same.
+
+    A restart, a pause or a cut of the host excuses them.
+    """
+    arrivals: dict[tuple[str, str], list[Arrival]] = defaultdict(list)
+    for arrival in indexed.record.arrivals:
+        request = indexed.requests.get(arrival.request_id)
+        if request is not None:
+            arrivals[request.host, arrival.upstream].append(arrival)
+    for (host, upstream), sent in arrivals.items():
+        for refused in sent:
+            end = refused.at + refused.pause_s
+            late = [a for a in sent if refused.at + PAUSE_SLACK_S < a.at < end]
+            if len(late) <= PAUSE_ARRIVALS:
+                continue
+            if not _has_forgotten(indexed, refused.at, end):
+                yield Breach(
+                    "paused upstream",
+                    f"{len(late)} from {host} to {upstream} after "
+                    f"{refused.at:.2f}",
+                )
+
+
 def _has_forgotten(indexed: IndexedRecord, begin: float, end: float) -> bool:
     """Return whether a host may have been restarted or paused."""
     return any(
@@ -346,6 +380,7 @@
     check_additions,
     check_confirmations,
     check_leaves,
+    check_pauses,
     check_rates,
     check_store_load,
     check_recovery,
--- a/soak/record.py
+++ b/soak/record.py
@@ -33,6 +33,24 @@
         self.started_at = started_at
 
 
+class Arrival:
+    """A request that reached an upstream, run or not.
+
+    `pause_s` is the pause that the upstream asked for as it turned the
+    request away, in seconds, or 0.
+    """
+
+    __slots__ = ("request_id", "upstream", "at", "pause_s")
+
+    def __init__(
+        self, request_id: str, upstream: str, at: float, pause_s: float
+    ):
+        self.request_id = request_id
+        self.upstream = upstream
+        self.at = at
+        self.pause_s = pause_s
+
+
 class SentRequest:
     """A request that a caller sent; `status` is 0 without an answer.
 
@@ -109,6 +127,7 @@
 
     __slots__ = (
         "runs",
+        "arrivals",
         "requests",
         "fault_periods",
         "key_revocations",
@@ -122,6 +141,7 @@
 
     def __init__(self):
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
         self.requests: list[SentRequest] = []
         self.fault_periods: list[FaultPeriod] = []
         self.key_revocations: dict[str, float] = {}
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,6 +20,7 @@
     StoreTroubled,
     UpstreamCrashed,
     UpstreamLeaves,
+    UpstreamPaused,
     UpstreamSlowed,
     UpstreamWithdrawn,
 )
@@ -130,6 +131,7 @@
     partial(_make_for_upstream, UpstreamSlowed),
     partial(_make_for_upstream, UpstreamLeaves),
     partial(_make_for_upstream, UpstreamWithdrawn),
+    partial(_make_for_upstream, UpstreamPaused),
     partial(_make_fixed, RouteAdded, "configuration"),
     _make_restored_store,
     _make_store_connection_fault,
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from soak.record import Run
+from soak.record import Arrival, Run
 
 CHUNK_BYTES = 65_536
 # Time that a draining upstream keeps serving after the drain bound, in
@@ -23,15 +23,17 @@
         "request_duration_s",
         "slowdown_factor",
         "is_leaving",
+        "pause_s",
         "runs",
         "busy_slots",
+        "_arrivals",
         "_clock",
         "_server",
         "_writers",
     )
 
     def __init__(
-        self, name, zone, incarnation, slots, request_duration_s, runs, clock
+        self, name, zone, incarnation, slots, request_duration_s, record, clock
     ):
         self.name = name
         self.zone = zone
@@ -41,8 +43,11 @@
         self.slowdown_factor = 1.0
         # Whether its answers name that it leaves.
         self.is_leaving = False
+        # If above 0, it turns all requests away, and asks for such a pause.
+        self.pause_s = 0.0
         # Shared by all upstreams, ordered by start.
-        self.runs: list[Run] = runs
+        self.runs: list[Run] = record.runs
+        self._arrivals: list[Arrival] = record.arrivals
         self.busy_slots = 0
         self._clock = clock
         self._server: asyncio.Server | None = None
@@ -97,7 +102,11 @@
         expected = request.headers.get("x-expect-instance", self.name)
         if expected != self.name:
             return _encode_answer(421, request_id, b"", ["X-Not-Executed: 1"])
-        if self.busy_slots >= self.slots:
+        now = self._clock()
+        self._arrivals.append(
+            Arrival(request_id, self.name, now, self.pause_s)
+        )
+        if self.pause_s or self.busy_slots >= self.slots:
             headers = ["X-Not-Executed: 1", *self._list_headers()]
             return _encode_answer(503, request_id, b"", headers)
         self.busy_slots += 1
@@ -120,7 +129,10 @@
 
     def _list_headers(self) -> list[str]:
         """Return the headers that tell the upstream's state."""
-        return ["Server-Leaving: 1"] if self.is_leaving else []
+        headers = ["Server-Leaving: 1"] if self.is_leaving else []
+        if self.pause_s:
+            headers.append(f"Retry-After: {self.pause_s:.1f}")
+        return headers
 
 
 class _ParsedRequest:
--- a/test/entry/test_leaving.py
+++ b/test/entry/test_leaving.py
@@ -1,6 +1,6 @@
-"""Tests of upstreams that name `Server-Leaving` while the store can't tell.
+"""Tests of upstreams that tell in answers that they leave or want a pause.
 
-Orders went on to an upstream until it exited, and some were lost.
+Orders went on to one that left until it exited, and some were lost.
 """
 
 import asyncio
@@ -27,6 +27,11 @@
     return make_answer("other", extra=LEAVING) + answer_with("")(head)
 
 
+def ask_for_pause(pause):
+    extra = f"X-Not-Executed: 1\r\nRetry-After: {pause}"
+    return answer_with(extra, status=503, body=b"")
+
+
 class LeavingTestCase(PlatformTestCase):
     """All upstreams are ready as far as the store tells."""
 
@@ -54,6 +59,13 @@
                 return received
         return self.fail("no request reached the upstream")
 
+    def restart(self, born):
+        """Register the upstream as started again."""
+        record = self.store.get_spec("servers", self.leaving.name)
+        status = {"state": "ready", "sequence": 1, "warmup_left_s": 0}
+        spec = {**record, "born": born}
+        self.store.put("servers", self.leaving.name, spec, status)
+
 
 class LeavingTest(LeavingTestCase):
     async def test_host_that_heard_it_sends_nothing_more(self):
@@ -86,13 +98,6 @@
                 self.restart(number)
                 await self.wait_until(lambda: not self.has_left(self.host))
 
-    def restart(self, born):
-        """Register the upstream as started again."""
-        record = self.store.get_spec("servers", self.leaving.name)
-        status = {"state": "ready", "sequence": 1, "warmup_left_s": 0}
-        spec = {**record, "born": born}
-        self.store.put("servers", self.leaving.name, spec, status)
-
     async def test_leaders_of_both_regions_learn_it(self):
         remote = await self.start_host("front-2", "wlg-a")
         follower = await self.start_host("front-3", "akl-a")
@@ -126,3 +131,45 @@
         ):
             await self.answer_once(answer)
             self.assertFalse(self.has_left(self.host))
+
+
+class PauseTest(LeavingTestCase):
+    """An upstream turns requests away and asks for a pause (BUDGET)."""
+
+    async def send_many(self):
+        """Send 20 requests, and return how many reached the upstream."""
+        before = len(self.leaving.runs)
+        for number in range(20):
+            answer = await self.ask(request_id=f"m{number}")
+            self.assertEqual(answer.status, 200)
+        return len(self.leaving.runs) - before
+
+    async def test_paused_upstream_gets_no_requests_until_the_end(self):
+        answer = await self.answer_once(ask_for_pause("1.5"))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(await self.send_many(), 0)
+        await asyncio.sleep(1.6)
+        self.assertEqual(self.host.entry.node.pauses.list_paused(1e9), [])
+
+    async def test_values_that_ask_for_no_pause(self):
+        pauses = self.host.entry.node.pauses
+        for value in ("-1", "soon", "1e9", "999", "2\r\nRetry-After: 3"):
+            await self.answer_once(ask_for_pause(value))
+            now = asyncio.get_running_loop().time()
+            self.assertEqual(pauses.list_paused(now), [], value)
+            self.restart(int(now * 1000))
+            await asyncio.sleep(0.3)
+
+
+class OnlyUpstreamPausedTest(LeavingTestCase):
+    upstream_count = 1
+
+    async def test_requests_are_refused_at_once(self):
+        await self.answer_once(ask_for_pause("1.5"))
+        before = len(self.leaving.runs)
+        began_at = asyncio.get_running_loop().time()
+        answer = await self.ask()
+        self.assertLess(asyncio.get_running_loop().time() - began_at, 0.3)
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(len(self.leaving.runs), before)
