Evacuate zones in the soak, and test its new checks

A fault evacuates a zone, also while the store is restored; runs in it count after evacuate_s unless an unplanned fault is near.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -143,6 +143,14 @@
     is_planned = True
 
 
+class ZoneEvacuated(Fault):
+    """Evacuation of a zone by the operator."""
+
+    __slots__ = ()
+
+    is_planned = True
+
+
 class LinkHarmed(Fault):
     """Connection fault between all hosts and an upstream."""
 
@@ -276,6 +284,12 @@
     fleet.withdraw_upstream(fault.subject)
 
 
+@begin_fault.register
+async def _(fault: ZoneEvacuated, fleet: Fleet) -> None:
+    await fleet.store_present.wait()
+    fleet.evacuate(fault.subject)
+
+
 @begin_fault.register
 async def _(fault: LinkHarmed, fleet: Fleet) -> None:
     if fault.subject in fleet.upstream_proxies:
@@ -347,6 +361,12 @@
         fleet.upstreams[fault.subject].pause_s = 0.0
 
 
+@end_fault.register
+async def _(fault: ZoneEvacuated, fleet: Fleet) -> None:
+    await fleet.store_present.wait()
+    fleet.end_evacuation(fault.subject)
+
+
 @end_fault.register
 async def _(fault: LinkHarmed, fleet: Fleet) -> None:
     if fault.subject in fleet.upstream_proxies:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,7 +9,7 @@
 from soak.configuration import make_added_route, make_configuration
 from soak.hosts import Host
 from soak.proxy import Proxy
-from soak.record import SoakRecord
+from soak.record import Evacuation, SoakRecord
 from soak.settings import SoakSettings
 from soak.upstream import DRAIN_OVERRUN_S, Upstream
 from standin.object_store import FailureMode, ObjectStore, StoreBackup
@@ -179,6 +179,7 @@
         """Write what a restored store lacks, as its writers do."""
         await asyncio.sleep(self.rng.uniform(0, OPERATOR_PAUSE_S))
         self._store_configuration()
+        self._write_evacuations_again()
         for name, state in list(self._states.items()):
             await asyncio.sleep(
                 self.rng.uniform(0, UPSTREAM_PAUSE_S / len(self._states))
@@ -188,6 +189,38 @@
             elif name in self.upstreams:
                 self._register(self.upstreams[name], self._states[name])
 
+    def evacuate(self, zone: str) -> None:
+        """Tell in the store that a zone is evacuated."""
+        if self._find_evacuation(zone) is None:
+            self.store.put("evacuations", zone, {})
+            evacuation = Evacuation(zone, self.read_clock())
+            self.record.evacuations.append(evacuation)
+
+    def end_evacuation(self, zone: str) -> None:
+        """Take the evacuation of a zone back."""
+        evacuation = self._find_evacuation(zone)
+        if evacuation is None:
+            return
+        evacuation.end = self.read_clock()
+        # A restored store may lack it.
+        if self.store.get_spec("evacuations", zone) is not None:
+            self.store.remove("evacuations", zone)
+
+    def _find_evacuation(self, zone: str) -> Evacuation | None:
+        """Return the evacuation of a zone that goes on, if there is one."""
+        for evacuation in self.record.evacuations:
+            if evacuation.zone == zone and evacuation.end == float("inf"):
+                return evacuation
+        return None
+
+    def _write_evacuations_again(self) -> None:
+        for zone in self.settings.zones:
+            is_stored = self.store.get_spec("evacuations", zone) is not None
+            if self._find_evacuation(zone) is not None:
+                self.store.put("evacuations", zone, {})
+            elif is_stored:
+                self.store.remove("evacuations", zone)
+
     def list_added_routes(self) -> list[str]:
         """Return the path prefixes of routes that all hosts must serve."""
         until = self.read_clock() - self.settings.apply_s
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -180,6 +180,25 @@
             )
 
 
+def check_evacuations(indexed: IndexedRecord) -> Iterator[Breach]:
+    """Yield runs that started too late in an evacuated zone."""
+    bound_s = indexed.settings.evacuate_s + CLOCK_SLACK_S
+    for evacuation in indexed.record.evacuations:
+        for run in indexed.record.runs:
+            is_late = evacuation.begin + bound_s < run.started_at
+            if not is_late or run.started_at >= evacuation.end:
+                continue
+            if run.zone != evacuation.zone or indexed.find_unplanned_faults(
+                evacuation.begin, run.started_at
+            ):
+                continue
+            yield Breach(
+                "evacuated zone",
+                f"{run.request_id} at {run.upstream}, "
+                f"{run.started_at - evacuation.begin:.2f} s after",
+            )
+
+
 def check_lost_requests(indexed: IndexedRecord) -> Iterator[Breach]:
     """Yield requests that ran but got no answer, with no fault nearby."""
     for request in indexed.requests.values():
@@ -375,6 +394,7 @@
     check_workspaces,
     check_revocations,
     check_drains,
+    check_evacuations,
     check_lost_requests,
     check_denied_requests,
     check_additions,
--- a/soak/record.py
+++ b/soak/record.py
@@ -13,6 +13,7 @@
         "workspace",
         "authorization",
         "upstream",
+        "zone",
         "started_at",
     )
 
@@ -23,6 +24,7 @@
         workspace: str,
         authorization: str,
         upstream: str,
+        zone: str,
         started_at: float,
     ):
         self.request_id = request_id
@@ -30,6 +32,7 @@
         self.workspace = workspace
         self.authorization = authorization
         self.upstream = upstream
+        self.zone = zone
         self.started_at = started_at
 
 
@@ -114,6 +117,17 @@
         self.end = float("inf")
 
 
+class Evacuation:
+    """The time in which the store told that a zone is evacuated."""
+
+    __slots__ = ("zone", "begin", "end")
+
+    def __init__(self, zone: str, begin: float):
+        self.zone = zone
+        self.begin = begin
+        self.end = float("inf")
+
+
 class SoakRecord:
     """Everything that was observed in a soak test.
 
@@ -130,6 +144,7 @@
         "arrivals",
         "requests",
         "fault_periods",
+        "evacuations",
         "key_revocations",
         "upstream_drains",
         "upstream_withdrawals",
@@ -144,6 +159,7 @@
         self.arrivals: list[Arrival] = []
         self.requests: list[SentRequest] = []
         self.fault_periods: list[FaultPeriod] = []
+        self.evacuations: list[Evacuation] = []
         self.key_revocations: dict[str, float] = {}
         self.upstream_drains: dict[str, float] = {}
         self.upstream_withdrawals: set[str] = set()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -23,6 +23,7 @@
     UpstreamPaused,
     UpstreamSlowed,
     UpstreamWithdrawn,
+    ZoneEvacuated,
 )
 from soak.fleet import Fleet
 from soak.proxy import ConnectionFault
@@ -82,6 +83,12 @@
     return kind(rng.choice(sorted(fleet.upstreams)), _draw_duration_s(rng))
 
 
+def _make_evacuation(fleet: Fleet, rng: random.Random) -> Fault:
+    """Evacuate a zone that shares its region with another one."""
+    zones = [name for name in sorted(fleet.settings.zones) if "akl" in name]
+    return ZoneEvacuated(rng.choice(zones), MAX_FAULT_S)
+
+
 def _make_fixed(kind, subject: str, fleet: Fleet, rng) -> Fault:
     return kind(subject, _draw_duration_s(rng))
 
@@ -134,6 +141,7 @@
     partial(_make_for_upstream, UpstreamPaused),
     partial(_make_fixed, RouteAdded, "configuration"),
     _make_restored_store,
+    _make_evacuation,
     _make_store_connection_fault,
     _make_store_failure,
     _make_upstream_link_fault,
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -24,6 +24,7 @@
         "revoke_s",
         "apply_s",
         "drain_s",
+        "evacuate_s",
         "grace_s",
     )
 
@@ -54,4 +55,5 @@
         self.revoke_s = 5.0
         self.apply_s = 4.0
         self.drain_s = 2.5
+        self.evacuate_s = 4.0
         self.grace_s = 6.0
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -116,6 +116,7 @@
             request.headers.get("x-tenant", ""),
             request.headers.get("authorization", ""),
             self.name,
+            self.zone,
             self._clock(),
         )
         self.runs.append(run)
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -2,8 +2,15 @@
 
 import unittest
 
-from soak.promises import IndexedRecord, check_all
-from soak.record import FaultPeriod, Run, SentRequest, SoakRecord
+from soak.promises import NOT_CURRENT, IndexedRecord, check_all
+from soak.record import (
+    Arrival,
+    Evacuation,
+    FaultPeriod,
+    Run,
+    SentRequest,
+    SoakRecord,
+)
 from soak.settings import SoakSettings
 from soak.upstream import make_body
 
@@ -43,6 +50,7 @@
                 workspace,
                 "",
                 upstream,
+                "akl-a",
                 request.sent_at + 0.05,
             )
         )
@@ -130,6 +138,42 @@
             self.add_run(request, workspace="employer")
         self.check("over its rate")
 
+    def test_evacuated_zone_that_receives_requests(self):
+        self.record.evacuations.append(Evacuation("akl-a", 15.0))
+        self.record.evacuations[0].end = 22.0
+        self.check("evacuated zone")
+
+    def test_added_route_that_hosts_do_not_know(self):
+        request = self.add_request("c0-4", "/added-0/1", 30.0)
+        self.record.route_additions["/added-0/"] = 20.0
+        request.status = 404
+        self.record.runs.pop()
+        self.check("unknown route")
+
+    def test_confirmation_that_is_missing(self):
+        request = self.record.requests[1]
+        request.status, request.body = 503, NOT_CURRENT
+        self.record.runs.pop(1)
+        self.check("not confirmed")
+
+    def test_leaving_upstream_that_receives_requests(self):
+        self.record.requests[1].names_leaving = True
+        self.check("leaving upstream")
+
+    def test_paused_upstream_that_receives_requests(self):
+        for at, pause_s in (
+            (10.0, 2.0),
+            (11.0, 0.0),
+            (11.1, 0.0),
+            (11.2, 0.0),
+        ):
+            self.record.arrivals.append(Arrival("c0-1", "i-1", at, pause_s))
+        self.check("paused upstream")
+
+    def test_store_with_too_many_calls(self):
+        self.record.store_writes_per_s = 401
+        self.check("store overloaded")
+
     def test_callers_not_served_after_the_last_fault(self):
         self.add_fault_period(1.0, 25.0)
         self.record.requests[-1].status = 503
