--- a/radishstile/platform/retention.py
+++ b/radishstile/platform/retention.py
@@ -75,7 +75,8 @@
     def begin_era(self, now: float) -> None:
         """Retain objects of former eras from now on."""
         self._missing_until = now + self._rule.missing_s
-        self._removed_until = now + self._rule.removed_s
+        if self._rule.removed_s:
+            self._removed_until = now + self._rule.removed_s
 
     def is_due(self, now: float) -> bool:
         """Return whether the kind must be listed to drop what is retained."""
--- a/test/platform/test_http_codec.py
+++ b/test/platform/test_http_codec.py
@@ -14,7 +14,9 @@
     encode_request_head,
     find_status,
     read_keepalive_timeout,
+    read_leaving,
     read_load,
+    read_pause,
     read_rate_limit,
 )
 from radishstile.slot.claim import Ending
@@ -177,6 +179,29 @@
         self.assertIsNone(self.read(b"9999999"))
 
 
+class LeavingTest(unittest.TestCase):
+    """Guards against odd headers that take an upstream out of use."""
+
+    def read(self, read, name, *values, status=503):
+        return read(AnswerHead(status, [(name, value) for value in values]))
+
+    def test_leaving_is_told_by_one_value_only(self):
+        name = b"Server-Leaving"
+        self.assertIs(self.read(read_leaving, name, b" 1 "), True)
+        self.assertIs(self.read(read_leaving, name), False)
+        self.assertIs(self.read(read_leaving, name, b"1", status=421), False)
+        for values in ([b"0"], [b""], [b"yes"], [b"1", b"1"]):
+            self.assertIsNone(self.read(read_leaving, name, *values))
+
+    def test_pauses_are_seconds_of_a_refusal(self):
+        name = b"Retry-After"
+        self.assertEqual(self.read(read_pause, name, b"1.5"), 1.5)
+        self.assertEqual(self.read(read_pause, name), 0.0)
+        self.assertEqual(self.read(read_pause, name, b"2", status=200), 0.0)
+        for values in ([b"-1"], [b"soon"], [b"1e9"], [b"999"], [b"2", b"3"]):
+            self.assertIsNone(self.read(read_pause, name, *values))
+
+
 class LoadTest(unittest.TestCase):
     """Guards against figures of a faulty upstream that steer requests."""
 
