--- a/radishstile/entry/node.py
+++ b/radishstile/entry/node.py
@@ -14,9 +14,7 @@
 from radishstile.fleet.leadership import FRESH_MAX_AGE_S
 from radishstile.member import Member
 from radishstile.platform.host_file import HostFile
-from radishstile.platform.objects import (
-    ObjectClient,
-)
+from radishstile.platform.objects import ObjectClient
 from radishstile.upstream.pause import UpstreamPauses
 from radishstile.upstream.registration import UpstreamRegistry
 
@@ -131,7 +129,11 @@
             return False
         self.era = era
         self.freshness.begin_era(read_boottime_clock())
-        _LOG.warning("node: Store is in a new era.", extra=log_fields(era=era))
+        # A host that starts can't know how old the era is.
+        level = logging.INFO if self.catalog is None else logging.WARNING
+        _LOG.log(
+            level, "node: Store is in a new era.", extra=log_fields(era=era)
+        )
         return True
 
     def measure_store_data_age(self) -> float:
--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -16,13 +16,9 @@
 )
 from radishstile.fleet.first_list import FirstListSources
 from radishstile.fleet.leadership import FRESH_MAX_AGE_S
-from radishstile.platform.configuration import (
-    CONFIGURATION_KIND,
-)
+from radishstile.platform.configuration import CONFIGURATION_KIND
 from radishstile.platform.mirror import Mirror
-from radishstile.platform.objects import (
-    ObjectClient,
-)
+from radishstile.platform.objects import ObjectClient
 from radishstile.platform.registrations import HOST_KIND, UPSTREAM_KIND
 from radishstile.platform.stored_objects import Listing, PlatformObject
 
--- a/radishstile/platform/registrations.py
+++ b/radishstile/platform/registrations.py
@@ -5,9 +5,7 @@
 from radishstile.errors import PlatformError
 from radishstile.fleet.hosts import RegisteredHost
 from radishstile.member import Member
-from radishstile.platform.stored_objects import (
-    PlatformObject,
-)
+from radishstile.platform.stored_objects import PlatformObject
 from radishstile.platform.values import (
     MAX_PORT,
     require_address,
--- a/radishstile/platform/revision.py
+++ b/radishstile/platform/revision.py
@@ -11,6 +11,7 @@
 _NUMBER_BITS = 48
 _NUMBER_LIMIT = 1 << _NUMBER_BITS
 _ERA_LIMIT = 1 << 15
+_ERA_DIGITS = 5
 
 
 class Revision(int):
@@ -48,12 +49,13 @@
 def read_era(head: AnswerHead) -> int:
     """Return the era that an answer of the store names, 0 without one.
 
-    Raises `ValueError` if it can't be read or is out of range.
+    Raises `ValueError` if it is doubled, can't be read or is out of range.
     """
-    text = head.find(_ERA_HEADER)
-    if text is None:
+    values = head.find_all(_ERA_HEADER)
+    if not values:
         return 0
-    if not text.isdigit() or len(text) > len(str(_ERA_LIMIT)):
+    text = values[0]
+    if len(values) > 1 or not text.isdigit() or len(text) > _ERA_DIGITS:
         raise ValueError(f"unreadable era {text[:20]!r}")
     return Revision.make(int(text), 0).era
 
--- a/radishstile/platform/scheduler_records.py
+++ b/radishstile/platform/scheduler_records.py
@@ -1,9 +1,7 @@
 """Encodes the records of slot schedulers for the store."""
 
 from radishstile.platform.registrations import MalformedEntryError
-from radishstile.platform.stored_objects import (
-    PlatformObject,
-)
+from radishstile.platform.stored_objects import PlatformObject
 from radishstile.platform.values import require_number, require_type
 from radishstile.slot.record import CacheRecord, SchedulerRecord
 
--- a/test/entry/test_recorder.py
+++ b/test/entry/test_recorder.py
@@ -12,9 +12,7 @@
 from radishstile.errors import ObjectMissingError, StoreUnavailableError
 from radishstile.fleet.hosts import HostTable, RegisteredHost
 from radishstile.member import Member
-from radishstile.platform.objects import (
-    ObjectClient,
-)
+from radishstile.platform.objects import ObjectClient
 from radishstile.platform.scheduler_records import encode_scheduler
 from radishstile.slot.record import CacheRecord, SchedulerRecord
 from test._common import PausedTestCase
--- a/test/platform/test_revision.py
+++ b/test/platform/test_revision.py
@@ -31,6 +31,8 @@
         for text in (b"", b"-1", b"1.0", b"x", b"9" * 5000, b"\xb2"):
             with self.assertRaises(ValueError):
                 read_era(AnswerHead(200, [(b"Store-Era", text)]))
+        with self.assertRaises(ValueError):
+            read_era(AnswerHead(200, [(b"Store-Era", b"1")] * 2))
 
     def test_lower_era_is_rejected(self):
         clock = EraClock()
