Split the era's records from the replica, and the soak's checks

Three tests had the same loop that waits.

PlatformTestCase waits for a condition. No behaviour changes.

--- a/radishstile/entry/replica.py
+++ b/radishstile/entry/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from radishstile.entry.eras import EraObserver
 from radishstile.entry.leadership import Leadership
 from radishstile.entry.logs import log_fields
 from radishstile.entry.node import EntryNode, read_boottime_clock, read_clock
@@ -20,7 +21,7 @@
 from radishstile.platform.mirror import Mirror
 from radishstile.platform.objects import ObjectClient
 from radishstile.platform.registrations import HOST_KIND, UPSTREAM_KIND
-from radishstile.platform.stored_objects import Listing, PlatformObject
+from radishstile.platform.stored_objects import Listing
 
 _LOG = logging.getLogger("radishstile.replica")
 
@@ -65,7 +66,6 @@
         "_eras",
         "_first_sources",
         "_is_source_lost",
-        "_is_settling",
     )
 
     def __init__(self, node: EntryNode, leadership: Leadership):
@@ -75,12 +75,11 @@
             subscriber.kind: Mirror(subscriber.kind)
             for subscriber in SUBSCRIBERS
         }
-        # The era that each kind was read in last.
-        self._eras = dict.fromkeys(self._mirrors, 0)
-        self._first_sources = {kind: FirstListSources() for kind in self._eras}
+        self._eras = EraObserver(node, self._mirrors)
+        self._first_sources = {
+            kind: FirstListSources() for kind in self._mirrors
+        }
         self._is_source_lost = False
-        # Whether no watch was sent since the store's answers confirm again.
-        self._is_settling = False
 
     def find_mirror(self, kind: str) -> Mirror:
         """Return the mirror of a kind; raises `WireError` if there is none."""
@@ -259,7 +258,7 @@
             # After a failure, find out at once whether the source answers.
             return 0.0
         if peer is None and subscriber.kind == CONFIGURATION_KIND:
-            return self._choose_settling_wait(subscriber.watch_s)
+            return self._eras.choose_wait(subscriber.watch_s)
         if peer is None:
             return subscriber.watch_s
         return (
@@ -268,17 +267,6 @@
             else PEER_WATCH_S
         )
 
-    def _choose_settling_wait(self, watch_s: float) -> float:
-        """Return a wait that lets the store confirm as soon as it can."""
-        if not self._is_settling:
-            return watch_s
-        now = read_boottime_clock()
-        settling_s = self._node.freshness.measure_settling(now)
-        if settling_s > 0:
-            return min(watch_s, settling_s)
-        self._is_settling = False
-        return 0.0
-
     async def _list(
         self, subscriber: Subscriber, mirror: Mirror, peer: Peer | None
     ) -> bool:
@@ -289,8 +277,8 @@
         if not mirror.replace(listing):
             self._record_refused_list(mirror, listing, peer)
             return False
-        self._observe_era(mirror)
-        self._record_settled(mirror, retained)
+        self._eras.observe(mirror)
+        self._eras.record_list(mirror, retained)
         # Not the listing: the mirror may retain objects.
         subscriber.replace(mirror.list_all())
         if peer is None:
@@ -314,7 +302,7 @@
         changes = await source.watch(subscriber.kind, mirror.revision, wait_s)
         for change in mirror.apply(changes):
             subscriber.apply(change)
-        self._observe_era(mirror)
+        self._eras.observe(mirror)
         if peer is None:
             subscriber.confirm(asked_at, mirror)
             await asyncio.sleep(
@@ -327,48 +315,6 @@
             # busy loop.
             await asyncio.sleep(RETRY_MIN_S)
 
-    def _observe_era(self, mirror: Mirror) -> None:
-        """Record the mirror's era, and what it retains from former ones."""
-        era = mirror.revision.era
-        if era <= self._eras[mirror.kind]:
-            return
-        self._eras[mirror.kind] = era
-        if self._node.observe_era(era):
-            self._is_settling = True
-        retained = mirror.list_retained()
-        self._node.metrics.count_retained(mirror.kind, "kept", len(retained))
-        _LOG.info(
-            "replica: Objects read in a new era.",
-            extra=log_fields(
-                kind=mirror.kind,
-                era=era,
-                retained=sorted(stored.name for stored in retained),
-            ),
-        )
-
-    def _record_settled(
-        self, mirror: Mirror, retained: list[PlatformObject]
-    ) -> None:
-        """Record what a list dropped or replaced of retained objects."""
-        if not retained:
-            return
-        names = {stored.name for stored in mirror.list_all().objects}
-        kept = {stored.name for stored in mirror.list_retained()}
-        dropped = [s.name for s in retained if s.name not in names]
-        renewed = [s.name for s in retained if s.name in names - kept]
-        metrics = self._node.metrics
-        metrics.count_retained(mirror.kind, "dropped", len(dropped))
-        metrics.count_retained(mirror.kind, "written-again", len(renewed))
-        _LOG.info(
-            "replica: Retained objects checked.",
-            extra=log_fields(
-                kind=mirror.kind,
-                dropped=sorted(dropped),
-                written_again=sorted(renewed),
-                retained=sorted(kept),
-            ),
-        )
-
     def _record_refused_list(
         self, mirror: Mirror, listing: Listing, peer: Peer | None
     ) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from soak.callers import Caller
+from soak.evidence import Breach, IndexedRecord
 from soak.faults import begin_fault, end_fault
 from soak.fleet import Fleet
-from soak.promises import Breach, IndexedRecord, check_all, count_statuses
+from soak.promises import check_all, count_statuses
 from soak.record import FaultPeriod, SoakRecord
 from soak.schedule import ScheduledFault, draw_schedule
 from soak.settings import SoakSettings
--- a/test/entry/_common.py
+++ b/test/entry/_common.py
@@ -293,6 +293,13 @@
             "terms": {"bounds": {"grace_s": 1.0, "revoke_s": 5}},
         }
 
+    async def wait_until(self, condition):
+        for _ in range(400):
+            if condition():
+                return
+            await asyncio.sleep(0.02)
+        self.fail("the condition did not hold within 8 s")
+
     async def ask(self, target="/read/1", **options):
         """Send one request on a new connection, and return the answer."""
         async with Caller(self.host) as caller:
--- a/test/entry/test_leaving.py
+++ b/test/entry/test_leaving.py
@@ -52,13 +52,6 @@
         registry = host.entry.node.registry
         return registry.find_usable(self.leaving.name) is None
 
-    async def wait_until(self, condition):
-        for _ in range(400):
-            if condition():
-                return
-            await asyncio.sleep(0.02)
-        self.fail("the condition did not come about")
-
     async def answer_once(self, answer, target="/read/1"):
         """Let the first upstream answer one request; return the answer."""
         self.leaving.answers = [answer]
--- a/test/entry/test_poison_reports.py
+++ b/test/entry/test_poison_reports.py
@@ -20,13 +20,6 @@
     def is_connected(self, host):
         return bool(host.entry._leadership.peers.list_connected())
 
-    async def wait_until(self, condition):
-        for _ in range(500):
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-        self.fail("the condition did not hold within 5 s")
-
     def check_fingerprint(self, host):
         now = asyncio.get_running_loop().time()
         return host.entry._admission.poison.check(FINGERPRINT, now)
--- a/test/entry/test_replica.py
+++ b/test/entry/test_replica.py
@@ -152,7 +152,7 @@
             freshness=Freshness(5.0), measure_store_answer_age=lambda: 0.0
         )
         replica = Replica(node, None)
-        replica._is_settling = True
+        replica._eras._is_settling = True
         subscriber = SimpleNamespace(kind=CONFIGURATION_KIND, watch_s=0.8)
         node.freshness.begin_era(read_boottime_clock() - ERA_SETTLE_S / 2)
         wait_s = replica._choose_wait(subscriber, None)
--- a/test/entry/test_restored_store.py
+++ b/test/entry/test_restored_store.py
@@ -13,8 +13,6 @@
 from test.entry._common import CONFIGURATION, KEY, PlatformTestCase
 
 SPARE_KEY = "key-2"
-LIMIT_S = 8.0
-CHECK_INTERVAL_S = 0.02
 
 
 def make_configuration(version, keys):
@@ -45,13 +43,6 @@
         nodes = [host.entry.node for host in self.hosts]
         return lambda: all(n.catalog.version == version for n in nodes)
 
-    async def wait_until(self, condition):
-        for _ in range(round(LIMIT_S / CHECK_INTERVAL_S)):
-            if condition():
-                return
-            await asyncio.sleep(CHECK_INTERVAL_S)
-        self.fail("the condition did not come about")
-
     async def test_key_taken_away_at_a_former_revision_is_rejected(self):
         # review/11: a watch went on from a revision that was given out again.
         self.store.restore(self.backup)
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from soak.promises import NOT_CURRENT, IndexedRecord, check_all
+from soak.evidence import IndexedRecord
+from soak.promises import NOT_CURRENT, check_all
 from soak.record import (
     Arrival,
     Evacuation,
