Log the store's own revision numbers, and tighten the soak

From the first restored store on, log lines gave a revision with its era packed into one integer, which is no number that the store knows. The soak excused each denial on an added route, not only 404; and it wrote an upstream's registration again with the state that it had before a pause.

Change: the lines have the store's number (the same as before in era 0). A 400, 401 or 403 on an added route breaks a promise. The state is read when it is written.

--- a/radishstile/entry/recorder.py
+++ b/radishstile/entry/recorder.py
@@ -100,7 +100,7 @@
         _LOG.info(
             "recorder: Record restored.",
             extra=log_fields(
-                revision=stored.revision,
+                revision=stored.revision.number,
                 upstreams=len(record.caches),
                 objects=len(record.list_cached()),
             ),
--- a/radishstile/entry/registrar.py
+++ b/radishstile/entry/registrar.py
@@ -162,5 +162,5 @@
             return
         _LOG.info(
             "registrar: Registration removed.",
-            extra=log_fields(host=host, revision=stored.revision),
+            extra=log_fields(host=host, revision=stored.revision.number),
         )
--- a/radishstile/entry/subscribers.py
+++ b/radishstile/entry/subscribers.py
@@ -101,7 +101,7 @@
         _LOG.info(
             "replica: Configuration applied.",
             extra=log_fields(
-                version=catalog.version, revision=stored.revision
+                version=catalog.version, revision=stored.revision.number
             ),
         )
 
@@ -146,7 +146,7 @@
             extra=log_fields(
                 upstream=change.object.name,
                 state=state,
-                revision=change.object.revision,
+                revision=change.object.revision.number,
             ),
         )
 
@@ -191,7 +191,8 @@
         _LOG.info(
             "replica: Evacuations changed.",
             extra=log_fields(
-                zones=sorted(self._zones), revision=change.object.revision
+                zones=sorted(self._zones),
+                revision=change.object.revision.number,
             ),
         )
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -180,14 +180,15 @@
         await asyncio.sleep(self.rng.uniform(0, OPERATOR_PAUSE_S))
         self._store_configuration()
         self._write_evacuations_again()
-        for name, state in list(self._states.items()):
+        for name in list(self._states):
             await asyncio.sleep(
                 self.rng.uniform(0, UPSTREAM_PAUSE_S / len(self._states))
             )
+            state = self._states[name]
             if state is None:
                 self._unregister(name)
             elif name in self.upstreams:
-                self._register(self.upstreams[name], self._states[name])
+                self._register(self.upstreams[name], state)
 
     def evacuate(self, zone: str) -> None:
         """Tell in the store that a zone is evacuated."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -120,11 +120,16 @@
     for request in indexed.requests.values():
         has_valid_key = request.key not in indexed.record.key_revocations
         is_denied = has_valid_key and request.status in DENIED_STATUSES
-        # A host that is out of touch may not know an added route.
-        if is_denied and _find_addition(indexed, request) is None:
+        if is_denied and not _is_unknown_addition(indexed, request):
             yield Breach("denied", f"{request.request_id}: {request.status}")
 
 
+def _is_unknown_addition(indexed: IndexedRecord, request: SentRequest) -> bool:
+    """Return whether a host, perhaps out of touch, knew no added route."""
+    is_added = _find_addition(indexed, request) is not None
+    return is_added and request.status == NOT_FOUND
+
+
 def check_additions(indexed: IndexedRecord) -> Iterator[Breach]:
     """Yield requests on added routes that hosts in touch don't know."""
     for request in indexed.requests.values():
